Frame: build, checks, shared headers and the decision core's vocabulary

The decision core is state machines that take (now, event) and give actions; the headers here fix the events, actions, records and policies that its parts share, so that the parts can be built side by side.

--- /dev/null
+++ b/src/cmake/compiler.cmake
@@ -0,0 +1,34 @@
+# Language level, warnings, compiler cache and the options that change what is built.
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+
+if(NOT CMAKE_BUILD_TYPE)
+  set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1")
+
+add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers)
+
+option(NUTMEGSPUR_PCH "Precompile the Qt and library headers" ON)
+option(NUTMEGSPUR_SANITIZE "Build with the address and undefined-behaviour sanitizers" OFF)
+set(NUTMEGSPUR_ABLATE "" CACHE STRING
+  "Name of one safety mechanism to leave out (see nutmegspur/mechanisms.h), to show its test fail")
+
+if(NUTMEGSPUR_SANITIZE)
+  add_compile_options(-fsanitize=address,undefined -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=address,undefined)
+endif()
+if(NUTMEGSPUR_ABLATE)
+  add_compile_definitions(NUTMEGSPUR_ABLATE="${NUTMEGSPUR_ABLATE}")
+endif()
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER "${CCACHE_PROGRAM}")
+endif()
+if(NUTMEGSPUR_PCH)
+  # Needed for the compiler cache to work with precompiled headers.
+  add_compile_options(-fpch-preprocess)
+endif()
--- /dev/null
+++ b/src/cmake/testing.cmake
@@ -0,0 +1,27 @@
+# How tests are declared and run.
+enable_testing()
+
+# nutmegspur_test(<name> SOURCES <file>... [LABELS <label>...] [LIBRARIES <lib>...])
+# One GoogleTest program and one ctest entry. Labels P01..P14 name the promises that it proves.
+function(nutmegspur_test name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LABELS;LIBRARIES" ${ARGN})
+  add_executable(${name} ${arg_SOURCES})
+  target_link_libraries(${name} PRIVATE nutmegspur_lib GTest::gtest_main rapidcheck ${arg_LIBRARIES})
+  if(NUTMEGSPUR_PCH)
+    target_precompile_headers(${name} REUSE_FROM nutmegspur_lib)
+  endif()
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES
+    LABELS "${arg_LABELS}"
+    ENVIRONMENT "RC_PARAMS=seed=20261204;QT_QPA_PLATFORM=offscreen"
+    TIMEOUT 120)
+endfunction()
+
+# nutmegspur_system_test(<case> [LABELS <label>...])
+# A whole-program case: testsuite/<case>/run is called with the build directory.
+function(nutmegspur_system_test name)
+  cmake_parse_arguments(arg "" "" "LABELS" ${ARGN})
+  add_test(NAME system_${name}
+    COMMAND "${CMAKE_SOURCE_DIR}/testsuite/${name}/run" "${CMAKE_BINARY_DIR}")
+  set_tests_properties(system_${name} PROPERTIES LABELS "system;${arg_LABELS}" TIMEOUT 180)
+endfunction()
--- /dev/null
+++ b/src/include/nutmegspur/decision.h
@@ -0,0 +1,162 @@
+/// \file decision.h
+/// The frame of the decision core: events in, actions out.
+///
+/// Every part of the core is a state machine without sockets, threads, clocks and files:
+/// `part.step(now, event, out)`. The daemon's threads feed events and carry out actions; tests do
+/// the same with a manual clock. Parts are composed in nutmegspur/node.h.
+#pragma once
+
+#include <nutmegspur/peer.h>
+#include <nutmegspur/platform.h>
+#include <nutmegspur/request.h>
+
+#include <concepts>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace nutmegspur {
+
+// ---------------------------------------------------------------------------------------------
+// Events
+
+/// Time has passed; sent at least every `tick_period` and when a timer of a part is due.
+struct tick {};
+
+/// The process was asked to stop gracefully.
+struct stop_requested {};
+
+/// A connection to a peer stands; `peer` was authenticated by the frame's code.
+struct peer_connected {
+  instance_id peer;
+  zone_id zone;
+};
+
+struct peer_disconnected {
+  instance_id peer;
+};
+
+struct peer_received {
+  instance_id peer;
+  peer_message message;
+};
+
+/// An engine answered an order, or the send came to nothing. `ran` is `not_run` where the order was
+/// held back (its `not_after` had passed) or no byte left, `unknown` where the answer was lost.
+struct order_answered {
+  upstream_id upstream;
+  std::uint64_t sequence = 0;
+  result<void> answer;
+};
+
+/// An engine's own report of its state and load; it arrives with a lag.
+struct engine_report {
+  upstream_id upstream;
+  fence highest_fence; ///< Highest fencing number that it has seen; 0 if it ignores them.
+  std::uint64_t last_sequence = 0; ///< Sequence of the last order that it took.
+  bool changing = false;           ///< A change is under way.
+  engine_state state;
+  engine_load load;
+  moment measured; ///< When the engine took the figures, by the reader's clock.
+};
+
+/// Cache blocks that an engine gained or lost; may come late and with gaps.
+struct cache_event {
+  upstream_id upstream;
+  std::uint64_t number = 0; ///< Consecutive for an engine; a jump shows a gap.
+  std::vector<std::uint64_t> stored;
+  std::vector<std::uint64_t> removed;
+};
+
+/// An engine said that it will go, or was seen gone.
+struct upstream_closing {
+  upstream_id upstream;
+  bool gone = false;
+  seconds notice{0};
+};
+
+using event = std::variant<tick, stop_requested, peer_connected, peer_disconnected, peer_received,
+                           platform_reply, watch_batch, watch_ended, order_answered, engine_report,
+                           cache_event, upstream_closing, request_arrived, caller_gone,
+                           attempt_opened, attempt_chunk, attempt_ended, resource_request>;
+
+/// The longest time between two ticks.
+inline constexpr milliseconds tick_period{100};
+
+// ---------------------------------------------------------------------------------------------
+// Actions
+
+/// Carry out a platform operation.
+struct call_platform {
+  call_id call;
+  platform_request request;
+};
+
+/// Send to one peer; dropped if there is no connection.
+struct send_peer {
+  instance_id peer;
+  peer_message message;
+};
+
+/// The wanted set of peer connections; the shell connects and disconnects to match.
+struct set_peers {
+  struct target {
+    instance_id peer;
+    std::string address;
+    std::uint16_t port = 0;
+
+    bool operator==(const target&) const = default;
+  };
+
+  std::vector<target> targets;
+};
+
+/// The upstreams whose reports and cache events this instance reads itself.
+struct set_polled_upstreams {
+  struct target {
+    upstream_id upstream;
+    std::string address;
+    std::uint16_t port = 0;
+
+    bool operator==(const target&) const = default;
+  };
+
+  std::vector<target> targets;
+};
+
+/// Send an order to an engine; `order_answered` follows.
+struct send_order {
+  engine_order order;
+  std::string address;
+  std::uint16_t port = 0;
+};
+
+/// What /readyz says from now on.
+struct set_ready {
+  bool ready = false;
+  std::string reason; ///< Why not, where it is not.
+};
+
+/// All work is done; the process may exit.
+struct stop_now {};
+
+/// Write an event to the log.
+struct write_log {
+  std::uint16_t number = 0; ///< A `log_event`.
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using action = std::variant<call_platform, send_peer, set_peers, set_polled_upstreams, send_order,
+                            set_ready, stop_now, write_log, open_attempt, cancel_attempt,
+                            start_answer, send_chunk, end_answer, refuse_request, resource_answer>;
+
+/// Collects the actions of a step, in order.
+using action_list = std::vector<action>;
+
+/// A part of the decision core.
+template <class P>
+concept decision_part = requires(P part, const moment& now, const event& ev, action_list& out) {
+  part.step(now, ev, out);
+};
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/event_log.h
@@ -0,0 +1,89 @@
+/// \file event_log.h
+/// The numbered events of the log: one line each, "E<number> <name> key=value ...", through glog.
+///
+/// The table here and the page docs/events.md are held equal by a test. A number is never reused.
+#pragma once
+
+#include <nutmegspur/error.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace nutmegspur {
+
+/// How much an event matters to an operator.
+enum class severity { info, warning, error };
+
+template <> struct enum_names<severity> {
+  static constexpr std::array<enum_name<severity>, 3> table{{
+      {severity::info, "info"},
+      {severity::warning, "warning"},
+      {severity::error, "error"},
+  }};
+};
+
+/// The number of an event. Ranges: 1xx process, 2xx configuration and keys, 3xx leases and orders,
+/// 4xx usage, 5xx requests, 6xx upstreams, 7xx peers and membership, 8xx platform.
+enum class log_event : std::uint16_t {
+  process_started = 100,
+  process_ready = 101,
+  process_stopping = 102,
+  process_stopped = 103,
+  settings_rejected = 104,
+  ring_full = 105,
+  config_applied = 200,
+  config_refused = 201,
+  key_withdrawn = 202,
+  config_stale = 203,
+  lease_taken = 300,
+  lease_lost = 301,
+  order_sent = 302,
+  order_resolved = 303,
+  order_refused = 304,
+  usage_sealed = 400,
+  usage_reported = 401,
+  usage_rejected = 402,
+  request_refused = 500,
+  request_failed = 501,
+  request_resumed = 502,
+  claim_conflict = 503,
+  upstream_added = 600,
+  upstream_leaving = 601,
+  upstream_gone = 602,
+  upstream_failed = 603,
+  peer_connected = 700,
+  peer_lost = 701,
+  peer_rejected = 702,
+  platform_unreachable = 800,
+  platform_reachable = 801,
+};
+
+/// One row of the catalogue.
+struct log_event_info {
+  log_event number;
+  std::string_view name;
+  severity level;
+  std::string_view meaning;
+};
+
+/// The catalogue, in the order of the numbers.
+std::span<const log_event_info> log_catalogue();
+
+/// One field of a log line.
+struct log_field {
+  std::string_view key;
+  std::string value;
+};
+
+/// Writes one line. Values are quoted where they hold spaces; a caller's key must not be passed.
+void log(log_event number, std::initializer_list<log_field> fields = {});
+
+/// Writes one line with the step, peer, code and message of `ec` after `fields`.
+void log(log_event number, const error& ec, std::initializer_list<log_field> fields = {});
+
+/// The text of a line without time and place, for tests.
+std::string format_log_line(log_event number, std::span<const log_field> fields);
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/mechanisms.h
@@ -0,0 +1,58 @@
+/// \file mechanisms.h
+/// The safety mechanisms that a build may leave out, one at a time, to show that its test fails.
+///
+/// A normal build has them all. `cmake -DNUTMEGSPUR_ABLATE=claim_before_send` leaves that one out.
+#pragma once
+
+#include <nutmegspur/names.h>
+
+namespace nutmegspur {
+
+/// A mechanism that carries a promise.
+enum class mechanism {
+  one_open_intent,         ///< The next order waits until the open one is resolved (P01).
+  drain_before_change,     ///< A role change waits for streams to end or move (P02).
+  lease_deadline_check,    ///< The sending thread checks its lease right before a send (P03, P07).
+  team_check,              ///< A request runs only on what its key's team is offered (P04).
+  header_allow_list,       ///< Only listed headers reach an upstream (P05).
+  withdraw_ends_streams,   ///< A withdrawn key ends its live requests (P06).
+  seal_once,               ///< A usage window is sealed by compare-and-swap (P08).
+  chunk_offset_check,      ///< Chunks of old attempts and repeated offsets are dropped (P09).
+  outcome_from_first_byte, ///< Once a byte may have left, the outcome is not `not_run` (P10).
+  claim_before_send,       ///< A non-repeatable call is claimed before it is sent (P11).
+  leaving_takes_no_work,   ///< A leaving upstream is not routed to (P12).
+  shutdown_waits,          ///< A shutdown waits for live work (P13).
+  revision_only_grows,     ///< An older configuration is refused (P14).
+};
+
+template <> struct enum_names<mechanism> {
+  static constexpr std::array<enum_name<mechanism>, 13> table{{
+      {mechanism::one_open_intent, "one_open_intent"},
+      {mechanism::drain_before_change, "drain_before_change"},
+      {mechanism::lease_deadline_check, "lease_deadline_check"},
+      {mechanism::team_check, "team_check"},
+      {mechanism::header_allow_list, "header_allow_list"},
+      {mechanism::withdraw_ends_streams, "withdraw_ends_streams"},
+      {mechanism::seal_once, "seal_once"},
+      {mechanism::chunk_offset_check, "chunk_offset_check"},
+      {mechanism::outcome_from_first_byte, "outcome_from_first_byte"},
+      {mechanism::claim_before_send, "claim_before_send"},
+      {mechanism::leaving_takes_no_work, "leaving_takes_no_work"},
+      {mechanism::shutdown_waits, "shutdown_waits"},
+      {mechanism::revision_only_grows, "revision_only_grows"},
+  }};
+};
+
+/// Whether this build has mechanism `m`.
+constexpr bool
+enabled([[maybe_unused]] mechanism m) {
+#ifdef NUTMEGSPUR_ABLATE
+  static_assert(from_name<mechanism>(NUTMEGSPUR_ABLATE).has_value(),
+                "NUTMEGSPUR_ABLATE names no mechanism");
+  return to_name(m) != std::string_view{NUTMEGSPUR_ABLATE};
+#else
+  return true;
+#endif
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/policy.h
@@ -0,0 +1,125 @@
+/// \file policy.h
+/// The decisions that vary: admission with fair sharing, and routing. Policies register by name, so
+/// that plain baselines run beside the real ones.
+#pragma once
+
+#include <nutmegspur/plugin.h>
+#include <nutmegspur/upstream_table.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace nutmegspur {
+
+// ---------------------------------------------------------------------------------------------
+// Routing
+
+/// What a routing policy knows of the request to be placed.
+struct route_query {
+  request_id request;
+  team_id team;
+  const inference_call* inference = nullptr; ///< Null for a plain service call.
+  service_id service;                        ///< For a plain service call.
+  zone_id zone;                              ///< The entry instance's own zone.
+  std::string region;                        ///< The entry instance's own region.
+  std::uint32_t resume_from = 0;             ///< Output tokens already delivered.
+  time_point deadline;
+  /// Upstreams already tried for this request.
+  std::span<const upstream_id> excluded;
+};
+
+/// Where a request goes, and when its first token is expected there.
+struct placement {
+  upstream_id upstream;
+  milliseconds expected_first_token{0};
+};
+
+/// Chooses among the upstreams that serve the query's model or service and take work.
+class routing_policy {
+ public:
+  routing_policy() = default;
+  routing_policy(const routing_policy&) = delete;
+  routing_policy& operator=(const routing_policy&) = delete;
+  virtual ~routing_policy() = default;
+
+  /// Empty if no upstream can take it now.
+  virtual std::optional<placement> choose(const route_query& query, const upstream_map& upstreams,
+                                          const moment& now) = 0;
+};
+
+/// What every routing policy is built with.
+struct routing_options {
+  std::uint64_t seed = 1;
+  std::uint32_t block_tokens = 16;       ///< Tokens in a KV cache block.
+  std::uint32_t max_own_in_flight = 256; ///< Most requests of this instance at one upstream.
+};
+
+/// Names: "predicted_latency", "least_in_flight", "round_robin", "random".
+using routing_registry = plugin_registry<routing_policy, const routing_options&>;
+
+/// Whether `it` serves the query at all: kind, model or service, not excluded, taking work.
+bool can_serve(const upstream_state& it, const route_query& query, time_point now);
+
+// ---------------------------------------------------------------------------------------------
+// Admission
+
+/// A request that waits to be placed.
+struct waiting_request {
+  request_id request;
+  team_id team;
+  std::uint32_t team_weight = 1;
+  request_class priority = request_class::standard;
+  time_point arrived;
+  time_point deadline;
+  /// Expected cost in weighted tokens (thousandths): prompt and output by their price weights.
+  std::uint64_t cost_milli = 0;
+};
+
+/// What the queue must know of the zone's capacity.
+struct capacity_estimate {
+  std::uint32_t upstreams_taking_work = 0;
+  /// Weighted tokens (thousandths) that the reachable upstreams finish in a second.
+  std::uint64_t cost_milli_per_second = 0;
+  std::uint64_t in_flight_cost_milli = 0;
+};
+
+/// Holds waiting requests, refuses what cannot make its deadline, and says who is next.
+class admission_policy {
+ public:
+  admission_policy() = default;
+  admission_policy(const admission_policy&) = delete;
+  admission_policy& operator=(const admission_policy&) = delete;
+  virtual ~admission_policy() = default;
+
+  /// Queues the request, or refuses it at once with a time to come back.
+  virtual result<void> offer(const waiting_request& it, const capacity_estimate& capacity,
+                             const moment& now) = 0;
+  /// The request that should be placed next, without removing it.
+  [[nodiscard]] virtual std::optional<waiting_request> peek(const moment& now) = 0;
+  /// Removes a request (placed, or its caller is gone) and charges its team if `placed`.
+  virtual void remove(request_id request, bool placed) = 0;
+  /// Requests that can no longer make their deadline, removed from the queue.
+  virtual std::vector<waiting_request> expire(const capacity_estimate& capacity,
+                                              const moment& now) = 0;
+  /// Corrects a team's charge once the real cost is known (both in thousandths).
+  virtual void settle(const team_id& team, std::uint64_t expected_milli,
+                      std::uint64_t actual_milli) = 0;
+  /// Adds service that another instance of the zone gave to a team.
+  virtual void add_remote_service(const team_id& team, std::uint64_t cost_milli) = 0;
+  /// Service given here to each team since the last call, for the zone's other instances.
+  virtual std::vector<team_service_entry> take_local_service() = 0;
+  [[nodiscard]] virtual std::size_t waiting() const = 0;
+};
+
+/// What every admission policy is built with.
+struct admission_options {
+  std::uint32_t max_waiting = 2000;
+};
+
+/// Names: "fair_deadline", "first_come".
+using admission_registry = plugin_registry<admission_policy, const admission_options&>;
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/records.h
@@ -0,0 +1,320 @@
+/// \file records.h
+/// Records kept in the platform's key-value service, their keys, and their JSON form.
+///
+/// Configuration: one key for each resource, `cfg/<kind>/<name>`, so that no value grows with the
+/// number of teams and a change is a delta. Coordination: `lease/`, `intent/`, `usage/`, `claim/`.
+/// Each record is an aggregate filled by a parse function; a bad one gives an error that names the
+/// field, and nothing of it is applied.
+#pragma once
+
+#include <nutmegspur/error.h>
+#include <nutmegspur/ids.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace nutmegspur {
+
+// ---------------------------------------------------------------------------------------------
+// Configuration resources
+
+/// The kinds of configuration resource.
+enum class resource_kind { team, key, model, adapter, version, offer, route, drain, upstream };
+
+template <> struct enum_names<resource_kind> {
+  static constexpr std::array<enum_name<resource_kind>, 9> table{{
+      {resource_kind::team, "team"},
+      {resource_kind::key, "key"},
+      {resource_kind::model, "model"},
+      {resource_kind::adapter, "adapter"},
+      {resource_kind::version, "version"},
+      {resource_kind::offer, "offer"},
+      {resource_kind::route, "route"},
+      {resource_kind::drain, "drain"},
+      {resource_kind::upstream, "upstream"},
+  }};
+};
+
+/// A team: the unit of authorization, fair sharing and billing.
+struct team_spec {
+  /// Share of capacity relative to other teams under contention; at least 1.
+  std::uint32_t weight = 1;
+  /// Requests of the team in progress and queued at one instance; 0 means no own limit.
+  std::uint32_t max_in_flight = 0;
+  /// How long keys are honoured without news of the configuration; empty means without end.
+  std::optional<seconds> stale_key_limit = std::nullopt;
+
+  bool operator==(const team_spec&) const = default;
+};
+
+/// What a key may be used for.
+enum class key_role { caller, operators };
+
+template <> struct enum_names<key_role> {
+  static constexpr std::array<enum_name<key_role>, 2> table{{
+      {key_role::caller, "caller"},
+      {key_role::operators, "operator"},
+  }};
+};
+
+/// A credential. Only the SHA-256 of its secret is kept.
+struct key_spec {
+  team_id team; ///< Empty for operators' keys.
+  key_role role = key_role::caller;
+  std::string secret_sha256; ///< 64 lower-case hexadecimal digits.
+  bool withdrawn = false;    ///< Once true it never becomes false again.
+
+  bool operator==(const key_spec&) const = default;
+};
+
+/// A model, with what the router must know about it.
+struct model_spec {
+  std::string current_version; ///< Name of a `version` resource; may be empty.
+  std::uint32_t context_tokens = 8192;
+  /// Price weight of a prompt token and of an output token, in thousandths.
+  std::uint32_t prompt_cost_milli = 250;
+  std::uint32_t output_cost_milli = 1000;
+
+  bool operator==(const model_spec&) const = default;
+};
+
+/// A fine-tuned adapter of a model.
+struct adapter_spec {
+  model_id model;
+  std::string weights; ///< Name in the weight store.
+
+  bool operator==(const adapter_spec&) const = default;
+};
+
+/// One version of a model's weights.
+struct version_spec {
+  model_id model;
+  std::string weights; ///< Name in the weight store.
+  std::uint64_t bytes = 0;
+
+  bool operator==(const version_spec&) const = default;
+};
+
+/// Which teams may use a model, and in which zones it is served.
+struct offer_spec {
+  model_id model;
+  std::vector<team_id> teams; ///< Empty together with `open_to_all` false offers it to nobody.
+  bool open_to_all = false;   ///< Also without a key.
+  std::vector<zone_id> zones; ///< Empty means every zone.
+
+  bool operator==(const offer_spec&) const = default;
+};
+
+/// A path prefix under /services/ and how its calls may be handled.
+struct route_spec {
+  service_id service;
+  std::string path_prefix = "/"; ///< Within the service; the longest match wins.
+  /// A call that may not be repeated runs at most once: it is never retried after a byte was sent.
+  bool repeatable = false;
+  bool open_to_all = false;
+  std::vector<team_id> teams;
+  milliseconds timeout{30'000};
+
+  bool operator==(const route_spec&) const = default;
+};
+
+/// An operator's wish that an upstream take no new work.
+struct drain_spec {
+  upstream_id upstream;
+  std::string reason;
+
+  bool operator==(const drain_spec&) const = default;
+};
+
+/// What operators state about an upstream, beside what the instance list shows.
+struct upstream_spec {
+  bool checks_fence = false;        ///< Whether it refuses orders with an old fencing number.
+  bool reclaimable = false;         ///< Cheap, and may vanish at a few seconds' notice.
+  std::uint32_t price_milli = 1000; ///< Price of an hour, in thousandths of a unit.
+
+  bool operator==(const upstream_spec&) const = default;
+};
+
+using resource_spec = std::variant<team_spec, key_spec, model_spec, adapter_spec, version_spec,
+                                   offer_spec, route_spec, drain_spec, upstream_spec>;
+
+/// The kind that `spec` holds; the variant's alternatives are in the order of `resource_kind`.
+resource_kind kind_of(const resource_spec& spec);
+
+/// A named configuration resource at the revision of its last change.
+struct resource {
+  std::string name; ///< 1 to 128 characters of [a-z0-9._-], unique within the kind.
+  revision changed;
+  resource_spec spec;
+
+  bool operator==(const resource&) const = default;
+};
+
+/// Checks a resource's name.
+result<void> check_resource_name(std::string_view name);
+/// Reads `{"kind":..., "name":..., "spec":{...}}`. Unknown fields are errors.
+result<resource> parse_resource(std::string_view json);
+/// Reads the spec alone, for kind and name known from a path or key.
+result<resource_spec> parse_spec(resource_kind kind, std::string_view json);
+/// The spec alone as compact JSON, the form kept in the store.
+std::string spec_json(const resource_spec& spec);
+/// The whole resource as compact JSON, with its revision.
+std::string resource_json(const resource& it);
+
+// ---------------------------------------------------------------------------------------------
+// Keys of the store
+
+/// Every configuration key starts with this; the order of keys is by kind, then name.
+inline constexpr std::string_view config_prefix = "cfg/";
+
+/// `cfg/<kind>/<name>`.
+std::string config_key(resource_kind kind, std::string_view name);
+
+/// What a configuration key names.
+struct config_key_parts {
+  resource_kind kind;
+  std::string name;
+};
+
+std::optional<config_key_parts> parse_config_key(std::string_view key);
+
+/// `lease/zone/<zone>`: who gives a zone's orders.
+std::string zone_lease_key(const zone_id& zone);
+/// `intent/<upstream>`: the open or last order of an engine.
+std::string intent_key(const upstream_id& upstream);
+/// `usage/<zone>/<window start, seconds, 12 digits>/<shard>`: a sealed usage window.
+std::string usage_key(const zone_id& zone, std::int64_t window_start, std::uint32_t shard);
+/// `claim/<team>/<digest>`: a call that must run at most once.
+std::string claim_key(const team_id& team, std::string_view digest);
+
+// ---------------------------------------------------------------------------------------------
+// Coordination records
+
+/// Who holds a zone's duties. The fence is the record's creation revision in the store.
+struct zone_lease_record {
+  instance_id holder;
+  std::string writer; ///< Unique for each write, so that a lost answer can be recognised.
+
+  bool operator==(const zone_lease_record&) const = default;
+};
+
+/// How an engine splits its time.
+enum class engine_role { mixed, prefill, decode };
+
+template <> struct enum_names<engine_role> {
+  static constexpr std::array<enum_name<engine_role>, 3> table{{
+      {engine_role::mixed, "mixed"},
+      {engine_role::prefill, "prefill"},
+      {engine_role::decode, "decode"},
+  }};
+};
+
+/// What an engine should be: the content of an order.
+struct engine_state {
+  engine_role role = engine_role::mixed;
+  model_id model;
+  std::string version;
+  std::vector<std::string> adapters;
+
+  bool operator==(const engine_state&) const = default;
+};
+
+/// How far an intent has come.
+enum class intent_phase { written, sent, answered, failed, undeliverable };
+
+template <> struct enum_names<intent_phase> {
+  static constexpr std::array<enum_name<intent_phase>, 5> table{{
+      {intent_phase::written, "written"},
+      {intent_phase::sent, "sent"},
+      {intent_phase::answered, "answered"},
+      {intent_phase::failed, "failed"},
+      {intent_phase::undeliverable, "undeliverable"},
+  }};
+};
+
+/// One order to one engine, written before it is sent.
+struct intent_record {
+  fence authority;            ///< Of the holder that wrote it.
+  std::uint64_t sequence = 0; ///< Grows by one for each order of this engine.
+  engine_state wanted;
+  intent_phase phase = intent_phase::written;
+  instance_id holder;
+  std::string writer;
+  wall_time written_at{};
+
+  bool operator==(const intent_record&) const = default;
+};
+
+/// Usage of one team on one model.
+struct usage_line {
+  team_id team;
+  std::string subject; ///< Model or service name.
+  std::uint64_t requests = 0;
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t output_tokens = 0;
+
+  bool operator==(const usage_line&) const = default;
+};
+
+/// A sealed usage window: written once, then reported as it stands, however often.
+struct usage_record {
+  zone_id zone;
+  std::int64_t window_start = 0; ///< Seconds since 1970, UTC.
+  std::uint32_t window_seconds = 60;
+  std::uint32_t shard = 0;
+  std::vector<usage_line> lines; ///< Sorted by team, then subject.
+  /// Which parts it sums, so that a part is never counted twice: "instance:sequence".
+  std::vector<std::string> parts;
+  fence authority;
+  std::string writer;
+  bool confirmed = false; ///< The usage interface has accepted it.
+
+  bool operator==(const usage_record&) const = default;
+};
+
+/// A call that must run at most once, under the caller's idempotency key.
+enum class claim_phase { claimed, sent, recorded, released };
+
+template <> struct enum_names<claim_phase> {
+  static constexpr std::array<enum_name<claim_phase>, 4> table{{
+      {claim_phase::claimed, "claimed"},
+      {claim_phase::sent, "sent"},
+      {claim_phase::recorded, "recorded"},
+      {claim_phase::released, "released"},
+  }};
+};
+
+/// A claim and, once known, the recorded answer.
+struct claim_record {
+  claim_phase phase = claim_phase::claimed;
+  instance_id holder;
+  std::string writer;
+  std::string request_sha256; ///< Method, path and body, to refuse another call under the same key.
+  outcome ran = outcome::unknown;
+  int status = 0;           ///< HTTP status of the recorded answer.
+  std::string content_type; ///< Of the recorded answer.
+  std::string body;         ///< Of the recorded answer, cut at `max_recorded_body`.
+  wall_time written_at{};
+
+  bool operator==(const claim_record&) const = default;
+};
+
+/// Longest answer body kept in a claim, in bytes. A longer one is recorded without its body.
+inline constexpr std::size_t max_recorded_body = 64UL * 1024;
+
+std::string to_json(const zone_lease_record& record);
+std::string to_json(const intent_record& record);
+std::string to_json(const usage_record& record);
+std::string to_json(const claim_record& record);
+
+result<zone_lease_record> parse_zone_lease(std::string_view json);
+result<intent_record> parse_intent(std::string_view json);
+result<usage_record> parse_usage(std::string_view json);
+result<claim_record> parse_claim(std::string_view json);
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/request.h
@@ -0,0 +1,243 @@
+/// \file request.h
+/// Requests and attempts: what callers ask, what goes to upstreams, and what comes back.
+///
+/// Also the typed requests of the operators' resource API. Bodies are shared, never copied.
+#pragma once
+
+#include <nutmegspur/error.h>
+#include <nutmegspur/ids.h>
+#include <nutmegspur/records.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace nutmegspur {
+
+/// A body shared between attempts and threads.
+using shared_body = std::shared_ptr<const std::string>;
+
+/// One header that may reach an upstream or a caller. Names are lower case.
+struct header_field {
+  std::string name;
+  std::string value;
+
+  bool operator==(const header_field&) const = default;
+};
+
+// ---------------------------------------------------------------------------------------------
+// From callers
+
+/// What the caller's format is, and so how its answer is written.
+enum class api_format { chat_completions, completions };
+
+template <> struct enum_names<api_format> {
+  static constexpr std::array<enum_name<api_format>, 2> table{{
+      {api_format::chat_completions, "chat_completions"},
+      {api_format::completions, "completions"},
+  }};
+};
+
+/// How urgent a request is. Each class has its own queue and default deadline.
+enum class request_class { interactive, standard, batch };
+
+template <> struct enum_names<request_class> {
+  static constexpr std::array<enum_name<request_class>, 3> table{{
+      {request_class::interactive, "interactive"},
+      {request_class::standard, "standard"},
+      {request_class::batch, "batch"},
+  }};
+};
+
+/// A request for model output.
+struct inference_call {
+  api_format format = api_format::chat_completions;
+  model_id model;
+  std::string adapter;
+  bool stream = false;
+  std::uint32_t prompt_tokens = 0; ///< Estimated from the text until an engine reports it.
+  std::uint32_t max_tokens = 0;
+  /// Chained hashes of the prompt's cache blocks, the first block first.
+  std::vector<std::uint64_t> prefix_blocks;
+};
+
+/// A call of a plain service.
+struct service_call {
+  service_id service;
+  std::string method; ///< Upper case.
+  std::string path;   ///< Within the service, with its query; starts with '/'.
+  std::vector<header_field> headers;
+  std::string idempotency_key; ///< Empty if the caller gave none.
+};
+
+/// The list of models that the key may use.
+struct list_models_call {};
+
+using caller_call = std::variant<inference_call, service_call, list_models_call>;
+
+/// A caller's request, read whole and well formed. `secret_sha256` is the digest of its key, empty
+/// if it sent none; the key itself stays in the thread that read it.
+struct request_arrived {
+  request_id request;
+  std::string secret_sha256;
+  request_class priority = request_class::standard;
+  time_point deadline;
+  caller_call call;
+  shared_body body;
+};
+
+/// The caller's connection closed before its answer was whole.
+struct caller_gone {
+  request_id request;
+};
+
+// ---------------------------------------------------------------------------------------------
+// To upstreams
+
+/// Start an attempt at an upstream. A repeatable one may be sent again by policy; a one-shot one
+/// goes out on a connection that cannot resend.
+struct open_attempt {
+  attempt_id attempt;
+  upstream_id upstream;
+  std::string address;
+  std::uint16_t port = 0;
+  std::string method = "POST";
+  std::string path;
+  std::vector<header_field> headers; ///< Built from the allow-list; never the caller's key.
+  shared_body body;
+  bool streaming = false; ///< Expect server-sent events.
+  bool one_shot = false;
+  std::uint32_t resume_from = 0; ///< Output tokens already delivered by earlier attempts.
+  time_point deadline;
+  /// Silence longer than this ends the attempt and retires its connection.
+  milliseconds progress_limit{10'000};
+};
+
+/// Stop an attempt; the upstream's stream is cancelled. No further event of it is wanted.
+struct cancel_attempt {
+  attempt_id attempt;
+  upstream_id upstream;
+};
+
+/// The upstream accepted the attempt: status and headers of its answer.
+struct attempt_opened {
+  attempt_id attempt;
+  int status = 0;
+  std::vector<header_field> headers;
+};
+
+/// A part of the answer. For inference, `offset` counts output tokens before this chunk and
+/// `tokens` those in it; for services, both count bytes.
+struct attempt_chunk {
+  attempt_id attempt;
+  std::uint64_t offset = 0;
+  std::uint32_t tokens = 0;
+  std::string text;
+};
+
+/// Token counts that an engine reported.
+struct token_usage {
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t output_tokens = 0;
+  std::uint32_t cached_tokens = 0;
+
+  bool operator==(const token_usage&) const = default;
+};
+
+/// The end of an attempt. Without a failure the answer was whole.
+struct attempt_ended {
+  attempt_id attempt;
+  std::optional<error> failure; ///< Its `ran` tells what is known of the work.
+  token_usage usage;
+  std::string finish_reason; ///< "stop" or "length", for inference.
+};
+
+// ---------------------------------------------------------------------------------------------
+// Back to callers
+
+/// Begin the answer: status and headers.
+struct start_answer {
+  request_id request;
+  int status = 200;
+  std::vector<header_field> headers;
+};
+
+/// A part of the answer, in order and without gaps.
+struct send_chunk {
+  request_id request;
+  std::string text;
+};
+
+/// The answer is whole.
+struct end_answer {
+  request_id request;
+  token_usage usage;
+  std::string finish_reason;
+};
+
+/// The final answer is an error: before `start_answer` as an HTTP error, after it as an error event
+/// in the stream.
+struct refuse_request {
+  request_id request;
+  error why;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Load of engines
+
+/// An engine's load figures.
+struct engine_load {
+  std::uint32_t running = 0;        ///< Sequences in the batch.
+  std::uint32_t waiting = 0;        ///< Sequences queued in the engine.
+  std::uint32_t waiting_tokens = 0; ///< Prompt tokens not yet prefilled.
+  std::uint32_t free_blocks = 0;    ///< Free KV cache blocks.
+  std::uint32_t total_blocks = 0;
+
+  bool operator==(const engine_load&) const = default;
+};
+
+// ---------------------------------------------------------------------------------------------
+// Operators' resource API
+
+enum class resource_verb { get, list, put, remove, watch, issue_key, status };
+
+template <> struct enum_names<resource_verb> {
+  static constexpr std::array<enum_name<resource_verb>, 7> table{{
+      {resource_verb::get, "get"},
+      {resource_verb::list, "list"},
+      {resource_verb::put, "put"},
+      {resource_verb::remove, "remove"},
+      {resource_verb::watch, "watch"},
+      {resource_verb::issue_key, "issue_key"},
+      {resource_verb::status, "status"},
+  }};
+};
+
+/// One call of the operators' API, read whole and well formed.
+struct resource_request {
+  request_id request;
+  std::string secret_sha256;
+  resource_verb verb = resource_verb::get;
+  std::optional<resource_kind> kind; ///< Empty lists or watches every kind.
+  std::string name;
+  /// For `put`: the resources of one all-or-nothing change. For `issue_key`: one key without
+  /// digest.
+  std::vector<resource> resources;
+  /// Write only if the resource is at this revision (zero: absent); empty writes whatever it is.
+  std::optional<revision> if_revision;
+  revision since; ///< For `watch`: changes after this one.
+};
+
+/// Answer of the operators' API. For `watch`, `last` is false until the watch ends.
+struct resource_answer {
+  request_id request;
+  result<std::string> json; ///< The body, or why there is none.
+  revision at;
+  bool last = true;
+};
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/settings.h
@@ -0,0 +1,81 @@
+/// \file settings.h
+/// Settings of the daemon: flags and environment, one table for both, each checked at the start.
+///
+/// A flag `--caller-port` is the environment variable `NUTMEGSPUR_CALLER_PORT`; the flag wins.
+#pragma once
+
+#include <nutmegspur/error.h>
+#include <nutmegspur/ids.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nutmegspur {
+
+/// Everything an `entry` process is told. Addresses are IP numbers.
+struct settings {
+  instance_id instance;
+  zone_id zone;
+  std::string region;
+  std::string bind_address = "127.0.0.1";
+  std::uint16_t caller_port = 8080;
+  std::uint16_t operator_port = 8081;
+  std::uint16_t peer_port = 8082;
+  std::string platform_address = "127.0.0.1";
+  std::uint16_t platform_port = 9000;
+  std::string platform_plugin = "etcd_http";
+  std::string routing_policy = "predicted_latency";
+  std::string peer_secret;                   ///< Shared by all instances; at least 16 characters.
+  std::string bootstrap_operator_key_sha256; ///< Honoured while the store holds no operator key.
+  seconds lease_ttl{10};
+  seconds usage_window{60};
+  seconds drain_limit{30};
+  milliseconds balancer_lag{2000};
+  milliseconds default_deadline{30'000};
+  std::uint32_t max_body_bytes = 1024U * 1024;
+  std::uint32_t max_in_flight = 2000;
+  std::string log_level = "info";
+};
+
+/// What a setting accepts.
+enum class setting_type {
+  text,
+  ip_address,
+  port,
+  integer,
+  span_seconds,
+  span_milliseconds,
+  sha256,
+  secret
+};
+
+/// One row of the settings table.
+struct setting_info {
+  std::string_view flag; ///< Without the leading dashes.
+  setting_type type;
+  std::string_view help;
+  bool required = false;
+  std::int64_t least = 0; ///< For numbers.
+  std::int64_t most = 0;  ///< For numbers.
+};
+
+/// The table, in the order of the help page.
+std::span<const setting_info> settings_table();
+
+/// The environment variable of a flag.
+std::string environment_name(std::string_view flag);
+
+/// One setting that was given, and where.
+struct given_setting {
+  std::string flag;
+  std::string value;
+  std::string source; ///< "flag" or the environment variable's name.
+};
+
+/// Checks and fills. The error names the setting, the value (never a secret's) and what is allowed.
+result<settings> parse_settings(std::span<const given_setting> given);
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/upstream_table.h
@@ -0,0 +1,48 @@
+/// \file upstream_table.h
+/// What an instance knows of the upstreams of its zone and, more coarsely, of other zones.
+///
+/// Fed by the instance list, operators' drains, engines' reports and peers' digests; read by the
+/// router, the order keeper and the fleet planner.
+#pragma once
+
+#include <nutmegspur/decision.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace nutmegspur {
+
+/// One upstream.
+struct upstream_state {
+  listed_instance listed;
+  bool leaving = false;  ///< From whichever sign came first; takes no new work.
+  bool drained = false;  ///< An operator's drain is in force.
+  bool changing = false; ///< A change of role or model is under way or about to be ordered.
+  bool suspect = false;  ///< Its last attempts failed without an answer.
+  time_point suspect_until{};
+  engine_state state; ///< As it last reported.
+  engine_load load;   ///< As it last reported, directly or through a peer's digest.
+  moment load_measured{};
+  fence highest_fence;
+  std::uint64_t last_sequence = 0;
+  /// Work of this instance in progress there.
+  std::uint32_t own_in_flight = 0;
+  std::uint32_t own_prompt_tokens = 0; ///< Not yet prefilled, as far as this instance can tell.
+  /// Prefix blocks believed to be cached there.
+  std::unordered_set<std::uint64_t> cached_blocks;
+  std::uint64_t last_cache_event = 0;
+
+  /// Whether it may be given new work.
+  [[nodiscard]] bool takes_work(time_point now) const {
+    return !leaving && !drained && !changing && (!suspect || now >= suspect_until);
+  }
+};
+
+/// Upstreams by id.
+using upstream_map = std::map<upstream_id, upstream_state>;
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/event_log.cpp
@@ -0,0 +1,146 @@
+// The catalogue of log events, and one line for each through glog.
+#include <nutmegspur/event_log.h>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr std::array<log_event_info, 31> catalogue{{
+    {log_event::process_started, "process_started", severity::info,
+     "The process has started; its identity and addresses."},
+    {log_event::process_ready, "process_ready", severity::info,
+     "A whole configuration is held; /readyz says yes."},
+    {log_event::process_stopping, "process_stopping", severity::info,
+     "A graceful shutdown has begun; live work is being finished."},
+    {log_event::process_stopped, "process_stopped", severity::info, "The process ends."},
+    {log_event::settings_rejected, "settings_rejected", severity::error,
+     "A setting is wrong; the process exits with status 2."},
+    {log_event::ring_full, "ring_full", severity::warning,
+     "A ring between two threads was full; the work behind it was refused."},
+    {log_event::config_applied, "config_applied", severity::info,
+     "A configuration revision is in force here."},
+    {log_event::config_refused, "config_refused", severity::error,
+     "A stored resource could not be read; the change was not applied."},
+    {log_event::key_withdrawn, "key_withdrawn", severity::info,
+     "A key was withdrawn; its live requests were ended."},
+    {log_event::config_stale, "config_stale", severity::warning,
+     "No news of the configuration for a while; the one held stays in force."},
+    {log_event::lease_taken, "lease_taken", severity::info,
+     "This instance holds its zone's lease."},
+    {log_event::lease_lost, "lease_lost", severity::warning,
+     "This instance no longer holds its zone's lease."},
+    {log_event::order_sent, "order_sent", severity::info, "An order was sent to an engine."},
+    {log_event::order_resolved, "order_resolved", severity::info,
+     "What became of an order is known."},
+    {log_event::order_refused, "order_refused", severity::warning,
+     "An order was held back or refused."},
+    {log_event::usage_sealed, "usage_sealed", severity::info, "A usage window was sealed."},
+    {log_event::usage_reported, "usage_reported", severity::info,
+     "The usage interface accepted a window."},
+    {log_event::usage_rejected, "usage_rejected", severity::error,
+     "The usage interface refused a window."},
+    {log_event::request_refused, "request_refused", severity::info,
+     "A request was refused before it ran."},
+    {log_event::request_failed, "request_failed", severity::warning,
+     "A request ended with an error after it may have run."},
+    {log_event::request_resumed, "request_resumed", severity::info,
+     "A request went on at another upstream."},
+    {log_event::claim_conflict, "claim_conflict", severity::info,
+     "A call was not run because its idempotency key was already claimed."},
+    {log_event::upstream_added, "upstream_added", severity::info, "An upstream is known."},
+    {log_event::upstream_leaving, "upstream_leaving", severity::info,
+     "An upstream is leaving and takes no new work."},
+    {log_event::upstream_gone, "upstream_gone", severity::info, "An upstream is gone."},
+    {log_event::upstream_failed, "upstream_failed", severity::warning,
+     "An attempt failed at an upstream."},
+    {log_event::peer_connected, "peer_connected", severity::info, "A peer connection stands."},
+    {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
+    {log_event::peer_rejected, "peer_rejected", severity::warning,
+     "A peer sent a frame that is not authentic or not well formed."},
+    {log_event::platform_unreachable, "platform_unreachable", severity::warning,
+     "Calls to the platform fail."},
+    {log_event::platform_reachable, "platform_reachable", severity::info,
+     "Calls to the platform succeed again."},
+}};
+
+const log_event_info&
+info_of(log_event number) {
+  const auto* it = std::find_if(catalogue.begin(), catalogue.end(),
+                                [&](const auto& row) { return row.number == number; });
+  return it == catalogue.end() ? catalogue.front() : *it;
+}
+
+std::string
+quoted(const std::string& value) {
+  if (!value.empty() && value.find_first_of(" \"=\n\r\t") == std::string::npos) {
+    return value;
+  }
+  std::string text = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      text += '\\';
+    }
+    text += (c == '\n' || c == '\r') ? ' ' : c;
+  }
+  return text + '"';
+}
+
+void
+write_line(log_event number, std::span<const log_field> fields) {
+  const std::string line = format_log_line(number, fields);
+  switch (info_of(number).level) {
+  case severity::info:
+    LOG(INFO) << line;
+    break;
+  case severity::warning:
+    LOG(WARNING) << line;
+    break;
+  case severity::error:
+    LOG(ERROR) << line;
+    break;
+  }
+}
+
+} // namespace
+
+std::span<const log_event_info>
+log_catalogue() {
+  return catalogue;
+}
+
+std::string
+format_log_line(log_event number, std::span<const log_field> fields) {
+  const log_event_info& info = info_of(number);
+  std::string line = "E" + std::to_string(static_cast<int>(number)) + " ";
+  line += info.name;
+  for (const auto& it : fields) {
+    line += ' ';
+    line += it.key;
+    line += '=';
+    line += quoted(it.value);
+  }
+  return line;
+}
+
+void
+log(log_event number, std::initializer_list<log_field> fields) {
+  write_line(number, std::span{fields.begin(), fields.size()});
+}
+
+void
+log(log_event number, const error& ec, std::initializer_list<log_field> fields) {
+  std::vector<log_field> all{fields};
+  all.push_back({"step", std::string{to_name(ec.at)}});
+  all.push_back({"peer", ec.peer});
+  all.push_back({"code", std::string{to_name(ec.code)}});
+  all.push_back({"message", ec.message});
+  write_line(number, all);
+}
+
+} // namespace nutmegspur
