--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -10,6 +10,10 @@
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1")
 
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers)
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
+  # GCC 12 reports these wrongly for inlined string concatenation.
+  add_compile_options(-Wno-array-bounds -Wno-restrict)
+endif()
 
 option(NUTMEGSPUR_PCH "Precompile the Qt and library headers" ON)
 option(NUTMEGSPUR_SANITIZE "Build with the address and undefined-behaviour sanitizers" OFF)
--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -79,6 +79,7 @@
 
 /// Writes one line. Values are quoted where they hold spaces; a caller's key must not be passed.
 void log(log_event number, std::initializer_list<log_field> fields = {});
+void log(log_event number, std::span<const log_field> fields);
 
 /// Writes one line with the step, peer, code and message of `ec` after `fields`.
 void log(log_event number, const error& ec, std::initializer_list<log_field> fields = {});
--- a/src/include/nutmegspur/settings.h
+++ b/src/include/nutmegspur/settings.h
@@ -4,6 +4,7 @@
 /// A flag `--caller-port` is the environment variable `NUTMEGSPUR_CALLER_PORT`; the flag wins.
 #pragma once
 
+#include <nutmegspur/clock.h>
 #include <nutmegspur/error.h>
 #include <nutmegspur/ids.h>
 
@@ -28,6 +29,7 @@
   std::uint16_t platform_port = 9000;
   std::string platform_plugin = "etcd_http";
   std::string routing_policy = "predicted_latency";
+  std::string admission_policy = "fair_deadline";
   std::string peer_secret;                   ///< Shared by all instances; at least 16 characters.
   std::string bootstrap_operator_key_sha256; ///< Honoured while the store holds no operator key.
   seconds lease_ttl{10};
@@ -38,6 +40,7 @@
   std::uint32_t max_body_bytes = 1024U * 1024;
   std::uint32_t max_in_flight = 2000;
   std::string log_level = "info";
+  std::string log_directory; ///< Empty logs to standard error only.
 };
 
 /// What a setting accepts.
--- /dev/null
+++ b/src/libnutmegspur/daemon.cpp
@@ -0,0 +1,235 @@
+// The decision thread and the workers' threads of one entry instance.
+#include "worker_thread.h"
+
+#include <nutmegspur/daemon.h>
+#include <nutmegspur/event_log.h>
+
+#include <array>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace nutmegspur {
+
+namespace {
+
+/// Most events taken from one worker before the next one's turn.
+constexpr int events_per_turn = 64;
+
+std::string
+plugin_name(worker_kind kind, const settings& config) {
+  switch (kind) {
+  case worker_kind::caller:
+    return "caller/openai_http";
+  case worker_kind::upstream:
+    return "upstream/http_streams";
+  case worker_kind::engine_control:
+    return "engine_control/engine_http";
+  case worker_kind::operators:
+    return "operators/resource_http";
+  case worker_kind::peers:
+    return "peers/tcp_msgpack";
+  case worker_kind::platform:
+    return "platform/" + config.platform_plugin;
+  }
+  return "";
+}
+
+void
+carry_out_log(const write_log& it) {
+  std::vector<log_field> fields;
+  fields.reserve(it.fields.size());
+  for (const auto& [key, value] : it.fields) {
+    fields.push_back({key, value});
+  }
+  log(static_cast<log_event>(it.number), std::span<const log_field>{fields});
+}
+
+} // namespace
+
+struct daemon_process::impl {
+  settings config;
+  std::unique_ptr<node> decisions;
+  metric_registry metrics;
+  worker_context context{config, metrics};
+  std::vector<std::unique_ptr<pvt::worker_thread>> workers;
+  std::function<void()> on_stopped;
+  std::thread decision_thread;
+  std::atomic<bool> stop_asked{false};
+  std::atomic<bool> ending{false};
+  std::mutex wake_mutex;
+  std::condition_variable wake;
+  bool woken = false; ///< Guarded by `wake_mutex`.
+  /// Touched by the decision thread only.
+  bool stopped = false;
+  /// Final answers that the caller's ring has not taken yet; at most one for each request.
+  std::vector<action> unsent_refusals;
+
+  impl(const settings& given, std::unique_ptr<node> made)
+      : config(given), decisions(std::move(made)) {}
+
+  void notify();
+  void run();
+  bool take_events();
+  void feed(const event& ev);
+  void carry_out(const action& what, const moment& now);
+  void overflow(const action& what, const moment& now);
+  void retry_refusals();
+  pvt::worker_thread* worker(worker_kind kind);
+};
+
+void
+daemon_process::impl::notify() {
+  {
+    const std::lock_guard lock{wake_mutex};
+    woken = true;
+  }
+  wake.notify_one();
+}
+
+pvt::worker_thread*
+daemon_process::impl::worker(worker_kind kind) {
+  for (const auto& it : workers) {
+    if (it->kind() == kind) {
+      return it.get();
+    }
+  }
+  return nullptr;
+}
+
+void
+daemon_process::impl::run() {
+  gauge& step_micros = metrics.get_gauge("nutmegspur_decision_busy_micros");
+  time_point next_tick = boot_clock::now();
+  bool told_to_stop = false;
+  while (!ending.load()) {
+    if (stop_asked.load() && !told_to_stop) {
+      told_to_stop = true;
+      feed(stop_requested{});
+    }
+    const time_point before = boot_clock::now();
+    if (before >= next_tick) {
+      feed(tick{});
+      retry_refusals();
+      next_tick = before + tick_period;
+    }
+    const bool busy = take_events();
+    step_micros.add((boot_clock::now() - before).count());
+    if (busy) {
+      continue;
+    }
+    std::unique_lock lock{wake_mutex};
+    wake.wait_for(lock, std::max<duration>(next_tick - boot_clock::now(), duration{0}),
+                  [this] { return woken; });
+    woken = false;
+  }
+}
+
+bool
+daemon_process::impl::take_events() {
+  bool any = false;
+  for (const auto& it : workers) {
+    event ev;
+    for (int n = 0; n < events_per_turn && it->pop(ev); ++n) {
+      any = true;
+      feed(ev);
+    }
+  }
+  return any;
+}
+
+void
+daemon_process::impl::feed(const event& ev) {
+  const moment now = system_clock_source::now();
+  for (const auto& what : decisions->step(now, ev)) {
+    carry_out(what, now);
+  }
+}
+
+void
+daemon_process::impl::carry_out(const action& what, const moment& now) {
+  if (const auto* it = std::get_if<write_log>(&what)) {
+    carry_out_log(*it);
+    return;
+  }
+  if (std::holds_alternative<stop_now>(what)) {
+    if (!stopped) {
+      stopped = true;
+      on_stopped();
+    }
+    return;
+  }
+  const auto kind = worker_for(what);
+  if (!kind) {
+    for (const auto& it : workers) {
+      it->push(what);
+    }
+    return;
+  }
+  pvt::worker_thread* to = worker(*kind);
+  if (to != nullptr && !to->push(what)) {
+    overflow(what, now);
+  }
+}
+
+void
+daemon_process::impl::overflow(const action& what, const moment& now) {
+  log(log_event::ring_full, {{"worker", std::string{to_name(*worker_for(what))}}});
+  if (std::holds_alternative<refuse_request>(what) || std::holds_alternative<end_answer>(what)) {
+    unsent_refusals.push_back(what);
+    return;
+  }
+  if (const auto ev = overflow_event(what, now)) {
+    feed(*ev);
+  }
+}
+
+void
+daemon_process::impl::retry_refusals() {
+  pvt::worker_thread* to = worker(worker_kind::caller);
+  while (to != nullptr && !unsent_refusals.empty() && to->push(unsent_refusals.back())) {
+    unsent_refusals.pop_back();
+  }
+}
+
+daemon_process::daemon_process(const settings& config, std::unique_ptr<node> decisions)
+    : impl_(std::make_unique<impl>(config, std::move(decisions))) {}
+
+daemon_process::~daemon_process() {
+  join();
+}
+
+result<void>
+daemon_process::start(std::function<void()> on_stopped) {
+  impl_->on_stopped = std::move(on_stopped);
+  for (const auto& row : enum_names<worker_kind>::table) {
+    impl_->workers.push_back(std::make_unique<pvt::worker_thread>(
+        row.value, plugin_name(row.value, impl_->config), impl_->context));
+    auto started = impl_->workers.back()->start([this] { impl_->notify(); });
+    if (!started) {
+      return started;
+    }
+  }
+  impl_->decision_thread = std::thread{[this] { impl_->run(); }};
+  return {};
+}
+
+void
+daemon_process::request_stop() {
+  impl_->stop_asked.store(true);
+  impl_->notify();
+}
+
+void
+daemon_process::join() {
+  impl_->ending.store(true);
+  impl_->notify();
+  if (impl_->decision_thread.joinable()) {
+    impl_->decision_thread.join();
+  }
+  for (const auto& it : impl_->workers) {
+    it->stop();
+  }
+}
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -133,6 +133,11 @@
   write_line(number, std::span{fields.begin(), fields.size()});
 }
 
+void
+log(log_event number, std::span<const log_field> fields) {
+  write_line(number, fields);
+}
+
 void
 log(log_event number, const error& ec, std::initializer_list<log_field> fields) {
   std::vector<log_field> all{fields};
--- /dev/null
+++ b/src/libnutmegspur/overflow_event.cpp
@@ -0,0 +1,53 @@
+// What the decision thread answers in the place of a worker whose ring is full.
+#include <nutmegspur/daemon.h>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr milliseconds ring_retry_after{200};
+
+error
+ring_full_error(step at, std::string peer) {
+  return {error_code::overloaded, at,
+          std::move(peer),        "the worker's ring is full",
+          outcome::not_run,       ring_retry_after};
+}
+
+struct overflow_of {
+  using answer = std::optional<event>;
+
+  moment now;
+
+  answer operator()(const call_platform& it) const {
+    return platform_reply{it.call, fail(ring_full_error(step::platform_call, "platform")),
+                          now.boot};
+  }
+
+  answer operator()(const send_order& it) const {
+    const auto& order = it.order;
+    return order_answered{order.upstream, order.sequence,
+                          fail(ring_full_error(step::intent_send, order.upstream.value))};
+  }
+
+  answer operator()(const open_attempt& it) const {
+    return attempt_ended{
+        it.attempt, ring_full_error(step::attempt_open, it.upstream.value), {}, {}};
+  }
+
+  // A caller whose answer cannot be handed on is treated as gone: its work is cancelled.
+  answer operator()(const start_answer& it) const { return caller_gone{it.request}; }
+
+  answer operator()(const send_chunk& it) const { return caller_gone{it.request}; }
+
+  template <class Other> answer operator()(const Other&) const { return std::nullopt; }
+};
+
+} // namespace
+
+std::optional<event>
+overflow_event(const action& what, const moment& now) {
+  return std::visit(overflow_of{now}, what);
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/settings.cpp
@@ -0,0 +1,273 @@
+// The settings table and its checks.
+#include <nutmegspur/settings.h>
+
+#include <QHostAddress>
+#include <QString>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <functional>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr std::int64_t most_port = 65'535;
+constexpr std::int64_t hour_in_seconds = 3'600;
+constexpr std::int64_t hour_in_milliseconds = 3'600'000;
+constexpr std::int64_t most_body_bytes = 64LL * 1024 * 1024;
+constexpr std::size_t least_secret_length = 16;
+constexpr std::size_t sha256_digits = 64;
+
+using type = setting_type;
+
+constexpr std::array<setting_info, 23> table{{
+    {"instance", type::text, "name of this instance, unique among all live ones", true},
+    {"zone", type::text, "availability zone that this instance runs in", true},
+    {"region", type::text, "region of the availability zone", true},
+    {"bind-address", type::ip_address, "IP number to listen on"},
+    {"caller-port", type::port, "port for callers", false, 1, most_port},
+    {"operator-port", type::port, "port for operators", false, 1, most_port},
+    {"peer-port", type::port, "port for other instances", false, 1, most_port},
+    {"platform-address", type::ip_address, "IP number of the platform's services"},
+    {"platform-port", type::port, "port of the platform's services", false, 1, most_port},
+    {"platform-plugin", type::text, "which adapter speaks to the platform"},
+    {"routing-policy", type::text, "which policy chooses upstreams"},
+    {"admission-policy", type::text, "which policy queues and refuses requests"},
+    {"peer-secret", type::secret, "secret shared by all instances, at least 16 characters", true},
+    {"bootstrap-operator-key-sha256", type::sha256,
+     "SHA-256 of an operator key that is honoured while none is stored"},
+    {"lease-ttl", type::span_seconds, "time to live of a zone's lease, in seconds", false, 3, 60},
+    {"usage-window", type::span_seconds, "length of a usage window, in seconds", false, 1,
+     hour_in_seconds},
+    {"drain-limit", type::span_seconds,
+     "longest wait for live work at a shutdown or a planned change, in seconds", false, 1,
+     hour_in_seconds},
+    {"balancer-lag", type::span_milliseconds,
+     "how long the balancer may still send callers after /readyz says no, in milliseconds", false,
+     0, 60'000},
+    {"default-deadline", type::span_milliseconds,
+     "deadline of a request that names none, in milliseconds", false, 100, hour_in_milliseconds},
+    {"max-body-bytes", type::integer, "longest request body", false, 1024, most_body_bytes},
+    {"max-in-flight", type::integer, "most requests waiting and running here", false, 1, 100'000},
+    {"log-level", type::text, "info, warning or error"},
+    {"log-directory", type::text, "where log files go; empty logs to standard error only"},
+}};
+
+tl::unexpected<error>
+rejected(const given_setting& given, const std::string& allowed, bool show_value = true) {
+  const std::string value = show_value ? "'" + given.value + "'" : "(not shown)";
+  return fail(
+      {error_code::invalid_argument, step::settings_parse, "",
+       "--" + given.flag + " (from " + given.source + ") is " + value + "; allowed is " + allowed});
+}
+
+result<std::int64_t>
+parse_number(const given_setting& given, const setting_info& info) {
+  std::int64_t n = 0;
+  const char* end = given.value.data() + given.value.size();
+  const auto [rest, ec] = std::from_chars(given.value.data(), end, n);
+  if (ec != std::errc{} || rest != end || n < info.least || n > info.most) {
+    return rejected(given, "a whole number from " + std::to_string(info.least) + " to " +
+                               std::to_string(info.most));
+  }
+  return n;
+}
+
+bool
+is_name(const std::string& text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-' || c == '/';
+  });
+}
+
+bool
+is_sha256(const std::string& text) {
+  return text.size() == sha256_digits && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isdigit(c) != 0 || (c >= 'a' && c <= 'f');
+         });
+}
+
+result<void>
+check_text(const given_setting& given, const setting_info& info) {
+  switch (info.type) {
+  case type::ip_address:
+    if (QHostAddress{QString::fromStdString(given.value)}.isNull()) {
+      return rejected(given, "an IP number such as 127.0.0.1 or ::1");
+    }
+    return {};
+  case type::sha256:
+    if (!is_sha256(given.value)) {
+      return rejected(given, "64 hexadecimal digits in lower case");
+    }
+    return {};
+  case type::secret:
+    if (given.value.size() < least_secret_length) {
+      return rejected(given, "at least 16 characters", false);
+    }
+    return {};
+  default:
+    break;
+  }
+  if (given.flag == "log-level") {
+    const std::array<std::string_view, 3> levels{"info", "warning", "error"};
+    if (std::find(levels.begin(), levels.end(), given.value) == levels.end()) {
+      return rejected(given, "info, warning or error");
+    }
+    return {};
+  }
+  if (!is_name(given.value)) {
+    return rejected(given, "a name of letters, digits and . _ - /");
+  }
+  return {};
+}
+
+bool
+is_number(setting_type it) {
+  return it == type::port || it == type::integer || it == type::span_seconds ||
+         it == type::span_milliseconds;
+}
+
+bool
+assign_number(settings& out, std::string_view flag, std::int64_t n) {
+  if (flag == "caller-port") {
+    out.caller_port = static_cast<std::uint16_t>(n);
+  } else if (flag == "operator-port") {
+    out.operator_port = static_cast<std::uint16_t>(n);
+  } else if (flag == "peer-port") {
+    out.peer_port = static_cast<std::uint16_t>(n);
+  } else if (flag == "platform-port") {
+    out.platform_port = static_cast<std::uint16_t>(n);
+  } else if (flag == "lease-ttl") {
+    out.lease_ttl = seconds{n};
+  } else if (flag == "usage-window") {
+    out.usage_window = seconds{n};
+  } else if (flag == "drain-limit") {
+    out.drain_limit = seconds{n};
+  } else if (flag == "balancer-lag") {
+    out.balancer_lag = milliseconds{n};
+  } else if (flag == "default-deadline") {
+    out.default_deadline = milliseconds{n};
+  } else if (flag == "max-body-bytes") {
+    out.max_body_bytes = static_cast<std::uint32_t>(n);
+  } else if (flag == "max-in-flight") {
+    out.max_in_flight = static_cast<std::uint32_t>(n);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool
+assign_text(settings& out, std::string_view flag, const std::string& text) {
+  if (flag == "instance") {
+    out.instance = instance_id{text};
+  } else if (flag == "zone") {
+    out.zone = zone_id{text};
+  } else if (flag == "region") {
+    out.region = text;
+  } else if (flag == "bind-address") {
+    out.bind_address = text;
+  } else if (flag == "platform-address") {
+    out.platform_address = text;
+  } else if (flag == "platform-plugin") {
+    out.platform_plugin = text;
+  } else if (flag == "routing-policy") {
+    out.routing_policy = text;
+  } else if (flag == "admission-policy") {
+    out.admission_policy = text;
+  } else if (flag == "peer-secret") {
+    out.peer_secret = text;
+  } else if (flag == "bootstrap-operator-key-sha256") {
+    out.bootstrap_operator_key_sha256 = text;
+  } else if (flag == "log-level") {
+    out.log_level = text;
+  } else if (flag == "log-directory") {
+    out.log_directory = text;
+  } else {
+    return false;
+  }
+  return true;
+}
+
+result<void>
+assign(settings& out, const given_setting& given, const setting_info& info) {
+  if (is_number(info.type)) {
+    const auto n = parse_number(given, info);
+    if (!n) {
+      return fail(n.error());
+    }
+    assign_number(out, given.flag, *n);
+    return {};
+  }
+  if (auto checked = check_text(given, info); !checked) {
+    return checked;
+  }
+  assign_text(out, given.flag, given.value);
+  return {};
+}
+
+const setting_info*
+info_of(std::string_view flag) {
+  const auto* it = std::find_if(table.begin(), table.end(),
+                                [&](const setting_info& row) { return row.flag == flag; });
+  return it == table.end() ? nullptr : it;
+}
+
+/// Ports that would collide on one address.
+result<void>
+check_ports(const settings& out) {
+  if (out.caller_port == out.operator_port || out.caller_port == out.peer_port ||
+      out.operator_port == out.peer_port) {
+    return fail({error_code::invalid_argument, step::settings_parse, "",
+                 "--caller-port, --operator-port and --peer-port must differ"});
+  }
+  return {};
+}
+
+} // namespace
+
+std::span<const setting_info>
+settings_table() {
+  return table;
+}
+
+std::string
+environment_name(std::string_view flag) {
+  std::string name = "NUTMEGSPUR_";
+  for (const char c : flag) {
+    name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+  }
+  return name;
+}
+
+result<settings>
+parse_settings(std::span<const given_setting> given) {
+  settings out;
+  for (const auto& it : given) {
+    const setting_info* info = info_of(it.flag);
+    if (info == nullptr) {
+      return fail({error_code::invalid_argument, step::settings_parse, "",
+                   "--" + it.flag + " (from " + it.source + ") is not a setting; see --help"});
+    }
+    if (auto assigned = assign(out, it, *info); !assigned) {
+      return fail(assigned.error());
+    }
+  }
+  for (const auto& info : table) {
+    const auto was_given = [&](const given_setting& it) { return it.flag == info.flag; };
+    if (info.required && std::none_of(given.begin(), given.end(), was_given)) {
+      return fail({error_code::invalid_argument, step::settings_parse, "",
+                   "--" + std::string{info.flag} + " (or " + environment_name(info.flag) +
+                       ") must be given: " + std::string{info.help}});
+    }
+  }
+  if (auto checked = check_ports(out); !checked) {
+    return fail(checked.error());
+  }
+  return out;
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/testsuite/lib/demo.py
@@ -0,0 +1,92 @@
+"""The demonstration behind tools/demo: one small system, one streamed request, one service call."""
+
+import argparse
+import http.client
+import json
+import signal
+import sys
+
+import processes
+import small_system
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(prog="tools/demo", description=__doc__)
+    parser.add_argument("build", help=argparse.SUPPRESS)
+    parser.add_argument("--stay", action="store_true",
+                        help="print the addresses and keys, then wait for Ctrl-C")
+    parser.add_argument("--port-base", type=int, default=None,
+                        help="first of 20 ports to use; free ones are picked without it")
+    return parser.parse_args()
+
+
+def streamed_request(port, key):
+    """Sends one streamed chat request; returns its text and usage."""
+    connection = http.client.HTTPConnection(processes.LOOPBACK, port, timeout=60)
+    body = {"model": small_system.MODEL, "stream": True, "max_tokens": 12,
+            "stream_options": {"include_usage": True},
+            "messages": [{"role": "user", "content": "Who is signed in at the breakfast club today?"}]}
+    connection.request("POST", "/v1/chat/completions", json.dumps(body),
+                       {"Authorization": f"Bearer {key}", "Content-Type": "application/json"})
+    reply = connection.getresponse()
+    if reply.status != 200:
+        raise processes.Failure(f"status {reply.status}: {reply.read().decode()}")
+    text, usage, done = "", None, False
+    for line in reply:
+        line = line.decode().strip()
+        if line == "data: [DONE]":
+            done = True
+        elif line.startswith("data: "):
+            chunk = json.loads(line[len("data: "):])
+            usage = chunk.get("usage") or usage
+            for choice in chunk.get("choices", []):
+                text += choice.get("delta", {}).get("content") or ""
+    connection.close()
+    if not done:
+        raise processes.Failure("the stream ended without [DONE]")
+    return text, usage
+
+
+def service_call(port, key):
+    """Calls the plain service with a call that may not be repeated."""
+    reply = processes.call(port, "POST", "/services/subsidies/payments", {"child": 7, "amount": 12},
+                           {"Authorization": f"Bearer {key}", "Idempotency-Key": "demo-payment-1"})
+    if reply.status != 200:
+        raise processes.Failure(f"status {reply.status}: {reply.body}")
+    return reply.body
+
+
+def main():
+    arguments = parse_arguments()
+    system = processes.System(arguments.build, arguments.port_base)
+    try:
+        key = small_system.start(system)
+        first = system.entries["entry-1"]
+        if arguments.stay:
+            print(f"CALLER_URL=http://{processes.LOOPBACK}:{first['caller']}")
+            print(f"OPERATOR_URL=http://{processes.LOOPBACK}:{first['operator']}")
+            print(f"KEY={key}")
+            print(f"OPERATOR_KEY={system.operator_key}")
+            print(f"MODEL={small_system.MODEL}", flush=True)
+            # Blocked only now, after everything has started: children would inherit the block.
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT, signal.SIGTERM})
+            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+            return 0
+        processes.wait_until("the model to be offered", lambda: small_system.MODEL in processes.call(
+            first["caller"], "GET", "/v1/models", headers={"Authorization": f"Bearer {key}"}).body)
+        text, usage = streamed_request(first["caller"], key)
+        print(f"streamed answer: {text}\nusage: {json.dumps(usage)}")
+        print(f"service answer: {service_call(first['caller'], key)}")
+        return 0
+    except processes.Failure as ec:
+        print(f"demo failed: {ec}", file=sys.stderr)
+        for name in system.processes:
+            print(f"--- {name}\n{system.log_of(name)[-2000:]}", file=sys.stderr)
+        return 1
+    finally:
+        system.stop()
+
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
+    sys.exit(main())
