Fake platform for tests: store, leases, watches, faults per call

Revisions, compare-and-swap, leases on a manual clock and watches, with the faults down, slow, late answer, lost before and after the effect, stale read. Records what reached the upstream and the usage interface.

--- /dev/null
+++ b/src/libnutmegspur/testing/fake_store.cpp
@@ -0,0 +1,393 @@
+// The fake platform.
+#include "testing/fake_store.h"
+
+#include <algorithm>
+
+namespace nutmegspur::testing {
+
+namespace {
+
+error
+lost_answer() {
+  return {error_code::unavailable, step::platform_call, "platform", "answer lost",
+          outcome::unknown};
+}
+
+error
+refused_call() {
+  return {error_code::unavailable, step::platform_call, "platform", "connection refused",
+          outcome::not_run};
+}
+
+bool
+in_range(const std::string& key, const std::string& from, const std::string& to) {
+  return to.empty() ? key == from : key >= from && key < to;
+}
+
+} // namespace
+
+void
+fake_store::set_fault(store_fault fault) {
+  fault_ = fault;
+}
+
+void
+fake_store::set_client_fault(const std::string& client, store_fault fault) {
+  client_faults_[client] = fault;
+}
+
+void
+fake_store::fault_next(store_fault fault, call_filter filter, int count) {
+  armed_.push_back({fault, std::move(filter), count});
+}
+
+store_fault
+fake_store::choose_fault(const std::string& client, const platform_request& request) {
+  for (auto& it : armed_) {
+    if (it.left > 0 && (!it.filter || it.filter(client, request))) {
+      --it.left;
+      return it.fault;
+    }
+  }
+  const auto it = client_faults_.find(client);
+  if (it != client_faults_.end() && it->second != store_fault::none) {
+    return it->second;
+  }
+  return fault_;
+}
+
+void
+fake_store::push(const moment& now, duration delay, pending it) {
+  it.due = now.boot + delay;
+  it.order = ++last_order_;
+  it.asked_at = now.boot;
+  pending_.push_back(std::move(it));
+}
+
+void
+fake_store::submit(const moment& now, const std::string& client, const call_platform& call) {
+  expire_leases(now);
+  ++calls_[call.request.index()];
+  const store_fault fault = choose_fault(client, call.request);
+  switch (fault) {
+  case store_fault::down:
+    push(now, duration{0}, {.client = client, .call = call, .answer = fail(refused_call())});
+    return;
+  case store_fault::slow:
+    push(now, slow_by, {.client = client, .call = call, .take_effect = true});
+    return;
+  case store_fault::late_answer:
+    push(now, slow_by,
+         {.client = client, .call = call, .answer = carry_out(now, client, call, false)});
+    return;
+  case store_fault::lost_after_effect:
+    static_cast<void>(carry_out(now, client, call, false));
+    push(now, lost_after, {.client = client, .call = call, .answer = fail(lost_answer())});
+    return;
+  case store_fault::lost_before_effect:
+    push(now, lost_after, {.client = client, .call = call, .answer = fail(lost_answer())});
+    return;
+  case store_fault::none:
+  case store_fault::stale_read:
+    push(now, duration{0},
+         {.client = client,
+          .call = call,
+          .answer = carry_out(now, client, call, fault == store_fault::stale_read)});
+    return;
+  }
+}
+
+platform_reply
+fake_store::answer_now(const moment& now, const std::string& client, const call_platform& call) {
+  expire_leases(now);
+  return {call.call, carry_out(now, client, call, false), now.boot};
+}
+
+std::vector<delivery>
+fake_store::take_due(const moment& now) {
+  expire_leases(now);
+  std::vector<delivery> out = std::move(ready_);
+  ready_.clear();
+  std::vector<pending> due;
+  const auto later = std::stable_partition(pending_.begin(), pending_.end(),
+                                           [&](const pending& it) { return it.due <= now.boot; });
+  due.assign(std::make_move_iterator(pending_.begin()), std::make_move_iterator(later));
+  pending_.erase(pending_.begin(), later);
+  std::stable_sort(due.begin(), due.end(),
+                   [](const pending& a, const pending& b) { return a.due < b.due; });
+  for (auto& it : due) {
+    if (it.take_effect) {
+      it.answer = carry_out(now, it.client, it.call, false);
+    }
+    if (it.answer && !it.client.empty()) {
+      out.push_back({it.client, platform_reply{it.call.call, *it.answer, it.asked_at}});
+    }
+  }
+  deliver_watches(out);
+  return out;
+}
+
+void
+fake_store::deliver_watches(std::vector<delivery>& out) {
+  for (auto& it : watches_) {
+    if (it.silent || it.next > revision_) {
+      continue;
+    }
+    watch_batch batch{it.id, {}, revision{revision_}};
+    for (const auto& change : log_) {
+      if (change.modified.value >= it.next && in_range(change.key, it.from, it.to)) {
+        batch.changes.push_back(change);
+      }
+    }
+    it.next = revision_ + 1;
+    if (!batch.changes.empty()) {
+      out.push_back({it.client, std::move(batch)});
+    }
+  }
+}
+
+result<platform_answer>
+fake_store::carry_out(const moment& now, const std::string& client, const call_platform& call,
+                      bool stale) {
+  const auto& what = call.request;
+  if (const auto* it = std::get_if<kv_range>(&what)) {
+    return run(now, client, call, *it, stale);
+  }
+  if (const auto* it = std::get_if<kv_txn>(&what)) {
+    return run_txn(*it);
+  }
+  if (const auto* it = std::get_if<lease_grant>(&what)) {
+    leases_[++last_lease_] = {it->ttl, now.boot + it->ttl, {}};
+    return lease_reply{lease_id{last_lease_}, it->ttl};
+  }
+  if (const auto* it = std::get_if<lease_keep_alive>(&what)) {
+    return run_keep_alive(now, it->lease);
+  }
+  if (const auto* it = std::get_if<lease_revoke>(&what)) {
+    const auto found = leases_.find(it->lease.value);
+    if (found != leases_.end()) {
+      found->second.expires = now.boot;
+      expire_leases(now);
+    }
+    return lease_reply{it->lease, seconds{0}};
+  }
+  if (const auto* it = std::get_if<watch_start>(&what)) {
+    return run_watch(client, call, *it);
+  }
+  if (const auto* it = std::get_if<watch_stop>(&what)) {
+    std::erase_if(watches_,
+                  [&](const open_watch& w) { return w.client == client && w.id == it->watch; });
+    return accepted_reply{};
+  }
+  if (std::holds_alternative<list_instances>(what)) {
+    return instances_reply{instances_};
+  }
+  if (const auto* it = std::get_if<upstream_order>(&what)) {
+    upstream_orders_.push_back({now.boot, client, *it});
+    return accepted_reply{};
+  }
+  usage_reports_.push_back({now.boot, client, std::get<usage_report>(what)});
+  return accepted_reply{};
+}
+
+result<platform_answer>
+fake_store::run(const moment& /*now*/, const std::string& /*client*/, const call_platform& /*c*/,
+                const kv_range& range, bool stale) {
+  std::int64_t at = range.at.value == 0 ? revision_ : range.at.value;
+  if (stale) {
+    at = std::max<std::int64_t>({1, compacted_, at - stale_by});
+  }
+  if (at < compacted_) {
+    return fail({error_code::not_found, step::platform_call, "platform", "revision compacted"});
+  }
+  kv_range_reply reply;
+  reply.store = revision{stale ? at : revision_};
+  for (const auto& [key, pair] : at == revision_ ? pairs_ : state_at(at)) {
+    if (!in_range(key, range.from, range.to)) {
+      continue;
+    }
+    if (reply.pairs.size() >= range.limit) {
+      reply.more = true;
+      break;
+    }
+    reply.pairs.push_back(pair);
+  }
+  return reply;
+}
+
+result<platform_answer>
+fake_store::run_txn(const kv_txn& txn) {
+  for (const auto& it : txn.conditions) {
+    const auto found = pairs_.find(it.key);
+    const std::int64_t modified = found == pairs_.end() ? 0 : found->second.modified.value;
+    if (modified != it.modified.value) {
+      return kv_txn_reply{false, revision{revision_}};
+    }
+  }
+  for (const auto& it : txn.writes) {
+    if (!it.lease.empty() && leases_.count(it.lease.value) == 0) {
+      return fail({error_code::not_found, step::platform_call, "platform", "lease not found"});
+    }
+  }
+  if (!txn.writes.empty()) {
+    ++revision_;
+  }
+  for (const auto& it : txn.writes) {
+    write(it);
+  }
+  return kv_txn_reply{true, revision{revision_}};
+}
+
+result<platform_answer>
+fake_store::run_keep_alive(const moment& now, lease_id lease) {
+  const auto found = leases_.find(lease.value);
+  if (found == leases_.end()) {
+    return lease_reply{lease, seconds{0}};
+  }
+  found->second.expires = now.boot + found->second.ttl;
+  return lease_reply{lease, found->second.ttl};
+}
+
+result<platform_answer>
+fake_store::run_watch(const std::string& client, const call_platform& c, const watch_start& what) {
+  if (what.since.value != 0 && what.since.value <= compacted_) {
+    const error why{error_code::not_found, step::platform_call, "platform", "compacted"};
+    ready_.push_back({client, watch_ended{c.call, true, why}});
+    return watch_started{revision{revision_}};
+  }
+  const std::int64_t next = what.since.value == 0 ? revision_ + 1 : what.since.value;
+  watches_.push_back({client, c.call, what.from, what.to, next, false});
+  return watch_started{revision{revision_}};
+}
+
+void
+fake_store::detach(const std::string& key) {
+  for (auto& [id, lease] : leases_) {
+    lease.keys.erase(key);
+  }
+}
+
+void
+fake_store::write(const kv_write& what) {
+  detach(what.key);
+  const auto found = pairs_.find(what.key);
+  if (!what.value) {
+    if (found != pairs_.end()) {
+      log_.push_back({what.key, std::nullopt, found->second.created, revision{revision_}});
+      pairs_.erase(found);
+    }
+    return;
+  }
+  const revision created = found == pairs_.end() ? revision{revision_} : found->second.created;
+  pairs_[what.key] = {what.key, *what.value, created, revision{revision_}};
+  log_.push_back({what.key, what.value, created, revision{revision_}});
+  if (!what.lease.empty()) {
+    leases_[what.lease.value].keys.insert(what.key);
+  }
+}
+
+void
+fake_store::expire_leases(const moment& now) {
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second.expires > now.boot) {
+      ++it;
+      continue;
+    }
+    const auto keys = it->second.keys;
+    it = leases_.erase(it);
+    if (!keys.empty()) {
+      ++revision_;
+    }
+    for (const auto& key : keys) {
+      write({key, std::nullopt, {}});
+    }
+  }
+}
+
+std::map<std::string, kv_pair>
+fake_store::state_at(std::int64_t at) const {
+  std::map<std::string, kv_pair> state;
+  for (const auto& it : log_) {
+    if (it.modified.value > at) {
+      break;
+    }
+    if (it.value) {
+      state[it.key] = {it.key, *it.value, it.created, it.modified};
+    } else {
+      state.erase(it.key);
+    }
+  }
+  return state;
+}
+
+void
+fake_store::end_watches(const moment& /*now*/, const std::string& client) {
+  for (const auto& it : watches_) {
+    if (it.client == client) {
+      ready_.push_back({client, watch_ended{it.id, false, lost_answer()}});
+    }
+  }
+  std::erase_if(watches_, [&](const open_watch& it) { return it.client == client; });
+}
+
+void
+fake_store::silence_watches(const std::string& client) {
+  for (auto& it : watches_) {
+    it.silent = it.silent || it.client == client;
+  }
+}
+
+void
+fake_store::compact(revision upto) {
+  compacted_ = upto.value;
+}
+
+void
+fake_store::forget(const std::string& client) {
+  std::erase_if(watches_, [&](const open_watch& it) { return it.client == client; });
+  std::erase_if(ready_, [&](const delivery& it) { return it.client == client; });
+  for (auto& it : pending_) {
+    if (it.client == client) {
+      it.client.clear();
+    }
+  }
+}
+
+std::optional<kv_pair>
+fake_store::get(const std::string& key) const {
+  const auto found = pairs_.find(key);
+  return found == pairs_.end() ? std::nullopt : std::optional{found->second};
+}
+
+std::vector<kv_pair>
+fake_store::list(const std::string& prefix) const {
+  std::vector<kv_pair> found;
+  for (auto it = pairs_.lower_bound(prefix); it != pairs_.end(); ++it) {
+    if (!it->first.starts_with(prefix)) {
+      break;
+    }
+    found.push_back(it->second);
+  }
+  return found;
+}
+
+revision
+fake_store::put(const moment& now, const std::string& key, std::optional<std::string> value) {
+  expire_leases(now);
+  ++revision_;
+  write({key, std::move(value), {}});
+  return current();
+}
+
+void
+fake_store::set_instances(std::vector<listed_instance> instances) {
+  instances_ = std::move(instances);
+}
+
+std::uint64_t
+fake_store::calls(std::size_t kind) const {
+  const auto found = calls_.find(kind);
+  return found == calls_.end() ? 0 : found->second;
+}
+
+} // namespace nutmegspur::testing
