Zone lease: compare-and-swap on the zone's key, attached to a platform lease

Upstream orders and usage reports carry a time after which the adapter must not send them. Records added: usage marks (which parts are sealed) and upstream orders.

--- a/src/include/nutmegspur/platform.h
+++ b/src/include/nutmegspur/platform.h
@@ -166,12 +166,17 @@
   std::uint32_t wanted = 0;
   fence authority;
   std::uint64_t order = 0;
+  /// Not sent after this; checked by the adapter on the boot clock right before the first byte.
+  time_point not_after = time_point::max();
 };
 
 /// Reports one sealed window. Repeats carry the same id and the same figures.
 struct usage_report {
   std::string id; ///< "<zone>/<window start>/<shard>"
   usage_record record;
+  fence authority{}; ///< Of the sender; the record's own is that of who sealed it.
+  /// Not sent after this; checked by the adapter on the boot clock right before the first byte.
+  time_point not_after = time_point::max();
 };
 
 /// An order to an engine. It goes out at most once and not after `not_after`.
--- a/src/include/nutmegspur/records.h
+++ b/src/include/nutmegspur/records.h
@@ -189,6 +189,10 @@
 std::string intent_key(const upstream_id& upstream);
 /// `usage/<zone>/<window start, seconds, 12 digits>/<shard>`: a sealed usage window.
 std::string usage_key(const zone_id& zone, std::int64_t window_start, std::uint32_t shard);
+/// `usage-mark/<zone>`: how far a zone's usage is sealed.
+std::string usage_mark_key(const zone_id& zone);
+/// `order/<zone>/<kind>`: the open or last order of a zone to the upstream interface.
+std::string upstream_order_key(const zone_id& zone, std::string_view kind);
 /// `claim/<team>/<digest>`: a call that must run at most once.
 std::string claim_key(const team_id& team, std::string_view digest);
 
@@ -307,14 +311,52 @@
 /// Longest answer body kept in a claim, in bytes. A longer one is recorded without its body.
 inline constexpr std::size_t max_recorded_body = 64UL * 1024;
 
+/// Which of one source's usage parts are in sealed windows.
+struct usage_source_mark {
+  instance_id source;
+  std::uint64_t upto = 0;           ///< All sequences up to this one are.
+  std::vector<std::uint64_t> above; ///< And these above it, in ascending order.
+  std::int64_t last_window = 0;     ///< Window of its newest sealed part.
+
+  bool operator==(const usage_source_mark&) const = default;
+};
+
+/// How far a zone's usage is sealed and confirmed. Written in the same transaction as each sealed
+/// window, so that a part is never counted twice, whoever holds the zone's duties.
+struct usage_mark_record {
+  std::int64_t last_window = 0; ///< The newest sealed window, and its newest shard.
+  std::uint32_t last_shard = 0;
+  std::vector<usage_source_mark> sources; ///< Sorted by source.
+  std::vector<std::string> open;          ///< Keys of sealed windows not yet confirmed.
+  std::vector<std::string> kept;          ///< Keys of confirmed windows, the oldest first.
+
+  bool operator==(const usage_mark_record&) const = default;
+};
+
+/// One order to the upstream interface, written before it is sent.
+struct upstream_order_record {
+  fence authority;         ///< Of the holder that wrote it.
+  std::uint64_t order = 0; ///< Grows by one for each order of this zone and kind.
+  std::string kind;
+  std::uint32_t wanted = 0;
+  bool accepted = false; ///< The upstream interface has accepted it.
+  std::string writer;
+
+  bool operator==(const upstream_order_record&) const = default;
+};
+
 std::string to_json(const zone_lease_record& record);
 std::string to_json(const intent_record& record);
 std::string to_json(const usage_record& record);
 std::string to_json(const claim_record& record);
+std::string to_json(const usage_mark_record& record);
+std::string to_json(const upstream_order_record& record);
 
 result<zone_lease_record> parse_zone_lease(std::string_view json);
 result<intent_record> parse_intent(std::string_view json);
 result<usage_record> parse_usage(std::string_view json);
 result<claim_record> parse_claim(std::string_view json);
+result<usage_mark_record> parse_usage_mark(std::string_view json);
+result<upstream_order_record> parse_upstream_order(std::string_view json);
 
 } // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/zone_lease.h
@@ -0,0 +1,109 @@
+/// \file zone_lease.h
+/// The lease on a zone's duties: one entry instance of each zone gives the zone's orders and
+/// reports its usage.
+///
+/// The lease is the key `lease/zone/<zone>`, created by compare-and-swap and attached to a lease of
+/// the key-value service. Its creation revision is the fence. A holder's authority ends on its own
+/// clock before the store can give the key to another; with the store out it simply ends.
+#pragma once
+
+#include <nutmegspur/authority.h>
+#include <nutmegspur/decision.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace nutmegspur {
+
+/// What a zone lease is built with.
+struct zone_lease_settings {
+  instance_id self;
+  zone_id zone;
+  /// Time to live of the platform's lease.
+  seconds ttl{10};
+};
+
+/// What a zone lease asks of the rest of the node. Empty functions mean rank 0 and never busy.
+struct zone_lease_hooks {
+  /// This instance's position among the zone's live entry instances, from 0.
+  std::function<unsigned()> rank;
+  /// Whether something still needs the authority; a graceful stop waits for it.
+  std::function<bool()> busy;
+};
+
+/// Takes, renews and gives up the lease. Only the lowest ranks of a zone ever call the store for
+/// it: the holder renews, the others read the key now and then.
+class zone_lease final : public authority_source {
+ public:
+  /// Ranks that try to take the lease; the others make no call at all.
+  static constexpr unsigned max_candidates = 3;
+
+  zone_lease(zone_lease_settings config, zone_lease_hooks hooks);
+
+  [[nodiscard]] std::optional<authority> current(time_point now) const override;
+
+  /// The holder that was last seen in the store, which may be this instance.
+  [[nodiscard]] const std::optional<instance_id>& seen_holder() const { return seen_holder_; }
+
+  /// Whether a graceful stop has given the lease up.
+  [[nodiscard]] bool released() const { return phase_ == phase::released; }
+
+  void step(const moment& now, const event& ev, action_list& out);
+
+ private:
+  enum class phase {
+    waiting,    ///< Not held; looks again at `next_try_`.
+    reading,    ///< The key is being read.
+    granting,   ///< A platform lease was asked for.
+    writing,    ///< The key's creation is under way.
+    confirming, ///< The key is being read back.
+    held,       ///< The key is ours, as far as we know.
+    released,   ///< Given up for good.
+  };
+
+  void on_tick(const moment& now, action_list& out);
+  void on_reply(const moment& now, const platform_reply& reply, action_list& out);
+  void on_read(const moment& now, const platform_reply& reply, action_list& out);
+  void on_granted(const moment& now, const platform_reply& reply, action_list& out);
+  void on_written(const moment& now, const platform_reply& reply, action_list& out);
+  void on_confirmed(const moment& now, const platform_reply& reply, action_list& out);
+  void on_renewed(const moment& now, const platform_reply& reply, action_list& out);
+  void on_stop(const moment& now, action_list& out);
+
+  void read_key(const moment& now, action_list& out, phase next);
+  void renew(const moment& now, action_list& out);
+  void retire_lease(action_list& out);
+  void wait(const moment& now, duration span);
+  void lose(const moment& now, const char* why, action_list& out);
+  void call(const moment& now, platform_request request, action_list& out);
+  [[nodiscard]] duration jittered(duration span);
+  [[nodiscard]] duration poll_period();
+  [[nodiscard]] time_point valid_until(time_point asked_at) const;
+
+  [[nodiscard]] unsigned rank() const { return hooks_.rank ? hooks_.rank() : 0; }
+
+  zone_lease_settings config_;
+  zone_lease_hooks hooks_;
+  phase phase_ = phase::waiting;
+  std::uint64_t last_call_ = 0;
+  std::uint64_t awaited_ = 0;        ///< Call that moves the phase on; 0 if none.
+  time_point asked_at_;              ///< When it was asked.
+  std::set<std::uint64_t> renewals_; ///< Keep-alives under way.
+  lease_id lease_;
+  time_point granted_at_; ///< When the grant of `lease_` was asked for.
+  std::string writer_;
+  fence fence_;
+  /// Authority ends here. Invariant: at most ttl minus the margin after the last successful grant
+  /// or renewal was asked for.
+  time_point until_;
+  time_point next_try_;
+  time_point next_renewal_;
+  bool stopping_ = false;
+  std::uint64_t jitter_state_ = 0;
+  std::optional<instance_id> seen_holder_;
+};
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/coordination_records.cpp
+++ b/src/libnutmegspur/coordination_records.cpp
@@ -110,7 +110,8 @@
   }
 
   template <class E>
-    requires std::is_enum_v<E>
+  requires std::is_enum_v<E>
+
   void read(std::string_view name, E& into) {
     std::string text;
     read(name, text);
@@ -132,6 +133,17 @@
     }
   }
 
+  void read(std::string_view name, std::vector<std::uint64_t>& into) {
+    for (const auto& it : array(name)) {
+      const std::int64_t n = it.toInteger(-1);
+      if (n < 0) {
+        complain(name, "holds something that is not a count");
+        return;
+      }
+      into.push_back(static_cast<std::uint64_t>(n));
+    }
+  }
+
   /// Bytes of any kind, kept as base64.
   void read_bytes(std::string_view name, std::string& into) {
     std::string text;
@@ -230,6 +242,26 @@
           {"output_tokens", number(line.output_tokens)}};
 }
 
+QJsonObject
+to_object(const usage_source_mark& mark) {
+  QJsonArray above;
+  for (const auto n : mark.above) {
+    above.append(number(n));
+  }
+  return {{"source", to_qt(mark.source.value)},
+          {"upto", number(mark.upto)},
+          {"above", above},
+          {"last_window", qint64{mark.last_window}}};
+}
+
+void
+read_source(object_reader& in, usage_source_mark& into) {
+  in.read("source", into.source);
+  in.read("upto", into.upto);
+  in.read("above", into.above);
+  in.read("last_window", into.last_window);
+}
+
 void
 read_state(object_reader& in, engine_state& into) {
   in.read("role", into.role);
@@ -273,6 +305,16 @@
   return "usage/" + zone.value + "/" + digits + "/" + std::to_string(shard);
 }
 
+std::string
+usage_mark_key(const zone_id& zone) {
+  return "usage-mark/" + zone.value;
+}
+
+std::string
+upstream_order_key(const zone_id& zone, std::string_view kind) {
+  return "order/" + zone.value + "/" + std::string{kind};
+}
+
 std::string
 claim_key(const team_id& team, std::string_view digest) {
   return "claim/" + team.value + "/" + std::string{digest};
@@ -330,6 +372,29 @@
        {"written_at", static_cast<qint64>(record.written_at.time_since_epoch().count())}});
 }
 
+std::string
+to_json(const usage_mark_record& record) {
+  QJsonArray sources;
+  for (const auto& it : record.sources) {
+    sources.append(to_object(it));
+  }
+  return compact({{"last_window", qint64{record.last_window}},
+                  {"last_shard", number(record.last_shard)},
+                  {"sources", sources},
+                  {"open", to_array(record.open)},
+                  {"kept", to_array(record.kept)}});
+}
+
+std::string
+to_json(const upstream_order_record& record) {
+  return compact({{"authority", qint64{record.authority.value}},
+                  {"order", number(record.order)},
+                  {"kind", to_qt(record.kind)},
+                  {"wanted", number(record.wanted)},
+                  {"accepted", record.accepted},
+                  {"writer", to_qt(record.writer)}});
+}
+
 result<zone_lease_record>
 parse_zone_lease(std::string_view json) {
   object_reader in{json, step::lease_take};
@@ -391,4 +456,33 @@
   return in.finish(std::move(record));
 }
 
+result<usage_mark_record>
+parse_usage_mark(std::string_view json) {
+  object_reader in{json, step::usage_seal};
+  usage_mark_record record;
+  in.read("last_window", record.last_window);
+  in.read("last_shard", record.last_shard);
+  for (const auto& it : in.array("sources")) {
+    object_reader source = in.nested("sources", it);
+    read_source(source, record.sources.emplace_back());
+    in.adopt(source);
+  }
+  in.read("open", record.open);
+  in.read("kept", record.kept);
+  return in.finish(std::move(record));
+}
+
+result<upstream_order_record>
+parse_upstream_order(std::string_view json) {
+  object_reader in{json, step::intent_write};
+  upstream_order_record record;
+  in.read("authority", record.authority);
+  in.read("order", record.order);
+  in.read("kind", record.kind);
+  in.read("wanted", record.wanted);
+  in.read("accepted", record.accepted);
+  in.read("writer", record.writer);
+  return in.finish(std::move(record));
+}
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/coordination_records_test.cpp
+++ b/src/libnutmegspur/coordination_records_test.cpp
@@ -71,6 +71,30 @@
   return it;
 }
 
+usage_mark_record
+any_mark() {
+  usage_mark_record it;
+  it.last_window = static_cast<std::int64_t>(any_count());
+  it.last_shard = *rc::gen::arbitrary<std::uint32_t>();
+  const auto n = *rc::gen::inRange(0, 4);
+  for (int i = 0; i < n; ++i) {
+    it.sources.push_back({instance_id{any_text()}, any_count(), {any_count()}, 60});
+  }
+  it.open = any_texts();
+  it.kept = any_texts();
+  return it;
+}
+
+upstream_order_record
+any_upstream_order() {
+  return {any_fence(),
+          any_count(),
+          any_text(),
+          *rc::gen::arbitrary<std::uint32_t>(),
+          *rc::gen::arbitrary<bool>(),
+          any_text()};
+}
+
 claim_record
 any_claim() {
   claim_record it;
@@ -95,9 +119,14 @@
   RC_ASSERT(parse_usage(to_json(usage)).value() == usage);
   const auto claim = any_claim();
   RC_ASSERT(parse_claim(to_json(claim)).value() == claim);
+  const auto mark = any_mark();
+  RC_ASSERT(parse_usage_mark(to_json(mark)).value() == mark);
+  const auto order = any_upstream_order();
+  RC_ASSERT(parse_upstream_order(to_json(order)).value() == order);
 }
 
-RC_GTEST_PROP(coordination_records, any_bytes_give_a_value_or_an_error, (const std::string& bytes)) {
+RC_GTEST_PROP(coordination_records, any_bytes_give_a_value_or_an_error,
+              (const std::string& bytes)) {
   RC_ASSERT(!parse_zone_lease(bytes).has_value());
   RC_ASSERT(!parse_intent(bytes).has_value());
   RC_ASSERT(!parse_usage(bytes).has_value());
--- a/src/libnutmegspur/testing/fake_store.cpp
+++ b/src/libnutmegspur/testing/fake_store.cpp
@@ -1,6 +1,8 @@
 // The fake platform.
 #include "testing/fake_store.h"
 
+#include <nutmegspur/mechanisms.h>
+
 #include <algorithm>
 
 namespace nutmegspur::testing {
@@ -19,6 +21,21 @@
           outcome::not_run};
 }
 
+error
+held_back() {
+  return {error_code::lease_lost, step::platform_call, "platform", "not_after has passed",
+          outcome::not_run};
+}
+
+bool
+too_late(const moment& now, const platform_request& request) {
+  if (const auto* order = std::get_if<upstream_order>(&request)) {
+    return now.boot > order->not_after;
+  }
+  const auto* report = std::get_if<usage_report>(&request);
+  return report != nullptr && now.boot > report->not_after;
+}
+
 bool
 in_range(const std::string& key, const std::string& from, const std::string& to) {
   return to.empty() ? key == from : key >= from && key < to;
@@ -68,6 +85,10 @@
 fake_store::submit(const moment& now, const std::string& client, const call_platform& call) {
   expire_leases(now);
   ++calls_[call.request.index()];
+  if (too_late(now, call.request) && enabled(mechanism::lease_deadline_check)) {
+    push(now, duration{0}, {.client = client, .call = call, .answer = fail(held_back())});
+    return;
+  }
   const store_fault fault = choose_fault(client, call.request);
   switch (fault) {
   case store_fault::down:
