--- /dev/null
+++ b/src/include/nutmegspur/usage_ledger.h
@@ -0,0 +1,82 @@
+/// \file usage_ledger.h
+/// Counts usage on every instance and sees to it that it reaches a sealed window exactly once.
+///
+/// Lines are summed for a few seconds, then closed into a numbered part. A part goes to the zone's
+/// lease holder and, as a copy, to one other peer; both send it on until it is acknowledged as
+/// sealed. The holder's side is `usage_sealer`.
+#pragma once
+
+#include <nutmegspur/usage_sealer.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace nutmegspur {
+
+/// What the ledger asks of the rest of the node. Empty functions name nobody.
+struct usage_hooks {
+  /// The zone's lease holder, or a peer that knows it.
+  std::function<std::optional<instance_id>()> holder;
+  /// Another live instance of the zone, to keep copies.
+  std::function<std::optional<instance_id>()> copy_peer;
+};
+
+/// Every instance's side of usage.
+class usage_ledger {
+ public:
+  /// Closed parts not yet sealed. At the limit, new usage goes on being summed in the open part.
+  static constexpr std::size_t max_own_parts = 64;
+  /// Copies kept for other instances.
+  static constexpr std::size_t max_copies = 4096;
+
+  usage_ledger(usage_settings config, usage_hooks hooks, const authority_source& source);
+
+  /// Counts finished work.
+  void count(const moment& now, const usage_line& line, action_list& out);
+  /// Closes the open part at once, for a graceful stop.
+  void flush(const moment& now, action_list& out);
+  /// Whether all that was counted here is sealed or held by another instance.
+  [[nodiscard]] bool handed_over() const;
+  /// Whether the holder's side has a call under way.
+  [[nodiscard]] bool busy() const { return sealer_.busy(); }
+
+  void step(const moment& now, const event& ev, action_list& out);
+
+ private:
+  struct own_part {
+    usage_part part;
+    time_point next_send;
+    duration backoff{0};
+    bool safe = false; ///< Another instance has said that it holds the part.
+    std::optional<instance_id> copied_to;
+  };
+
+  struct copied_part {
+    usage_part part;
+    time_point next_send;
+  };
+
+  void on_tick(const moment& now, action_list& out);
+  void on_part(const moment& now, const instance_id& from, const usage_part& part,
+               action_list& out);
+  void on_ack(const usage_part_ack& ack, action_list& out);
+  void close_part(const moment& now, action_list& out);
+  void send_own(const moment& now, own_part& it, action_list& out);
+  void send_copy_on(const moment& now, copied_part& it, action_list& out);
+  void acknowledge_sealed(action_list& out);
+  void release(std::uint64_t sequence, action_list& out);
+
+  usage_settings config_;
+  usage_hooks hooks_;
+  usage_sealer sealer_;
+  std::map<std::pair<team_id, std::string>, usage_line> open_lines_;
+  time_point open_since_;
+  std::uint64_t last_sequence_ = 0;
+  std::map<std::uint64_t, own_part> own_;
+  std::map<usage_part_key, copied_part> copies_;
+};
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/usage_sealer.h
@@ -0,0 +1,155 @@
+/// \file usage_sealer.h
+/// The usage duty of a zone's lease holder: sums parts into windows, seals each window once, and
+/// reports it until the usage interface has accepted it.
+///
+/// A window is sealed by one transaction that creates its record and moves the zone's usage mark
+/// on. The mark lists which parts are sealed, so no part is counted twice, and which windows are
+/// not yet confirmed, so a new holder finds them. Every report carries the sealed figures.
+#pragma once
+
+#include <nutmegspur/authority.h>
+#include <nutmegspur/decision.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegspur {
+
+/// What the usage duty is built with.
+struct usage_settings {
+  instance_id self;
+  zone_id zone;
+  /// How long lines are summed before they are closed into a part.
+  seconds part_period{5};
+  /// Length of a usage window.
+  seconds window{60};
+  /// How long after a window's end its parts are waited for.
+  seconds grace{12};
+  /// A part that is not acknowledged as sealed is sent again after this, then ever more rarely.
+  seconds resend_after{10};
+  /// A copy of another instance's part is sent on if it is not released for so long.
+  seconds copy_patience{90};
+  /// The longest time that a send can take to arrive; a new holder waits it out.
+  seconds delivery_bound{5};
+};
+
+/// Names a part: its source and sequence.
+using usage_part_key = std::pair<instance_id, std::uint64_t>;
+
+/// What became of a part that was handed in.
+enum class part_verdict {
+  refused, ///< This instance cannot take it now.
+  taken,   ///< It will be in a window, if this instance stays the holder.
+  sealed,  ///< It is in a sealed window.
+};
+
+/// A part that was sealed, and who handed it in.
+struct sealed_part {
+  usage_part_key key;
+  std::vector<instance_id> senders;
+};
+
+/// The holder's side of usage. All its store calls are owned by `duty::usage`.
+class usage_sealer {
+ public:
+  /// Merged lines of one record, so that its value stays far below the store's limit.
+  static constexpr std::size_t max_record_lines = 4000;
+  /// Parts held before they are sealed; more are refused, and their sources send them again.
+  static constexpr std::size_t max_pending_parts = 10'000;
+  /// Confirmed windows kept in the store, for operators.
+  static constexpr std::size_t max_kept_windows = 60;
+
+  usage_sealer(usage_settings config, const authority_source& source);
+
+  /// Takes a part from `sender`, which may be this instance.
+  part_verdict accept(const moment& now, const usage_part& part, const instance_id& sender);
+  /// The parts sealed since the last call.
+  std::vector<sealed_part> take_sealed() { return std::exchange(sealed_, {}); }
+  void step(const moment& now, const event& ev, action_list& out);
+  /// Whether a store call or a report is under way under this instance's authority.
+  [[nodiscard]] bool busy() const;
+
+ private:
+  enum class stage {
+    idle,     ///< No authority.
+    bound,    ///< Waits until nothing of an earlier holder can still arrive.
+    loading,  ///< Reads the mark.
+    ready,
+    writing,  ///< A transaction is under way.
+  };
+
+  struct pending_part {
+    usage_part part;
+    std::vector<instance_id> senders;
+  };
+
+  /// A sealed window that is not yet confirmed.
+  struct open_window {
+    usage_record record; ///< Empty lines and no zone until it has been read.
+    revision modified;
+    bool loaded = false;
+    bool accepted = false;
+    time_point next_send;
+    duration backoff{0};
+    std::uint64_t call = 0; ///< Read or report under way; 0 if none.
+  };
+
+  /// The transaction under way.
+  struct open_write {
+    std::string key;
+    usage_record record;
+    usage_mark_record mark;
+    std::vector<usage_part_key> parts;
+    bool confirms = false;
+  };
+
+  using part_map = std::map<usage_part_key, pending_part>;
+
+  void on_tick(const moment& now, action_list& out);
+  void on_reply(const moment& now, const platform_reply& reply, action_list& out);
+  void on_loaded(const moment& now, const platform_reply& reply, action_list& out);
+  void on_written(const moment& now, const platform_reply& reply, action_list& out);
+  void on_window_reply(const moment& now, open_window& it, const platform_reply& reply,
+                       action_list& out);
+  void begin(const moment& now, fence number);
+  void load(const moment& now, action_list& out);
+  void adopt_mark(usage_mark_record mark, revision modified);
+  void drop_sealed();
+  void start_batch(const moment& now);
+  void seal(const moment& now, action_list& out);
+  void confirm(const std::string& key, open_window& it, action_list& out);
+  void send_reports(const moment& now, const authority& held, action_list& out);
+  void send_report(const moment& now, const authority& held, open_window& it, action_list& out);
+  void write(action_list& out);
+  usage_record fill_record(open_write& into) const;
+  std::uint64_t call(platform_request request, action_list& out);
+  [[nodiscard]] bool is_sealed(const usage_part_key& key) const;
+  [[nodiscard]] std::int64_t closed_window(const moment& now) const;
+
+  usage_settings config_;
+  const authority_source& source_;
+  stage stage_ = stage::idle;
+  fence fence_;
+  time_point ready_at_;
+  time_point next_load_;
+  time_point call_limit_; ///< A load or write without any reply is given up then.
+  std::uint64_t last_call_ = 0;
+  std::uint64_t awaited_ = 0; ///< Load or write under way; 0 if none.
+  usage_mark_record mark_;
+  revision mark_modified_;
+  // Invariant: no part is in both maps, and none in them is in `mark_`.
+  part_map pending_;
+  part_map batch_; ///< Being sealed into `batch_window_`.
+  std::int64_t batch_window_ = 0;
+  std::map<std::string, open_window> open_;
+  open_write write_;
+  std::uint64_t last_writer_ = 0;
+  std::vector<sealed_part> sealed_;
+};
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/testing/fake_store.cpp
+++ b/src/libnutmegspur/testing/fake_store.cpp
@@ -21,6 +21,12 @@
           outcome::not_run};
 }
 
+bool
+is_bounded_send(const platform_request& request) {
+  return std::holds_alternative<upstream_order>(request) ||
+         std::holds_alternative<usage_report>(request);
+}
+
 error
 held_back() {
   return {error_code::lease_lost, step::platform_call, "platform", "not_after has passed",
@@ -95,6 +101,10 @@
     push(now, duration{0}, {.client = client, .call = call, .answer = fail(refused_call())});
     return;
   case store_fault::slow:
+    if (is_bounded_send(call.request) && slow_by > delivery_bound) {
+      push(now, delivery_bound, {.client = client, .call = call, .answer = fail(lost_answer())});
+      return;
+    }
     push(now, slow_by, {.client = client, .call = call, .take_effect = true});
     return;
   case store_fault::late_answer:
--- a/src/libnutmegspur/testing/fake_store.h
+++ b/src/libnutmegspur/testing/fake_store.h
@@ -58,6 +58,8 @@
   seconds slow_by{3};
   /// When a lost answer is reported as an error.
   seconds lost_after{2};
+  /// A send to the upstream or usage interface that takes longer is reset and never arrives.
+  seconds delivery_bound{5};
   /// How many revisions back a stale read looks.
   std::int64_t stale_by = 3;
 
--- /dev/null
+++ b/src/libnutmegspur/usage_ledger.cpp
@@ -0,0 +1,226 @@
+// Every instance's side of usage: counting, parts, copies, resends.
+#include <nutmegspur/usage_ledger.h>
+
+#include <algorithm>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr seconds longest_resend{60};
+
+bool
+is_other(const std::optional<instance_id>& peer, const instance_id& self) {
+  return peer.has_value() && *peer != self && !peer->empty();
+}
+
+} // namespace
+
+usage_ledger::usage_ledger(usage_settings config, usage_hooks hooks, const authority_source& source)
+    : config_(config), hooks_(std::move(hooks)), sealer_(std::move(config), source) {}
+
+void
+usage_ledger::count(const moment& now, const usage_line& line, action_list& out) {
+  if (open_lines_.empty()) {
+    open_since_ = now.boot;
+  }
+  usage_line& sum = open_lines_[{line.team, line.subject}];
+  sum.team = line.team;
+  sum.subject = line.subject;
+  sum.requests += line.requests;
+  sum.prompt_tokens += line.prompt_tokens;
+  sum.output_tokens += line.output_tokens;
+  if (now.boot >= open_since_ + config_.part_period) {
+    close_part(now, out);
+  }
+}
+
+void
+usage_ledger::flush(const moment& now, action_list& out) {
+  close_part(now, out);
+}
+
+bool
+usage_ledger::handed_over() const {
+  return open_lines_.empty() && std::all_of(own_.begin(), own_.end(),
+                                            [](const auto& it) { return it.second.safe; });
+}
+
+void
+usage_ledger::step(const moment& now, const event& ev, action_list& out) {
+  sealer_.step(now, ev, out);
+  acknowledge_sealed(out);
+  if (std::holds_alternative<tick>(ev)) {
+    on_tick(now, out);
+    return;
+  }
+  if (std::holds_alternative<stop_requested>(ev)) {
+    flush(now, out);
+    return;
+  }
+  const auto* received = std::get_if<peer_received>(&ev);
+  if (received == nullptr) {
+    return;
+  }
+  if (const auto* part = std::get_if<usage_part>(&received->message)) {
+    on_part(now, received->peer, *part, out);
+  }
+  if (const auto* ack = std::get_if<usage_part_ack>(&received->message)) {
+    on_ack(*ack, out);
+  }
+}
+
+void
+usage_ledger::on_tick(const moment& now, action_list& out) {
+  if (!open_lines_.empty() && now.boot >= open_since_ + config_.part_period) {
+    close_part(now, out);
+  }
+  // A part that is handed to the own sealer may be found sealed, which erases it.
+  std::vector<std::uint64_t> due;
+  for (const auto& [sequence, it] : own_) {
+    if (now.boot >= it.next_send) {
+      due.push_back(sequence);
+    }
+  }
+  for (const auto sequence : due) {
+    send_own(now, own_.at(sequence), out);
+  }
+  std::vector<usage_part_key> due_copies;
+  for (const auto& [key, it] : copies_) {
+    if (now.boot >= it.next_send) {
+      due_copies.push_back(key);
+    }
+  }
+  for (const auto& key : due_copies) {
+    send_copy_on(now, copies_.at(key), out);
+  }
+}
+
+void
+usage_ledger::close_part(const moment& now, action_list& out) {
+  if (open_lines_.empty() || own_.size() >= max_own_parts) {
+    return;
+  }
+  own_part it;
+  it.part.source = config_.self;
+  it.part.sequence = ++last_sequence_;
+  const auto wall = std::chrono::floor<seconds>(now.wall.time_since_epoch());
+  it.part.window_start = wall.count() / config_.window.count() * config_.window.count();
+  for (auto& [key, line] : open_lines_) {
+    it.part.lines.push_back(std::move(line));
+  }
+  open_lines_.clear();
+  const auto placed = own_.emplace(last_sequence_, std::move(it)).first;
+  send_own(now, placed->second, out);
+}
+
+void
+usage_ledger::send_own(const moment& now, own_part& it, action_list& out) {
+  it.backoff = std::clamp<duration>(it.backoff * 2, config_.resend_after, longest_resend);
+  it.next_send = now.boot + it.backoff;
+  if (hooks_.copy_peer) {
+    const auto copy = hooks_.copy_peer();
+    if (is_other(copy, config_.self)) {
+      it.copied_to = copy;
+      out.emplace_back(send_peer{*copy, it.part});
+    }
+  }
+  const auto holder = hooks_.holder ? hooks_.holder() : std::nullopt;
+  if (holder == config_.self) {
+    if (sealer_.accept(now, it.part, config_.self) == part_verdict::sealed) {
+      release(it.part.sequence, out);
+    }
+    return;
+  }
+  if (is_other(holder, config_.self) && holder != it.copied_to) {
+    out.emplace_back(send_peer{*holder, it.part});
+  }
+}
+
+void
+usage_ledger::send_copy_on(const moment& now, copied_part& it, action_list& out) {
+  it.next_send = now.boot + longest_resend;
+  const auto holder = hooks_.holder ? hooks_.holder() : std::nullopt;
+  if (holder == config_.self) {
+    if (sealer_.accept(now, it.part, config_.self) == part_verdict::sealed) {
+      copies_.erase({it.part.source, it.part.sequence});
+    }
+    return;
+  }
+  if (is_other(holder, config_.self)) {
+    out.emplace_back(send_peer{*holder, it.part});
+  }
+}
+
+void
+usage_ledger::on_part(const moment& now, const instance_id& from, const usage_part& part,
+                      action_list& out) {
+  if (part.source == config_.self) {
+    // A copy came home. What is no longer kept here was sealed.
+    if (part.sequence <= last_sequence_ && own_.count(part.sequence) == 0) {
+      out.emplace_back(send_peer{from, usage_part_ack{part.source, part.sequence, true}});
+    }
+    return;
+  }
+  const part_verdict verdict = sealer_.accept(now, part, from);
+  if (verdict == part_verdict::sealed) {
+    out.emplace_back(send_peer{from, usage_part_ack{part.source, part.sequence, true}});
+    return;
+  }
+  // Also what the own sealer took is kept until it is sealed: the lease may be lost before.
+  const usage_part_key key{part.source, part.sequence};
+  if (copies_.size() >= max_copies && copies_.count(key) == 0) {
+    return;
+  }
+  copies_.try_emplace(key, copied_part{part, now.boot + config_.copy_patience});
+  out.emplace_back(send_peer{from, usage_part_ack{part.source, part.sequence, false}});
+}
+
+void
+usage_ledger::on_ack(const usage_part_ack& ack, action_list& out) {
+  if (ack.source != config_.self) {
+    if (ack.sealed) {
+      copies_.erase({ack.source, ack.sequence});
+    }
+    return;
+  }
+  if (ack.sealed) {
+    release(ack.sequence, out);
+    return;
+  }
+  const auto it = own_.find(ack.sequence);
+  if (it != own_.end()) {
+    it->second.safe = true;
+  }
+}
+
+void
+usage_ledger::release(std::uint64_t sequence, action_list& out) {
+  const auto it = own_.find(sequence);
+  if (it == own_.end()) {
+    return;
+  }
+  if (it->second.copied_to) {
+    out.emplace_back(
+        send_peer{*it->second.copied_to, usage_part_ack{config_.self, sequence, true}});
+  }
+  own_.erase(it);
+}
+
+void
+usage_ledger::acknowledge_sealed(action_list& out) {
+  for (const auto& it : sealer_.take_sealed()) {
+    const auto& [source, sequence] = it.key;
+    if (source == config_.self) {
+      release(sequence, out);
+    }
+    copies_.erase(it.key);
+    for (const auto& sender : it.senders) {
+      if (sender != config_.self) {
+        out.emplace_back(send_peer{sender, usage_part_ack{source, sequence, true}});
+      }
+    }
+  }
+}
+
+} // namespace nutmegspur
