--- /dev/null
+++ b/src/libnutmegspur/prefix_test.cpp
@@ -0,0 +1,42 @@
+/// \file prefix_test.cpp
+/// Prefix hashes: equal for equal prefixes under one salt only.
+// labels: P04
+
+#include <nutmegspur/prefix.h>
+
+#include <QtCore/QJsonDocument>
+#include <QtCore/QJsonObject>
+
+#include <gtest/gtest.h>
+
+namespace nutmegspur {
+
+TEST(prefix, shares_hashes_up_to_the_first_difference) {
+  const auto one = hash_prefix_blocks(std::string(64, 'a') + std::string(64, 'b'), "s", 16);
+  const auto two = hash_prefix_blocks(std::string(64, 'a') + std::string(64, 'c'), "s", 16);
+  ASSERT_EQ(one.size(), 2U);
+  ASSERT_EQ(two.size(), 2U);
+  EXPECT_EQ(one[0], two[0]);
+  EXPECT_NE(one[1], two[1]);
+}
+
+TEST(prefix, shares_nothing_under_another_salt) {
+  const std::string text(640, 'a');
+  const auto one = hash_prefix_blocks(text, "team-1", 16);
+  const auto two = hash_prefix_blocks(text, "team-2", 16);
+  for (std::size_t i = 0; i < one.size(); ++i) {
+    EXPECT_NE(one[i], two[i]);
+  }
+}
+
+TEST(prefix, reads_chat_and_plain_prompts) {
+  const auto chat = QJsonDocument::fromJson(R"({"messages":[{"role":"user","content":"hello"},
+      {"role":"user","content":[{"type":"text","text":"you"}]}]})");
+  EXPECT_EQ(prompt_text(chat.object(), api_format::chat_completions), "user\nhello\nuser\nyou\n");
+  const auto plain = QJsonDocument::fromJson(R"({"prompt":"hello"})");
+  EXPECT_EQ(prompt_text(plain.object(), api_format::completions), "hello");
+  EXPECT_EQ(estimate_tokens(""), 1U);
+  EXPECT_EQ(estimate_tokens("hello"), 2U);
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/nutmegspur_standin/engine_model.h
@@ -0,0 +1,182 @@
+/// \file engine_model.h
+/// Timing model of a model engine: continuous batching with chunked prefill, a KV block cache with
+/// prefix reuse, lagged load reports, cache events with gaps, and orders that take time.
+///
+/// Time is passed in. The model works in steps: each step prefills at most a chunk of prompt tokens
+/// and makes one token for every sequence that is past its prefill. A role sets the chunk and the
+/// batch: a prefill engine takes large chunks and stalls its decodes, a decode engine takes small
+/// chunks and a large batch.
+#pragma once
+
+#include <nutmegspur/clock.h>
+#include <nutmegspur/platform.h>
+#include <nutmegspur/request.h>
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegspur::standin {
+
+/// What an engine is built with.
+struct engine_options {
+  std::string name;
+  std::string zone;
+  engine_state state;
+  double prefill_rate = 8000;  ///< Prompt tokens a second.
+  double decode_rate = 40;     ///< Output tokens a second for one sequence alone.
+  double batch_penalty = 0.02; ///< Share of a step's base time that each decoding sequence adds.
+  std::uint32_t slots = 32;    ///< Batch slots in the mixed role.
+  std::uint32_t blocks = 4096;
+  std::uint32_t block_tokens = 16;
+  std::uint32_t event_gap_in = 20; ///< One in so many cache events is never published; 0: none.
+  milliseconds report_lag{500};
+  milliseconds event_lag{700};
+  milliseconds role_change_time{6000};
+  milliseconds load_time{15'000};
+  bool checks_fence = false;
+  std::uint64_t seed = 1;
+};
+
+/// A piece of work.
+struct engine_job {
+  std::uint64_t id = 0;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t output_tokens = 0; ///< How many it will make in all.
+  std::uint32_t resume_from = 0;   ///< Output tokens that the caller already has.
+  std::int32_t priority = 0;       ///< Greater goes first.
+  std::vector<std::uint64_t> prefix_blocks;
+};
+
+/// What happened to a job during `advance`.
+struct engine_output {
+  enum class kind { token, finished, cut };
+
+  kind what = kind::token;
+  std::uint64_t job = 0;
+  std::uint32_t index = 0; ///< Of the output token, from 0.
+  time_point at;
+  std::uint32_t cached_tokens = 0; ///< Prompt tokens that were not prefilled again.
+};
+
+/// How an order was taken.
+enum class order_verdict { accepted, stale_fence, stale_sequence, changing };
+
+/// A cache event as published.
+struct published_event {
+  std::uint64_t number = 0;
+  time_point visible;
+  std::vector<std::uint64_t> stored;
+  std::vector<std::uint64_t> removed;
+};
+
+/// What a load report shows; it is older than the call by the report lag.
+struct lagged_report {
+  engine_load load;
+  time_point measured;
+};
+
+/// The engine. Calls must not go back in time.
+class engine_model {
+ public:
+  explicit engine_model(engine_options options);
+
+  /// Queues a job, or false while a change is under way.
+  bool submit(const engine_job& job, time_point now);
+  /// Ends a job without output. Unknown jobs are ignored.
+  void cancel(std::uint64_t job, time_point now);
+  /// Runs until `now`; appends what happened, in order.
+  void advance(time_point now, std::vector<engine_output>& out);
+  /// When `advance` would next do something, if anything is under way.
+  [[nodiscard]] std::optional<time_point> next_due() const;
+
+  /// Takes or refuses an order. Jobs in progress are cut by an accepted one.
+  order_verdict order(fence authority, std::uint64_t order_sequence, const engine_state& wanted,
+                      time_point now, std::vector<engine_output>& out);
+
+  [[nodiscard]] lagged_report report(time_point now);
+  /// Events numbered above `after` that are visible at `now`.
+  [[nodiscard]] std::vector<published_event> events_after(std::uint64_t after,
+                                                          time_point now) const;
+  /// The prompt's blocks of a job in progress that are in the cache.
+  [[nodiscard]] std::vector<std::uint64_t> export_blocks(std::uint64_t job) const;
+  /// Puts blocks that came from another engine into the cache, as far as there is room.
+  void import_blocks(const std::vector<std::uint64_t>& blocks, time_point now);
+
+  [[nodiscard]] const engine_state& state() const { return state_; }
+
+  [[nodiscard]] const engine_options& options() const { return options_; }
+
+  [[nodiscard]] fence highest_fence() const { return highest_fence_; }
+
+  [[nodiscard]] std::uint64_t last_sequence() const { return last_sequence_; }
+
+  [[nodiscard]] bool changing() const { return change_ends_.has_value(); }
+
+  [[nodiscard]] engine_load load_now() const;
+
+ private:
+  struct sequence {
+    engine_job job;
+    std::uint32_t to_prefill = 0; ///< Tokens still to prefill.
+    std::uint32_t cached = 0;     ///< Prompt tokens found in the cache.
+    std::uint32_t produced = 0;   ///< Output tokens made, including those resumed.
+    std::uint32_t pinned = 0;     ///< Leading prefix blocks that it pins in the cache.
+    std::uint32_t reserved = 0;   ///< Blocks of its own.
+    std::uint32_t planned = 0;    ///< Prefill tokens in the current step.
+    bool decoding = false;        ///< Makes a token in the current step.
+  };
+
+  struct cached_block {
+    std::uint32_t pins = 0;
+    std::list<std::uint64_t>::iterator recent;
+  };
+
+  void begin_step(time_point at);
+  void finish_step(time_point at, std::vector<engine_output>& out);
+  void finish_sequence(sequence& it, time_point at, std::vector<engine_output>& out);
+  void admit_waiting(time_point at);
+  bool try_admit(sequence it, time_point at);
+  void plan_prefill();
+  void finish_prefill(sequence& it, time_point at);
+  void release(const sequence& it);
+  bool make_room(std::uint32_t blocks, time_point at);
+  void store_block(std::uint64_t block, std::uint32_t pins);
+  void publish(std::vector<std::uint64_t> stored, std::vector<std::uint64_t> removed,
+               time_point at);
+  void note_load(time_point at);
+  void cut_all(time_point at, std::vector<engine_output>& out);
+  [[nodiscard]] std::uint32_t used_blocks() const;
+  [[nodiscard]] std::uint32_t slots_now() const;
+  [[nodiscard]] std::uint32_t chunk_now() const;
+
+  engine_options options_;
+  engine_state state_;
+  engine_state next_state_; ///< Meaningful while a change is under way.
+  std::optional<time_point> change_ends_;
+  fence highest_fence_;
+  std::uint64_t last_sequence_ = 0;
+  std::mt19937_64 random_;
+
+  std::deque<sequence> waiting_; ///< By priority, then arrival.
+  std::list<sequence> running_;
+  std::optional<time_point> step_ends_;
+
+  // Invariant: reserved_ is the sum of `reserved` over running_;
+  // reserved_ + cache_.size() <= options_.blocks; recent_ holds the unpinned blocks of cache_.
+  std::uint32_t reserved_ = 0;
+  std::unordered_map<std::uint64_t, cached_block> cache_;
+  std::list<std::uint64_t> recent_; ///< Least recently used first.
+
+  std::deque<published_event> events_;
+  std::uint64_t last_event_ = 0;
+  std::deque<lagged_report> reports_;
+};
+
+} // namespace nutmegspur::standin
--- /dev/null
+++ b/src/nutmegspur_standin/engine_service.cpp
@@ -0,0 +1,387 @@
+/// \file engine_service.cpp
+/// The engine protocol: completions, reports, cache events, orders, KV export and import.
+
+#include "engine_service.h"
+
+#include <nutmegspur/prefix.h>
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QJsonDocument>
+#include <QtNetwork/QNetworkReply>
+
+namespace nutmegspur::standin {
+
+namespace {
+
+constexpr std::uint32_t default_max_tokens = 16;
+constexpr int hexadecimal = 16;
+constexpr double bytes_per_cached_token = 131072; // 128 KiB of KV cache.
+
+std::uint64_t
+text_hash(std::string_view text) {
+  return std::hash<std::string_view>{}(text);
+}
+
+QJsonArray
+hex_list(const std::vector<std::uint64_t>& blocks) {
+  QJsonArray list;
+  for (const auto it : blocks) {
+    list.append(QString::number(it, hexadecimal));
+  }
+  return list;
+}
+
+std::vector<std::uint64_t>
+from_hex_list(const QJsonArray& list) {
+  std::vector<std::uint64_t> blocks;
+  for (const auto& it : list) {
+    blocks.push_back(it.toString().toULongLong(nullptr, hexadecimal));
+  }
+  return blocks;
+}
+
+QByteArray
+event_line(const QJsonObject& body) {
+  return "data: " + QJsonDocument(body).toJson(QJsonDocument::Compact) + "\n\n";
+}
+
+QJsonObject
+error_body(const char* code, const char* message) {
+  return {{"code", code},
+          {"error", QJsonObject{{"code", code}, {"message", message}, {"type", "engine_error"}}}};
+}
+
+QJsonObject
+usage_of(const engine_stream& of, const engine_output& it) {
+  return {{"prompt_tokens", static_cast<qint64>(of.prompt_tokens)},
+          {"completion_tokens", static_cast<qint64>(it.index)},
+          {"total_tokens", static_cast<qint64>(of.prompt_tokens) + it.index},
+          {"prompt_tokens_details",
+           QJsonObject{{"cached_tokens", static_cast<qint64>(it.cached_tokens)}}}};
+}
+
+engine_state
+parse_state(const QJsonObject& body) {
+  engine_state it;
+  it.role =
+      from_name<engine_role>(body["role"].toString().toStdString()).value_or(engine_role::mixed);
+  it.model = model_id{body["model"].toString().toStdString()};
+  it.version = body["version"].toString().toStdString();
+  for (const auto& name : body["adapters"].toArray()) {
+    it.adapters.push_back(name.toString().toStdString());
+  }
+  return it;
+}
+
+} // namespace
+
+QString
+token_text(std::uint64_t prompt_hash, std::uint32_t index) {
+  constexpr std::uint64_t odd_multiplier = 0x9E3779B97F4A7C15ULL;
+  constexpr std::uint64_t words = 10'000;
+  const auto mixed = (prompt_hash + index) * odd_multiplier;
+  return QString("w%1 ").arg((mixed >> 32U) % words);
+}
+
+engine_service::engine_service(engine_options options, seconds notice)
+    : model_(std::move(options)),
+      server_([this](const standin_request& request, reply_channel reply) {
+        serve(request, std::move(reply));
+      }),
+      notice_(notice) {
+  due_.setSingleShot(true);
+  due_.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&due_, &QTimer::timeout, [this] { run_model(); });
+}
+
+void
+engine_service::serve(const standin_request& request, reply_channel reply) {
+  run_model();
+  if (request.path == "/v1/chat/completions") {
+    complete(request, std::move(reply), api_format::chat_completions);
+  } else if (request.path == "/v1/completions") {
+    complete(request, std::move(reply), api_format::completions);
+  } else if (request.path == "/engine/report") {
+    answer_report(std::move(reply));
+  } else if (request.path == "/engine/cache-events") {
+    answer_events(request, std::move(reply));
+  } else if (request.path == "/engine/orders") {
+    take_order(request, std::move(reply));
+  } else if (request.path == "/engine/kv/export") {
+    export_kv(request, std::move(reply));
+  } else if (request.path == "/engine/kv/import") {
+    import_kv(request, std::move(reply));
+  } else if (request.path == "/engine/kv/blocks") {
+    const auto handle = request.query.queryItemValue("handle").toStdString();
+    reply.send(200, QJsonObject{{"blocks", hex_list(exported_[handle])}});
+  } else if (request.path == "/engine/reclaim") {
+    reclaim(request, std::move(reply));
+  } else {
+    reply.send(404, error_body("not_found", "no such page"));
+  }
+  run_model();
+}
+
+// ---------------------------------------------------------------------------------------------
+// Completions
+
+void
+engine_service::complete(const standin_request& request, reply_channel reply, api_format format) {
+  const auto body = request.json();
+  const auto& state = model_.state();
+  const auto wanted = body["model"].toString().toStdString();
+  const auto& adapters = state.adapters;
+  if (wanted != state.model.value &&
+      std::find(adapters.begin(), adapters.end(), wanted) == adapters.end()) {
+    reply.send(404, error_body("model_not_found", "the engine serves another model"));
+    return;
+  }
+  const auto prompt = prompt_text(body, format);
+  engine_job job;
+  job.id = ++last_job_;
+  job.prompt_tokens = estimate_tokens(prompt);
+  job.output_tokens = static_cast<std::uint32_t>(std::max(
+      1, body["max_completion_tokens"].toInt(body["max_tokens"].toInt(default_max_tokens))));
+  job.resume_from = request.header("x-resume-from").toUInt();
+  job.priority = request.header("x-priority").toInt();
+  job.prefix_blocks = hash_prefix_blocks(prompt, request.header("x-cache-salt").toStdString(),
+                                         model_.options().block_tokens);
+  if (!model_.submit(job, boot_clock::now())) {
+    reply.send(503, error_body("changing", "a change is under way"));
+    return;
+  }
+  engine_stream stream;
+  stream.reply = reply;
+  stream.format = format;
+  stream.stream = body["stream"].toBool();
+  stream.include_usage = body["stream_options"].toObject()["include_usage"].toBool();
+  stream.prompt_hash = text_hash(prompt);
+  stream.prompt_tokens = job.prompt_tokens;
+  stream.request = request.header("x-request-id").toStdString();
+  streams_.emplace(job.id, std::move(stream));
+  reply.on_closed([this, id = job.id] {
+    if (streams_.erase(id) > 0) {
+      model_.cancel(id, boot_clock::now());
+      server_.record("cancelled", {{"job", static_cast<qint64>(id)}});
+    }
+  });
+}
+
+void
+engine_service::run_model() {
+  std::vector<engine_output> outputs;
+  model_.advance(boot_clock::now(), outputs);
+  deliver(outputs);
+  if (const auto due = model_.next_due()) {
+    const auto span = std::chrono::ceil<milliseconds>(*due - boot_clock::now());
+    due_.start(std::max(milliseconds{0}, span));
+  }
+}
+
+void
+engine_service::deliver(const std::vector<engine_output>& outputs) {
+  for (const auto& it : outputs) {
+    const auto found = streams_.find(it.job);
+    if (found == streams_.end()) {
+      continue;
+    }
+    if (it.what == engine_output::kind::token) {
+      deliver_token(found->second, it);
+      continue;
+    }
+    auto stream = std::move(found->second);
+    streams_.erase(found);
+    if (it.what == engine_output::kind::finished) {
+      finish(stream, it);
+    } else {
+      server_.record("cut", {{"job", static_cast<qint64>(it.job)}});
+      stream.reply.reset();
+    }
+  }
+}
+
+QJsonObject
+engine_service::chunk(const engine_stream& of, const QString& text,
+                      const char* finish_reason) const {
+  const bool chat = of.format == api_format::chat_completions;
+  const QJsonValue reason = finish_reason != nullptr ? QJsonValue(finish_reason) : QJsonValue();
+  QJsonObject choice{{"index", 0}, {"finish_reason", reason}};
+  if (chat) {
+    choice[of.stream ? "delta" : "message"] = QJsonObject{{"role", "assistant"}, {"content", text}};
+  } else {
+    choice["text"] = text;
+  }
+  const char* object = chat ? "chat.completion" : "text_completion";
+  return {{"id", QString::fromStdString("cmpl-" + of.request)},
+          {"object", chat && of.stream ? "chat.completion.chunk" : object},
+          {"created", 0},
+          {"model", QString::fromStdString(model_.state().model.value)},
+          {"choices", QJsonArray{choice}}};
+}
+
+void
+engine_service::deliver_token(engine_stream& to, const engine_output& it) {
+  const auto text = token_text(to.prompt_hash, it.index);
+  if (!to.stream) {
+    to.text += text;
+    return;
+  }
+  if (!to.begun) {
+    to.reply.begin_stream("text/event-stream");
+    to.begun = true;
+  }
+  auto body = chunk(to, text, nullptr);
+  body["x_offset"] = static_cast<qint64>(it.index);
+  body["x_tokens"] = 1;
+  to.reply.write_chunk(event_line(body));
+}
+
+void
+engine_service::finish(engine_stream& to, const engine_output& it) {
+  if (!to.stream) {
+    auto body = chunk(to, to.text, "length");
+    body["usage"] = usage_of(to, it);
+    to.reply.send(200, body);
+    return;
+  }
+  if (!to.begun) {
+    to.reply.begin_stream("text/event-stream");
+  }
+  auto last = chunk(to, "", "length");
+  last["x_offset"] = static_cast<qint64>(it.index);
+  last["x_tokens"] = 0;
+  to.reply.write_chunk(event_line(last));
+  if (to.include_usage) {
+    auto usage = chunk(to, "", nullptr);
+    usage["choices"] = QJsonArray{};
+    usage["usage"] = usage_of(to, it);
+    usage["x_offset"] = static_cast<qint64>(it.index);
+    usage["x_tokens"] = 0;
+    to.reply.write_chunk(event_line(usage));
+  }
+  to.reply.write_chunk("data: [DONE]\n\n");
+  to.reply.end_stream();
+}
+
+// ---------------------------------------------------------------------------------------------
+// Control
+
+void
+engine_service::answer_report(reply_channel reply) {
+  const auto now = boot_clock::now();
+  const auto seen = model_.report(now);
+  const auto& state = model_.state();
+  QJsonArray adapters;
+  for (const auto& it : state.adapters) {
+    adapters.append(QString::fromStdString(it));
+  }
+  const auto age = std::chrono::duration_cast<milliseconds>(now - seen.measured);
+  reply.send(200, QJsonObject{{"highest_fence", static_cast<qint64>(model_.highest_fence().value)},
+                              {"last_sequence", static_cast<qint64>(model_.last_sequence())},
+                              {"changing", model_.changing()},
+                              {"role", QString::fromUtf8(to_name(state.role).data())},
+                              {"model", QString::fromStdString(state.model.value)},
+                              {"version", QString::fromStdString(state.version)},
+                              {"adapters", adapters},
+                              {"running", static_cast<qint64>(seen.load.running)},
+                              {"waiting", static_cast<qint64>(seen.load.waiting)},
+                              {"waiting_tokens", static_cast<qint64>(seen.load.waiting_tokens)},
+                              {"free_blocks", static_cast<qint64>(seen.load.free_blocks)},
+                              {"total_blocks", static_cast<qint64>(seen.load.total_blocks)},
+                              {"age_ms", static_cast<qint64>(age.count())},
+                              {"leaving", leaving_},
+                              {"notice_seconds", static_cast<qint64>(notice_.count())}});
+}
+
+void
+engine_service::answer_events(const standin_request& request, reply_channel reply) {
+  QJsonArray list;
+  const auto after = request.query.queryItemValue("after").toULongLong();
+  for (const auto& it : model_.events_after(after, boot_clock::now())) {
+    list.append(QJsonObject{{"number", static_cast<qint64>(it.number)},
+                            {"stored", hex_list(it.stored)},
+                            {"removed", hex_list(it.removed)}});
+  }
+  reply.send(200, QJsonObject{{"events", list}});
+}
+
+void
+engine_service::take_order(const standin_request& request, reply_channel reply) {
+  const auto body = request.json();
+  std::vector<engine_output> outputs;
+  const auto verdict = model_.order({static_cast<std::int64_t>(body["fence"].toDouble())},
+                                    static_cast<std::uint64_t>(body["sequence"].toDouble()),
+                                    parse_state(body), boot_clock::now(), outputs);
+  deliver(outputs);
+  switch (verdict) {
+  case order_verdict::accepted:
+    reply.send(202, QJsonObject{{"code", "accepted"}});
+    break;
+  case order_verdict::stale_fence:
+    reply.send(409, error_body("stale_fence", "a greater fencing number was seen"));
+    break;
+  case order_verdict::stale_sequence:
+    reply.send(409, error_body("stale_sequence", "this or a later order was taken"));
+    break;
+  case order_verdict::changing:
+    reply.send(409, error_body("changing", "a change is under way"));
+    break;
+  }
+}
+
+void
+engine_service::export_kv(const standin_request& request, reply_channel reply) {
+  const auto wanted = request.json()["request"].toString().toStdString();
+  for (const auto& [job, stream] : streams_) {
+    if (stream.request != wanted) {
+      continue;
+    }
+    const auto handle = model_.options().name + "-" + std::to_string(job);
+    exported_[handle] = model_.export_blocks(job);
+    const auto tokens =
+        static_cast<qint64>(exported_[handle].size() * model_.options().block_tokens);
+    reply.send(200, QJsonObject{{"handle", QString::fromStdString(handle)},
+                                {"tokens", tokens},
+                                {"bytes", static_cast<double>(tokens) * bytes_per_cached_token}});
+    return;
+  }
+  reply.send(404, error_body("not_found", "no such request in progress"));
+}
+
+void
+engine_service::import_kv(const standin_request& request, reply_channel reply) {
+  const auto body = request.json();
+  const QUrl from("http://" + body["from"].toString() +
+                  "/engine/kv/blocks?handle=" + body["handle"].toString());
+  auto* fetch = network_.get(QNetworkRequest(from));
+  QObject::connect(fetch, &QNetworkReply::finished, [this, fetch, reply]() mutable {
+    fetch->deleteLater();
+    if (fetch->error() != QNetworkReply::NoError) {
+      reply.send(502, error_body("unavailable", "the exporting engine did not answer"));
+      return;
+    }
+    const auto blocks = QJsonDocument::fromJson(fetch->readAll()).object()["blocks"].toArray();
+    model_.import_blocks(from_hex_list(blocks), boot_clock::now());
+    reply.send(200, QJsonObject{{"blocks", blocks.size()}});
+  });
+}
+
+void
+engine_service::reclaim(const standin_request& request, reply_channel reply) {
+  notice_ = seconds{request.json()["notice_seconds"].toInt(static_cast<int>(notice_.count()))};
+  reply.send(200, QJsonObject{{"leaving", true}});
+  leave();
+}
+
+void
+engine_service::leave() {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  server_.record("leaving");
+  QTimer::singleShot(std::chrono::duration_cast<milliseconds>(notice_),
+                     [] { QCoreApplication::exit(0); });
+}
+
+} // namespace nutmegspur::standin
--- /dev/null
+++ b/src/nutmegspur_standin/engine_standin.cpp
@@ -0,0 +1,116 @@
+/// \file engine_standin.cpp
+/// Serves the engine model over HTTP, by the engine protocol and an OpenAI-compatible API.
+
+#include "engine_service.h"
+#include "standin_main.h"
+
+#include <QtCore/QCoreApplication>
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <cstdio>
+
+namespace nutmegspur::standin {
+
+namespace {
+
+volatile std::sig_atomic_t leave_requested = 0;
+
+void
+on_signal(int /*number*/) {
+  leave_requested = 1;
+}
+
+cxxopts::Options
+engine_cli() {
+  const engine_options plain;
+  cxxopts::Options cli("nutmegspur_standin engine", "Stand-in of a model engine");
+  auto add = cli.add_options();
+  const auto text = [](const char* value) {
+    return cxxopts::value<std::string>()->default_value(value);
+  };
+  const auto number = [](auto value) {
+    return cxxopts::value<double>()->default_value(std::to_string(value));
+  };
+  add("port", "port; 0 picks one", cxxopts::value<std::uint16_t>());
+  add("name", "name", text("engine-1"));
+  add("zone", "availability zone", text("z1"));
+  add("model", "model that it serves", text("model-1"));
+  add("role", "mixed, prefill or decode", text("mixed"));
+  add("checks-fence", "refuse orders with an old fencing number");
+  add("reclaimable", "may be reclaimed at a few seconds' notice");
+  add("prefill-rate", "prompt tokens a second", number(plain.prefill_rate));
+  add("decode-rate", "output tokens a second for one sequence", number(plain.decode_rate));
+  add("slots", "batch slots", number(plain.slots));
+  add("blocks", "KV cache blocks", number(plain.blocks));
+  add("block-tokens", "tokens in a block", number(plain.block_tokens));
+  add("report-lag-ms", "age of load reports", number(plain.report_lag.count()));
+  add("role-change-ms", "time of a role change", number(plain.role_change_time.count()));
+  add("load-ms", "time to load a model", number(plain.load_time.count()));
+  add("notice-seconds", "notice before it goes", number(5));
+  add("seed", "seed", number(plain.seed));
+  return cli;
+}
+
+engine_options
+read_options(const cxxopts::ParseResult& given) {
+  const auto number = [&](const char* name) { return given[name].as<double>(); };
+  const auto count = [&](const char* name) { return static_cast<std::uint32_t>(number(name)); };
+  const auto span = [&](const char* name) { return milliseconds{count(name)}; };
+  engine_options it;
+  it.name = given["name"].as<std::string>();
+  it.zone = given["zone"].as<std::string>();
+  it.state.model = model_id{given["model"].as<std::string>()};
+  it.state.role =
+      from_name<engine_role>(given["role"].as<std::string>()).value_or(engine_role::mixed);
+  it.checks_fence = given.count("checks-fence") > 0;
+  it.prefill_rate = number("prefill-rate");
+  it.decode_rate = number("decode-rate");
+  it.slots = count("slots");
+  it.blocks = count("blocks");
+  it.block_tokens = count("block-tokens");
+  it.report_lag = span("report-lag-ms");
+  it.role_change_time = span("role-change-ms");
+  it.load_time = span("load-ms");
+  it.seed = count("seed");
+  return it;
+}
+
+int
+serve(const cxxopts::ParseResult& given) {
+  engine_service service(read_options(given),
+                         seconds{static_cast<int>(given["notice-seconds"].as<double>())});
+  if (!service.start(given["port"].as<std::uint16_t>())) {
+    return 1;
+  }
+  std::signal(SIGTERM, on_signal);
+  QTimer poll;
+  QObject::connect(&poll, &QTimer::timeout, [&service] {
+    if (leave_requested != 0) {
+      leave_requested = 0;
+      service.leave();
+    }
+  });
+  constexpr int poll_ms = 50;
+  poll.start(poll_ms);
+  return QCoreApplication::exec();
+}
+
+} // namespace
+
+int
+run_engine(std::span<const std::string> args) {
+  std::vector<const char*> argv{"engine"};
+  for (const auto& it : args) {
+    argv.push_back(it.c_str());
+  }
+  try {
+    return serve(engine_cli().parse(static_cast<int>(argv.size()), argv.data()));
+  } catch (const cxxopts::exceptions::exception& ec) {
+    std::fprintf(stderr, "%s\n", ec.what());
+    return 2;
+  }
+}
+
+} // namespace nutmegspur::standin
--- /dev/null
+++ b/src/nutmegspur_standin/service_standin.cpp
@@ -0,0 +1,56 @@
+/// \file service_standin.cpp
+/// A plain service: answers any call with an echo and a call number, and records it.
+
+#include "standin_http.h"
+#include "standin_main.h"
+
+#include <QtCore/QCoreApplication>
+
+#include <cxxopts.hpp>
+
+#include <cstdio>
+
+namespace nutmegspur::standin {
+
+namespace {
+
+QJsonObject
+echo_answer(const QString& name, const standin_request& request) {
+  return {{"service", name},
+          {"method", QString::fromLatin1(request.method)},
+          {"path", request.path},
+          {"call_number", static_cast<qint64>(request.number)},
+          {"echo", QString::fromUtf8(request.body)}};
+}
+
+int
+serve(std::uint16_t port, const QString& name) {
+  standin_server server([&name](const standin_request& request, reply_channel reply) {
+    reply.send(200, echo_answer(name, request));
+  });
+  return server.start(port) ? QCoreApplication::exec() : 1;
+}
+
+} // namespace
+
+int
+run_service(std::span<const std::string> args) {
+  cxxopts::Options options("nutmegspur_standin service", "Stand-in of a plain service");
+  options.add_options()("port", "port; 0 picks one", cxxopts::value<std::uint16_t>())(
+      "name", "name", cxxopts::value<std::string>()->default_value("service"))(
+      "zone", "availability zone", cxxopts::value<std::string>()->default_value("z1"));
+  std::vector<const char*> argv{"service"};
+  for (const auto& it : args) {
+    argv.push_back(it.c_str());
+  }
+  try {
+    const auto given = options.parse(static_cast<int>(argv.size()), argv.data());
+    return serve(given["port"].as<std::uint16_t>(),
+                 QString::fromStdString(given["name"].as<std::string>()));
+  } catch (const cxxopts::exceptions::exception& ec) {
+    std::fprintf(stderr, "%s\n", ec.what());
+    return 2;
+  }
+}
+
+} // namespace nutmegspur::standin
