Routing and admission policies that register by name, with baselines

predicted_latency, least_in_flight, round_robin, random; fair_deadline, first_come. can_serve keeps leaving, drained, changing and suspect upstreams out of every policy.

--- a/src/include/nutmegspur/policy.h
+++ b/src/include/nutmegspur/policy.h
@@ -76,6 +76,8 @@
   time_point deadline;
   /// Expected cost in weighted tokens (thousandths): prompt and output by their price weights.
   std::uint64_t cost_milli = 0;
+  /// Expected time from placement to the last token; zero where it is not known.
+  milliseconds expected_service{0};
 };
 
 /// What the queue must know of the zone's capacity.
--- /dev/null
+++ b/src/libnutmegspur/admission_test.cpp
@@ -0,0 +1,189 @@
+/// \file admission_test.cpp
+/// fair_deadline: refusal by estimate, time to come back, fair sharing, no starvation.
+
+#include <nutmegspur/policy.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <numeric>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr std::uint64_t second_of_work = 1'000'000;
+constexpr capacity_estimate one_a_second{1, second_of_work, 0};
+
+std::unique_ptr<admission_policy>
+make_fair() {
+  return std::move(*admission_registry::instance().make("fair_deadline", admission_options{}));
+}
+
+waiting_request
+request_of(std::uint64_t id, const std::string& team, const moment& now, milliseconds allowed) {
+  waiting_request it;
+  it.request = request_id{id};
+  it.team = team_id{team};
+  it.arrived = now.boot;
+  it.deadline = now.boot + allowed;
+  it.cost_milli = second_of_work;
+  it.expected_service = milliseconds{1000};
+  return it;
+}
+
+/// Serves the next request; its team, or empty.
+std::string
+serve_one(admission_policy& policy, const moment& now) {
+  const auto next = policy.peek(now);
+  if (!next) {
+    return "";
+  }
+  policy.remove(next->request, true);
+  return next->team.value;
+}
+
+} // namespace
+
+RC_GTEST_PROP(fair_deadline, refuses_exactly_what_the_backlog_makes_late, ()) {
+  const auto policy = make_fair();
+  const manual_clock clock;
+  const auto backlog = *rc::gen::inRange(0, 30);
+  for (int i = 0; i < backlog; ++i) {
+    RC_ASSERT(policy->offer(request_of(i + 1, "a", clock.now(), milliseconds{60'000}), one_a_second,
+                            clock.now()));
+  }
+  const auto allowed = milliseconds{*rc::gen::inRange(1000, 59'000)};
+  auto it = request_of(99, "a", clock.now(), milliseconds{60'000});
+  it.deadline = clock.now().boot + allowed;
+  it.priority = request_class::batch; // Behind the whole backlog.
+  const auto needed = milliseconds{1000} * (backlog + 1);
+  const auto answer = policy->offer(it, one_a_second, clock.now());
+  RC_ASSERT(answer.has_value() == (needed <= allowed));
+  if (!answer) {
+    RC_ASSERT(answer.error().code == error_code::overloaded);
+    RC_ASSERT(answer.error().ran == outcome::not_run);
+    // After that time the backlog has shrunk enough for the same deadline.
+    RC_ASSERT(*answer.error().retry_after >= needed - allowed);
+    RC_ASSERT(*answer.error().retry_after <= needed - allowed + milliseconds{100});
+  }
+}
+
+TEST(fair_deadline, refuses_without_a_time_to_come_back_what_can_never_make_it) {
+  const auto policy = make_fair();
+  const manual_clock clock;
+  const auto it = request_of(1, "a", clock.now(), milliseconds{500});
+  const auto answer = policy->offer(it, one_a_second, clock.now());
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().code, error_code::deadline_exceeded);
+  EXPECT_FALSE(answer.error().retry_after);
+}
+
+RC_GTEST_PROP(fair_deadline, shares_by_weight_under_a_flood, ()) {
+  const auto policy = make_fair();
+  const manual_clock clock;
+  const std::vector<std::uint32_t> weights{1, static_cast<std::uint32_t>(*rc::gen::inRange(1, 5)),
+                                           static_cast<std::uint32_t>(*rc::gen::inRange(1, 5))};
+  const std::vector<std::string> teams{"flood", "b", "c"};
+  std::uint64_t id = 0;
+  constexpr int each = 400;
+  for (std::size_t t = 0; t < teams.size(); ++t) {
+    for (int i = 0; i < (t == 0 ? 3 * each : each); ++i) {
+      auto it = request_of(++id, teams[t], clock.now(), seconds{100'000});
+      it.team_weight = weights[t];
+      RC_ASSERT(policy->offer(it, one_a_second, clock.now()).has_value());
+    }
+  }
+  std::map<std::string, int> served;
+  const auto sum = std::accumulate(weights.begin(), weights.end(), 0U);
+  const int rounds = 50 * static_cast<int>(sum);
+  for (int i = 0; i < rounds; ++i) {
+    served[serve_one(*policy, clock.now())] += 1;
+  }
+  for (std::size_t t = 0; t < teams.size(); ++t) {
+    // Within the quantum of two requests for each unit of weight, and the rounding of one.
+    const int share = 50 * static_cast<int>(weights[t]);
+    RC_ASSERT(std::abs(served[teams[t]] - share) <= 3 * static_cast<int>(weights[t]) + 3);
+  }
+}
+
+RC_GTEST_PROP(fair_deadline, conserves_work_and_starves_nobody, ()) {
+  const auto policy = make_fair();
+  const manual_clock clock;
+  const auto n = *rc::gen::inRange(1, 200);
+  for (int i = 0; i < n; ++i) {
+    auto it = request_of(i + 1, "t" + std::to_string(*rc::gen::inRange(0, 6)), clock.now(),
+                         seconds{100'000});
+    it.team_weight = *rc::gen::inRange(1, 4);
+    it.priority = *rc::gen::element(request_class::interactive, request_class::standard,
+                                    request_class::batch);
+    it.cost_milli = *rc::gen::inRange<std::uint64_t>(1, 5 * second_of_work);
+    RC_ASSERT(policy->offer(it, {1, 100 * second_of_work, 0}, clock.now()).has_value());
+  }
+  for (int i = 0; i < n; ++i) {
+    RC_ASSERT(!serve_one(*policy, clock.now()).empty());
+  }
+  RC_ASSERT(policy->waiting() == 0U);
+}
+
+TEST(fair_deadline, counts_service_that_other_instances_gave) {
+  const auto policy = make_fair();
+  const manual_clock clock;
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    ASSERT_TRUE(policy->offer(request_of(i, i % 2 == 0 ? "a" : "b", clock.now(), seconds{1000}),
+                              one_a_second, clock.now()));
+  }
+  policy->add_remote_service(team_id{"a"}, 6 * second_of_work);
+  std::map<std::string, int> served;
+  for (int i = 0; i < 10; ++i) {
+    served[serve_one(*policy, clock.now())] += 1;
+  }
+  EXPECT_GE(served["b"], 7);
+}
+
+TEST(fair_deadline, an_idle_team_saves_up_nothing) {
+  const auto policy = make_fair();
+  const manual_clock clock;
+  std::uint64_t id = 0;
+  for (int i = 0; i < 50; ++i) {
+    ASSERT_TRUE(policy->offer(request_of(++id, "a", clock.now(), seconds{1000}), one_a_second,
+                              clock.now()));
+    serve_one(*policy, clock.now());
+  }
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(policy->offer(request_of(++id, i % 2 == 0 ? "a" : "b", clock.now(), seconds{1000}),
+                              one_a_second, clock.now()));
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 10; ++i) {
+    served[serve_one(*policy, clock.now())] += 1;
+  }
+  EXPECT_GE(served["a"], 3);
+}
+
+TEST(fair_deadline, expires_what_can_no_longer_make_it) {
+  const auto policy = make_fair();
+  manual_clock clock;
+  ASSERT_TRUE(
+      policy->offer(request_of(1, "a", clock.now(), seconds{3}), one_a_second, clock.now()));
+  clock.advance(seconds{1});
+  EXPECT_TRUE(policy->expire(one_a_second, clock.now()).empty());
+  clock.advance(milliseconds{1500});
+  EXPECT_EQ(policy->expire(one_a_second, clock.now()).size(), 1U);
+  EXPECT_EQ(policy->waiting(), 0U);
+}
+
+TEST(fair_deadline, tells_local_service_once) {
+  const auto policy = make_fair();
+  const manual_clock clock;
+  ASSERT_TRUE(
+      policy->offer(request_of(1, "a", clock.now(), seconds{3}), one_a_second, clock.now()));
+  serve_one(*policy, clock.now());
+  policy->settle(team_id{"a"}, second_of_work, second_of_work / 2);
+  const auto entries = policy->take_local_service();
+  ASSERT_EQ(entries.size(), 1U);
+  EXPECT_EQ(entries.front().weighted_tokens_milli, second_of_work / 2);
+  EXPECT_TRUE(policy->take_local_service().empty());
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -0,0 +1,209 @@
+/// \file predicted_latency_policy.cpp
+/// Routing by predicted latency: lagged reports corrected by what was placed since, minus cached
+/// prefix blocks, plus a price for bytes between regions.
+///
+/// It holds a request back (no placement) where every engine already has a queue of its own, so
+/// that waiting happens where admission can order it.
+
+#include <nutmegspur/latency_model.h>
+#include <nutmegspur/policy.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <unordered_map>
+
+namespace nutmegspur {
+
+namespace {
+
+/// Sequences that may queue inside an engine, to cover the lag of its reports.
+constexpr std::uint32_t base_queue_limit = 2;
+/// Further sequences in the queue limit: one for so many batch slots.
+constexpr std::uint32_t slots_per_queued = 8;
+/// How far over the last seen batch an engine may be filled before a report tells more.
+constexpr std::uint32_t batch_headroom = 8;
+/// How long own placements count as cached where no cache event tells.
+constexpr seconds placed_block_life{60};
+/// Bytes on the wire for one output token of a stream, and for one prompt token.
+constexpr double output_token_bytes = 200;
+constexpr double prompt_token_bytes = 4;
+/// What a byte between regions costs, in seconds of latency.
+constexpr double region_seconds_per_byte = 1e-5;
+constexpr double region_round_trip_seconds = 0.024;
+/// Share of the delay done to sequences already decoding that counts against a placement.
+constexpr double disturbance_weight = 0.1;
+/// Candidates within this factor of the best are equal, and one of them is drawn.
+constexpr double near_best = 1.05;
+
+/// Work that this instance placed at an engine and that its last report cannot show yet.
+struct recent_placement {
+  time_point at;
+  std::uint32_t prefill_tokens = 0;
+};
+
+/// What the policy remembers of one upstream.
+struct upstream_memory {
+  std::deque<recent_placement> recent;
+  std::unordered_map<std::uint64_t, time_point> placed_blocks;
+  std::uint32_t batch_seen = 0; ///< Greatest batch that it reported without a queue behind it.
+  bool batch_full = false;      ///< `batch_seen` is the batch's limit.
+  engine_role role = engine_role::mixed;
+};
+
+/// A candidate and what it would cost.
+struct scored {
+  upstream_id upstream;
+  double seconds = 0;
+  double first_token_seconds = 0;
+  std::uint32_t prefill_tokens = 0;
+};
+
+class predicted_latency_policy final : public routing_policy {
+ public:
+  explicit predicted_latency_policy(const routing_options& options)
+      : options_(options), random_(options.seed) {}
+
+  std::optional<placement> choose(const route_query& query, const upstream_map& upstreams,
+                                  const moment& now) override {
+    std::vector<scored> found;
+    for (const auto& [id, it] : upstreams) {
+      if (!can_serve(it, query, now.boot) || it.own_in_flight >= options_.max_own_in_flight) {
+        continue;
+      }
+      auto score = query.inference != nullptr ? score_engine(id, it, query, now)
+                                              : score_service(id, it, query);
+      if (score) {
+        found.push_back(std::move(*score));
+      }
+    }
+    if (found.empty()) {
+      return std::nullopt;
+    }
+    const auto& best = draw(found);
+    if (query.inference != nullptr) {
+      remember(best, *query.inference, now);
+    }
+    constexpr double millis = 1000;
+    return placement{best.upstream,
+                     milliseconds{static_cast<std::int64_t>(best.first_token_seconds * millis)}};
+  }
+
+ private:
+  static std::optional<scored> score_service(const upstream_id& id, const upstream_state& it,
+                                             const route_query& query) {
+    const double away = it.listed.region == query.region ? 0.0 : region_round_trip_seconds;
+    constexpr double seconds_per_call = 0.01;
+    return scored{id, away + seconds_per_call * it.own_in_flight};
+  }
+
+  std::optional<scored> score_engine(const upstream_id& id, const upstream_state& it,
+                                     const route_query& query, const moment& now) {
+    auto& memory = memory_[id];
+    refresh(memory, it, now);
+    const auto placed = static_cast<std::uint32_t>(memory.recent.size());
+    if (queue_is_full(memory, it, placed)) {
+      return std::nullopt;
+    }
+    const auto& call = *query.inference;
+    engine_backlog backlog{it.load.waiting_tokens, it.load.running + it.load.waiting + placed};
+    for (const auto& work : memory.recent) {
+      backlog.prefill_tokens += work.prefill_tokens;
+    }
+    const auto context = call.prompt_tokens + query.resume_from;
+    const auto cached = std::min(context, cached_blocks(memory, it, call) * options_.block_tokens);
+    const auto left = call.max_tokens - std::min(call.max_tokens, query.resume_from);
+    const request_size size{context - cached, left};
+    const auto expected = estimate_latency(speed_, it.state.role, backlog, size);
+    const double disturbed = static_cast<double>(size.prefill_tokens) * backlog.running /
+                             speed_.prefill_tokens_per_second;
+    const double seconds = expected.total_seconds + disturbance_weight * disturbed +
+                           region_price(it, query, context, left);
+    return scored{id, seconds, expected.first_token_seconds, size.prefill_tokens};
+  }
+
+  static double region_price(const upstream_state& it, const route_query& query,
+                             std::uint32_t context, std::uint32_t left) {
+    if (it.listed.region == query.region) {
+      return 0;
+    }
+    const double bytes = prompt_token_bytes * context + output_token_bytes * left;
+    return region_round_trip_seconds + bytes * region_seconds_per_byte;
+  }
+
+  static void refresh(upstream_memory& memory, const upstream_state& it, const moment& now) {
+    while (!memory.recent.empty() && memory.recent.front().at <= it.load_measured.boot) {
+      memory.recent.pop_front();
+    }
+    std::erase_if(memory.placed_blocks,
+                  [&](const auto& block) { return block.second + placed_block_life < now.boot; });
+    if (memory.role != it.state.role) {
+      memory.role = it.state.role;
+      memory.batch_seen = 0;
+      memory.batch_full = false;
+    }
+    if (it.load.waiting > 0) {
+      memory.batch_seen = it.load.running;
+      memory.batch_full = true;
+    } else if (it.load.running > memory.batch_seen) {
+      memory.batch_seen = it.load.running;
+      memory.batch_full = false;
+    }
+  }
+
+  static bool queue_is_full(const upstream_memory& memory, const upstream_state& it,
+                            std::uint32_t placed) {
+    const auto batch = memory.batch_seen + (memory.batch_full ? 0 : batch_headroom);
+    const auto limit = batch + base_queue_limit + batch / slots_per_queued;
+    return it.load.running + it.load.waiting + placed >= limit;
+  }
+
+  static std::uint32_t cached_blocks(const upstream_memory& memory, const upstream_state& it,
+                                     const inference_call& call) {
+    std::uint32_t n = 0;
+    for (const auto block : call.prefix_blocks) {
+      if (!it.cached_blocks.contains(block) && !memory.placed_blocks.contains(block)) {
+        break;
+      }
+      n += 1;
+    }
+    return n;
+  }
+
+  const scored& draw(const std::vector<scored>& found) {
+    double best = found.front().seconds;
+    for (const auto& it : found) {
+      best = std::min(best, it.seconds);
+    }
+    std::vector<const scored*> near;
+    for (const auto& it : found) {
+      if (it.seconds <= best * near_best) {
+        near.push_back(&it);
+      }
+    }
+    return *near[random_() % near.size()];
+  }
+
+  void remember(const scored& it, const inference_call& call, const moment& now) {
+    auto& memory = memory_[it.upstream];
+    memory.recent.push_back({now.boot, it.prefill_tokens});
+    for (const auto block : call.prefix_blocks) {
+      memory.placed_blocks[block] = now.boot;
+    }
+  }
+
+  routing_options options_;
+  engine_speed speed_;
+  std::mt19937_64 random_;
+  std::map<upstream_id, upstream_memory> memory_;
+};
+
+[[maybe_unused]] const bool registered =
+    routing_registry::instance().add("predicted_latency", [](const routing_options& options) {
+      return std::make_unique<predicted_latency_policy>(options);
+    });
+
+} // namespace
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/team_shares.cpp
@@ -0,0 +1,85 @@
+/// \file team_shares.cpp
+/// Virtual counters of teams.
+
+#include <nutmegspur/team_shares.h>
+
+#include <algorithm>
+
+namespace nutmegspur {
+
+namespace {
+
+/// Idle teams are forgotten once so many are kept.
+constexpr std::size_t max_kept = 1024;
+
+} // namespace
+
+void
+team_shares::enter(const team_id& team, std::uint32_t weight) {
+  auto& it = shares_[team];
+  it.weight = std::max(1U, weight);
+  if (!it.active) {
+    it.active = true;
+    it.counter = std::max(it.counter, virtual_time_);
+  }
+}
+
+void
+team_shares::leave(const team_id& team) {
+  const auto it = shares_.find(team);
+  if (it != shares_.end()) {
+    it->second.active = false;
+  }
+  if (shares_.size() > max_kept) {
+    forget_idle();
+  }
+}
+
+void
+team_shares::charge(const team_id& team, std::int64_t cost_milli) {
+  auto& it = shares_[team];
+  it.counter += cost_milli / it.weight;
+  it.local_milli += cost_milli;
+}
+
+void
+team_shares::charge_remote(const team_id& team, std::uint64_t cost_milli) {
+  auto& it = shares_[team];
+  it.counter = std::max(it.counter, virtual_time_);
+  it.counter += static_cast<std::int64_t>(cost_milli / it.weight);
+}
+
+std::int64_t
+team_shares::counter(const team_id& team) const {
+  const auto it = shares_.find(team);
+  return it == shares_.end() ? virtual_time_ : it->second.counter;
+}
+
+void
+team_shares::advance_to(std::int64_t least_counter) {
+  virtual_time_ = std::max(virtual_time_, least_counter);
+}
+
+std::vector<team_service_entry>
+team_shares::take_local() {
+  std::vector<team_service_entry> entries;
+  for (auto& [team, it] : shares_) {
+    if (it.local_milli > 0) {
+      entries.push_back({team, static_cast<std::uint64_t>(it.local_milli), 0});
+      it.local_milli = 0;
+    }
+  }
+  std::sort(entries.begin(), entries.end(),
+            [](const auto& a, const auto& b) { return a.team < b.team; });
+  return entries;
+}
+
+void
+team_shares::forget_idle() {
+  std::erase_if(shares_, [this](const auto& entry) {
+    const auto& it = entry.second;
+    return !it.active && it.local_milli == 0 && it.counter <= virtual_time_;
+  });
+}
+
+} // namespace nutmegspur
