Platform stand-in, platform adapter over HTTP and the peer messages' msgpack form

The stand-in serves the published etcd v3 JSON gateway over a store with history, leases and watches, endpoint slices, the upstream interface and the usage interface. The adapter gives each call exactly one reply; calls that change something go out once from a body that cannot be rewound.

--- /dev/null
+++ b/src/etcd_http.platform/etcd_http.h
@@ -0,0 +1,81 @@
+/// \file etcd_http.h
+/// The worker "platform/etcd_http": carries out `call_platform` over HTTP.
+///
+/// Every call gets exactly one `platform_reply`. A call that changes something goes out at most
+/// once; if its answer does not come, the outcome is `unknown` as soon as a byte of its body was
+/// taken for sending, and `not_run` before that.
+#pragma once
+
+#include "one_shot_body.h"
+#include "watch_stream.h"
+
+#include <nutmegspur/kernel.h>
+
+#include <QtCore/QObject>
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace nutmegspur::etcd_http {
+
+/// How long a call may take, its connection included.
+inline constexpr milliseconds call_limit{2'000};
+/// Most calls under way; more are refused at once.
+inline constexpr std::size_t max_calls = 512;
+/// Most events held back while the decision thread's ring is full, before watches are ended.
+inline constexpr std::size_t max_held_events = 4096;
+
+/// The adapter. Lives on one thread with a Qt event loop.
+class adapter final : public duty_worker {
+ public:
+  explicit adapter(const worker_context& context);
+  ~adapter() override;
+  adapter(const adapter&) = delete;
+  adapter& operator=(const adapter&) = delete;
+
+  result<void> start(event_sink sink) override;
+  void carry_out(const action& what) override;
+  void stop() override;
+
+ private:
+  struct pending_call {
+    call_platform what;
+    std::string_view kind;
+    time_point asked_at;
+    std::shared_ptr<QNetworkAccessManager> manager; ///< Outlives the reply.
+    std::unique_ptr<one_shot_body> body;            ///< Null for calls that may be sent again.
+    QNetworkReply* reply = nullptr;
+    QTimer limit;
+    bool timed_out = false;
+  };
+
+  void begin(const call_platform& what);
+  void send(pending_call& it, const http_call& call);
+  void finish(const std::shared_ptr<pending_call>& it);
+  [[nodiscard]] result<platform_answer> answer_of(const pending_call& it) const;
+  void begin_watch(const call_platform& what, const watch_start& request);
+  void end_watch(const call_id& watch);
+  void reply(const call_id& call, std::string_view kind, time_point asked_at,
+             result<platform_answer> answer);
+  void count(std::string_view kind, std::string_view outcome_name);
+  void note_reachable(const result<platform_answer>& answer);
+  /// Later calls use new connections.
+  void renew_manager();
+  void emit_event(event ev);
+  void emit_held();
+
+  const worker_context context_;
+  event_sink sink_;
+  QUrl base_;
+  // Parent of all timers and connections; null before `start`.
+  std::unique_ptr<QObject> scope_;
+  std::shared_ptr<QNetworkAccessManager> manager_;
+  std::map<call_id, std::shared_ptr<pending_call>> calls_;
+  std::map<call_id, std::unique_ptr<watch_stream>> watches_;
+  // Events that the full ring refused, in order.
+  std::deque<event> held_;
+  bool reachable_ = true;
+};
+
+} // namespace nutmegspur::etcd_http
--- /dev/null
+++ b/src/etcd_http.platform/watch_stream.cpp
@@ -0,0 +1,159 @@
+// Watches as long streams with a progress deadline.
+#include "watch_stream.h"
+
+#include <QtNetwork/QNetworkRequest>
+
+#include <algorithm>
+
+namespace nutmegspur::etcd_http {
+
+void
+watch_stream::later::operator()(stream* it) const {
+  if (it->reply != nullptr) {
+    it->reply->disconnect();
+    it->reply->abort();
+  }
+  it->deleteLater();
+}
+
+watch_stream::watch_stream(QUrl url, watch_start request, callbacks calls)
+    : url_(std::move(url)), request_(std::move(request)), calls_(std::move(calls)) {
+  silence_.setSingleShot(true);
+  QObject::connect(&silence_, &QTimer::timeout, &silence_, [this] { on_silence(); });
+}
+
+void
+watch_stream::open() {
+  current_ = connect_stream();
+  silence_.start(watch_open_limit);
+}
+
+watch_stream::stream_ptr
+watch_stream::connect_stream() {
+  stream_ptr it(new stream);
+  QNetworkRequest request(url_);
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  stream* raw = it.get();
+  raw->reply = raw->manager.post(request, encode_watch(request_));
+  QObject::connect(raw->reply, &QNetworkReply::readyRead, raw, [this, raw] { read(raw); });
+  QObject::connect(raw->reply, &QNetworkReply::finished, raw, [this, raw] { finished(raw); });
+  calls_.opened();
+  return it;
+}
+
+void
+watch_stream::read(stream* from) {
+  from->buffer += from->reply->readAll();
+  if (from->buffer.size() > max_watch_message) {
+    return end(false, "a message of the watch is too large");
+  }
+  qsizetype newline = from->buffer.indexOf('\n');
+  while (newline >= 0) {
+    const QByteArray line = from->buffer.left(newline);
+    from->buffer.remove(0, newline + 1);
+    newline = from->buffer.indexOf('\n');
+    if (line.trimmed().isEmpty()) {
+      continue;
+    }
+    const auto message = decode_watch(line);
+    if (!message) {
+      return end(false, message.error().message);
+    }
+    if (!take(from, *message)) {
+      return;
+    }
+  }
+}
+
+bool
+watch_stream::take(stream* from, const watch_message& message) {
+  if (ended_) {
+    return false;
+  }
+  if (from == candidate_.get()) {
+    current_ = std::move(candidate_);
+  }
+  candidate_.reset();
+  silence_.start(watch_silence_limit);
+  if (message.cancelled) {
+    end(message.compacted, message.compacted ? "the revision was compacted" : "cancelled");
+    return false;
+  }
+  if (!started_) {
+    started_ = true;
+    calls_.started(message.store);
+  }
+  if (!message.created) {
+    deliver(message);
+  }
+  return !ended_;
+}
+
+void
+watch_stream::deliver(const watch_message& message) {
+  if (message.changes.empty()) {
+    // Everything up to this revision was sent before it.
+    request_.since = std::max(request_.since, revision{message.store.value + 1});
+    return calls_.batch({}, message.store);
+  }
+  std::vector<kv_change> fresh;
+  for (const auto& it : message.changes) {
+    // A second stream may repeat what the first one sent.
+    if (it.modified >= request_.since) {
+      fresh.push_back(it);
+    }
+  }
+  if (fresh.empty()) {
+    return;
+  }
+  // The header's revision may be ahead of the changes sent so far; the last change is not.
+  const revision last = fresh.back().modified;
+  request_.since = {last.value + 1};
+  calls_.batch(std::move(fresh), last);
+}
+
+void
+watch_stream::finished(stream* from) {
+  if (from == candidate_.get()) {
+    candidate_.reset();
+    return;
+  }
+  if (from != current_.get()) {
+    return;
+  }
+  const std::string why = from->reply->errorString().toStdString();
+  if (candidate_) {
+    current_ = std::move(candidate_);
+    return;
+  }
+  end(false, why);
+}
+
+void
+watch_stream::on_silence() {
+  if (!started_ || candidate_) {
+    return end(false, "no sign of progress");
+  }
+  candidate_ = connect_stream();
+  silence_.start(watch_open_limit);
+}
+
+void
+watch_stream::close() {
+  ended_ = true;
+  silence_.stop();
+  candidate_.reset();
+  current_.reset();
+}
+
+void
+watch_stream::end(bool compacted, const std::string& message) {
+  if (ended_) {
+    return;
+  }
+  close();
+  calls_.ended(compacted, {error_code::unavailable, step::platform_call, "platform", message,
+                           outcome::not_run, seconds{1}});
+}
+
+} // namespace nutmegspur::etcd_http
--- /dev/null
+++ b/src/libnutmegspur/platform.cpp
@@ -0,0 +1,21 @@
+// Helpers of the platform's typed operations.
+#include <nutmegspur/platform.h>
+
+namespace nutmegspur {
+
+std::string
+prefix_end(std::string_view prefix) {
+  std::string end{prefix};
+  while (!end.empty()) {
+    auto& last = end.back();
+    if (static_cast<unsigned char>(last) != 0xFF) {
+      ++last;
+      return end;
+    }
+    end.pop_back();
+  }
+  // The store reads a single zero byte as "to the end of all keys".
+  return std::string(1, '\0');
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/nutmegspur_standin/etcd_gateway.h
@@ -0,0 +1,53 @@
+/// \file etcd_gateway.h
+/// The etcd v3 JSON gateway of the platform stand-in: range, txn, leases, compaction and watches.
+#pragma once
+
+#include "kv_store.h"
+#include "standin_http.h"
+
+#include <QtCore/QTimer>
+
+#include <memory>
+#include <vector>
+
+namespace nutmegspur::standin {
+
+/// Serves the paths under /v3/ over one store.
+class etcd_gateway {
+ public:
+  etcd_gateway();
+
+  /// Answers a request under /v3/.
+  void serve(const standin_request& request, const reply_channel& reply);
+  /// From now on nothing is written to the watches that are open; their connections stay.
+  void silence_watches();
+
+ private:
+  struct watch {
+    reply_channel reply;
+    QByteArray from;
+    QByteArray to;
+    std::int64_t next = 0; ///< The first revision not yet sent.
+    bool progress = false;
+    bool silent = false;
+    int idle_ticks = 0;
+  };
+
+  void range(const standin_request& request, const reply_channel& reply);
+  void txn(const standin_request& request, const reply_channel& reply);
+  void grant(const standin_request& request, const reply_channel& reply);
+  void keep_alive(const standin_request& request, const reply_channel& reply);
+  void revoke(const standin_request& request, const reply_channel& reply);
+  void compact(const standin_request& request, const reply_channel& reply);
+  void start_watch(const standin_request& request, const reply_channel& reply);
+  void pump(watch& it);
+  void pump_all();
+  void tick();
+  [[nodiscard]] QJsonObject header(std::int64_t revision) const;
+
+  kv_store store_;
+  std::vector<std::unique_ptr<watch>> watches_;
+  QTimer timer_;
+};
+
+} // namespace nutmegspur::standin
