--- /dev/null
+++ b/src/include/nutmegspur/claims.h
@@ -0,0 +1,127 @@
+/// \file claims.h
+/// Claims: a call that may not be repeated is claimed in the key-value service, by compare-and-swap
+/// under the caller's idempotency key, before its first byte goes to an upstream.
+///
+/// A claim in the store means "may have been sent". It becomes `recorded` with the answer, or
+/// `released` when it is proved that no byte left. Each write carries a writer token; after a lost
+/// answer the writer reads back before it decides.
+#pragma once
+
+#include <nutmegspur/decision.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace nutmegspur {
+
+/// A call to be claimed.
+struct claim_request {
+  request_id request;
+  team_id team;
+  std::string idempotency_key;
+  std::string request_sha256; ///< Of method, service, path and body.
+  time_point deadline;
+};
+
+/// What may be done with the call.
+enum class claim_decision {
+  proceed, ///< The claim stands and is this request's; send the call, once.
+  replay,  ///< It ran before: answer with `record`.
+  refuse,  ///< Do not send; `why` is the final answer.
+};
+
+/// The end of a claim's first phase.
+struct claim_verdict {
+  request_id request;
+  claim_decision decision = claim_decision::refuse;
+  claim_record record;
+  error why;
+};
+
+/// What a call that was sent came to.
+struct claim_outcome {
+  outcome ran = outcome::unknown;
+  int status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+/// Settings of a claim book.
+struct claim_options {
+  instance_id instance;
+  std::uint64_t seed = 1; ///< Tells this instance's writer tokens from those of others.
+  milliseconds retry_pause{100}; ///< Between two tries of the same store operation.
+  /// A claim that has not been decided by then is refused as `not_run`.
+  milliseconds decision_limit{2000};
+  /// How long a recording or release is tried again while the store is out.
+  seconds record_limit{300};
+};
+
+/// All claims of one instance.
+class claim_book {
+ public:
+  using listener = std::function<void(const moment&, const claim_verdict&, action_list&)>;
+
+  explicit claim_book(claim_options options);
+
+  /// Who hears verdicts. Set once, before the first step.
+  void set_listener(listener hears);
+  /// Begins a claim; exactly one verdict follows unless `abandon` is called before.
+  void begin(const moment& now, const claim_request& it, action_list& out);
+  /// The call of a claim that stands came to an end; `not_run` releases the claim.
+  void finish(const moment& now, request_id request, const claim_outcome& what, action_list& out);
+  /// The caller has gone before the verdict: nothing will be sent.
+  void abandon(const moment& now, request_id request, action_list& out);
+  void step(const moment& now, const event& ev, action_list& out);
+  /// Claims whose end is not yet safe in the store. A shutdown waits for them.
+  [[nodiscard]] std::size_t unfinished() const;
+
+ private:
+  enum class phase {
+    writing,   ///< The claim's write is under way or to be tried again.
+    reading,   ///< Reading back what the store holds.
+    held,      ///< The claim is ours; the call is at an upstream.
+    recording, ///< The end is being written.
+    checking,  ///< Reading back whether the end was written.
+  };
+
+  struct entry {
+    claim_request what;
+    std::string key;
+    claim_record record;  ///< As we wrote it, or are writing it.
+    revision modified;    ///< Condition of the next write; zero: absent.
+    phase at = phase::writing;
+    std::uint64_t call = 0;    ///< The store operation under way, 0 if none.
+    time_point started;        ///< When this phase began; limits count from here.
+    time_point next_try;       ///< When `call` is 0.
+    bool may_be_written = false; ///< A claim write's answer was lost: it may stand in the store.
+    bool decided = false;        ///< The verdict was given.
+  };
+
+  void write(const moment& now, entry& it, action_list& out);
+  void read(const moment& now, entry& it, action_list& out);
+  void on_reply(const moment& now, const platform_reply& reply, action_list& out);
+  void on_claim_written(const moment& now, entry& it, const platform_reply& reply,
+                        action_list& out);
+  void on_claim_read(const moment& now, entry& it, const platform_reply& reply, action_list& out);
+  void on_end_written(const moment& now, entry& it, const platform_reply& reply, action_list& out);
+  void on_end_read(const moment& now, entry& it, const platform_reply& reply, action_list& out);
+  void judge(const moment& now, entry& it, const kv_pair& pair, action_list& out);
+  void on_tick(const moment& now, action_list& out);
+  void give_up(const moment& now, entry& it, action_list& out);
+  void decide(const moment& now, entry& it, claim_verdict verdict, action_list& out);
+  void end_with(const moment& now, entry& it, claim_record record, action_list& out);
+
+  claim_options options_;
+  listener hears_;
+  std::uint64_t last_call_ = 0;
+  std::uint64_t last_token_ = 0;
+  // Entries leave when their end is safe in the store or given up.
+  std::map<request_id, entry> entries_;
+  // Invariant: one row for each entry whose `call` is not 0.
+  std::map<std::uint64_t, request_id> calls_;
+};
+
+} // namespace nutmegspur
--- a/src/include/nutmegspur/request.h
+++ b/src/include/nutmegspur/request.h
@@ -154,6 +154,8 @@
   std::optional<error> failure; ///< Its `ran` tells what is known of the work.
   token_usage usage;
   std::string finish_reason; ///< "stop" or "length", for inference.
+  /// Position after the last chunk that was read, so that a lost chunk shows.
+  std::uint64_t end_offset = 0;
 };
 
 // ---------------------------------------------------------------------------------------------
--- /dev/null
+++ b/src/include/nutmegspur/request_table.h
@@ -0,0 +1,165 @@
+/// \file request_table.h
+/// All live requests of an entry instance: authentication, authorization, admission, routing,
+/// attempts, resumption and the one final answer of each.
+#pragma once
+
+#include <nutmegspur/claims.h>
+#include <nutmegspur/config.h>
+#include <nutmegspur/policy.h>
+#include <nutmegspur/retry_budget.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegspur {
+
+struct permit;
+
+/// Settings of a request table.
+struct request_options {
+  instance_id instance;
+  zone_id zone;
+  std::string region;
+  std::uint64_t seed = 1; ///< Also salts the teams' prefix caches if `cache_salt_secret` is empty.
+  /// Same on all instances, so that a team's prefixes are found whichever instance asks.
+  std::string cache_salt_secret;
+  milliseconds progress_limit{10'000};
+  std::uint32_t max_attempts = 5;
+  std::uint32_t max_early_chunks = 64; ///< Chunks held back while an earlier one is missing.
+  seconds suspect_span{2};             ///< How long an upstream that failed is passed over.
+};
+
+/// What a request table works with. All references outlive it.
+struct request_needs {
+  std::function<config_view()> config;
+  upstream_map& upstreams;
+  routing_policy& routing;
+  admission_policy& admission;
+  claim_book& claims;
+  /// Called once for each request that had any output.
+  std::function<void(const moment&, const usage_line&, action_list&)> count_usage;
+  /// How long ago the configuration was last known to be current; may be empty.
+  std::function<milliseconds(const moment&)> config_age = {};
+};
+
+/// The live requests of one instance. A decision part (duty::requests).
+class request_table {
+ public:
+  request_table(request_options options, request_needs needs);
+  request_table(const request_table&) = delete;
+  request_table& operator=(const request_table&) = delete;
+  ~request_table() = default;
+
+  void step(const moment& now, const event& ev, action_list& out);
+  /// Requests without a final answer, and calls that go on after their caller left.
+  [[nodiscard]] std::size_t live() const { return live_.size(); }
+
+ private:
+  enum class phase {
+    queued,   ///< In the admission queue.
+    claiming, ///< Its claim is being written.
+    running,  ///< An attempt is open.
+    resuming, ///< An attempt failed; waits for an upstream that can take it.
+  };
+
+  struct early_chunk {
+    std::uint32_t tokens = 0;
+    std::string text;
+  };
+
+  struct live_request {
+    request_arrived what;
+    team_id team;
+    std::string subject; ///< Model or service name, for usage and logs.
+    std::uint64_t cost_milli = 0;
+    milliseconds progress_limit{0};
+    phase at = phase::queued;
+    bool repeatable = true;
+    bool claimed = false;     ///< The claim stands; its end must be recorded.
+    bool caller_left = false; ///< Nobody listens any more; the call goes on to be recorded.
+    bool started = false;     ///< `start_answer` was given.
+    /// Whether a byte of an attempt may have reached an upstream.
+    bool may_have_run = false;
+    std::uint32_t attempts = 0;
+    bool attempt_open = false;
+    bool prefilling = false; ///< The open attempt has given no output yet.
+    upstream_id upstream;    ///< Of the last attempt.
+    std::vector<upstream_id> tried;
+    std::uint64_t delivered = 0; ///< Output tokens (bytes, for a service) given to the caller.
+    // Invariant: every key is greater than `delivered`; at most `max_early_chunks`.
+    std::map<std::uint64_t, early_chunk> early;
+    token_usage usage; ///< As engines reported.
+    claim_outcome answer; ///< What is recorded for a claimed call.
+  };
+
+  using live_map = std::unordered_map<request_id, live_request>;
+
+  // Arrival (request_table.cpp)
+  void on_arrived(const moment& now, const request_arrived& it, action_list& out);
+  void add(const request_arrived& it, const permit& granted);
+  void list_models(const request_arrived& it, const team_id& team, const config_snapshot& config,
+                   action_list& out);
+  void on_caller_gone(const moment& now, request_id request, action_list& out);
+  void on_verdict(const moment& now, const claim_verdict& verdict, action_list& out);
+  void on_tick(const moment& now, action_list& out);
+  void end_withdrawn(const moment& now, action_list& out);
+  void pass_deadlines(const moment& now, action_list& out);
+  void dispatch(const moment& now, action_list& out);
+  void dispatch_resuming(const moment& now, action_list& out);
+  void place_next(const moment& now, live_request& it, const placement& where, action_list& out);
+  [[nodiscard]] bool anyone_serves(const live_request& it, const moment& now) const;
+  [[nodiscard]] route_query query_for(const live_request& it) const;
+  [[nodiscard]] capacity_estimate capacity(const moment& now) const;
+
+  // Attempts (request_attempts.cpp)
+  void begin_attempt(const moment& now, live_request& it, const placement& where,
+                     action_list& out);
+  void on_opened(const attempt_opened& ev, action_list& out);
+  void on_chunk(const moment& now, const attempt_chunk& ev, action_list& out);
+  void on_ended(const moment& now, const attempt_ended& ev, action_list& out);
+  void deliver(live_request& it, std::uint32_t tokens, const std::string& text, action_list& out);
+  void start(live_request& it, int status, std::vector<header_field> headers, action_list& out);
+  void deliver_early(live_request& it, action_list& out);
+  /// Leaves the open attempt behind; `cancel` also stops it at the upstream.
+  void close_attempt(live_request& it, bool cancel, action_list& out);
+  /// The open attempt's prompt is no longer waiting at its upstream.
+  void end_prefill(live_request& it);
+  void retry_or_fail(const moment& now, live_request& it, const error& why, action_list& out);
+  void finish_whole(const moment& now, live_request& it, const attempt_ended& ev,
+                    action_list& out);
+  /// The one final answer that is an error. `it` is gone afterwards, unless it is a call that must
+  /// not be repeated and may be running: that goes on without its caller.
+  void refuse(const moment& now, live_request& it, error why, action_list& out);
+  /// Ends the request without another answer.
+  void drop(const moment& now, live_request& it, outcome ran, action_list& out);
+  /// Takes `it` out of all indexes, counts its usage, and settles its team's charge.
+  void erase(const moment& now, live_request& it, action_list& out);
+  void count_usage(const moment& now, const live_request& it, action_list& out);
+  [[nodiscard]] std::uint64_t actual_cost_milli(const live_request& it) const;
+  [[nodiscard]] live_request* current(const attempt_id& attempt);
+  /// What is known so far of whether its work ran.
+  [[nodiscard]] static outcome ran_so_far(const live_request& it);
+  void mark_suspect(const moment& now, const upstream_id& upstream, const error& why,
+                    action_list& out);
+  [[nodiscard]] open_attempt attempt_for(const live_request& it, const upstream_state& where) const;
+
+  request_options options_;
+  request_needs needs_;
+  retry_budget budget_;
+  config_view seen_config_;
+  live_map live_;
+  // Invariant: a row for each live request that came with a key, under the digest of its secret.
+  std::unordered_map<std::string, std::set<request_id>> by_key_;
+  // Invariant: the number of live requests of each team that has any.
+  std::unordered_map<team_id, std::uint32_t> by_team_;
+  // Invariant: the requests in phase `resuming`.
+  std::set<request_id> resuming_;
+  std::uint64_t in_flight_cost_milli_ = 0; ///< Of the requests that were placed.
+};
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/request_attempts.cpp
@@ -0,0 +1,297 @@
+// Attempts of requests at upstreams: chunks in order, resumption and the outcome.
+#include <nutmegspur/request_table.h>
+
+#include "request_rules.h"
+
+#include <nutmegspur/event_log.h>
+#include <nutmegspur/mechanisms.h>
+
+#include <algorithm>
+
+namespace nutmegspur {
+namespace {
+
+constexpr milliseconds retry_soon{1000};
+
+// Failures that another upstream would repeat.
+bool
+is_final(error_code code) {
+  return code == error_code::invalid_argument || code == error_code::too_large ||
+         code == error_code::permission_denied || code == error_code::cancelled;
+}
+
+std::string
+content_type_of(const std::vector<header_field>& headers) {
+  const auto it = std::find_if(headers.begin(), headers.end(),
+                               [](const auto& field) { return field.name == "content-type"; });
+  return it == headers.end() ? std::string{} : it->value;
+}
+
+write_log
+resume_log(request_id request, const upstream_id& from, const error& why, std::uint64_t at) {
+  return {static_cast<std::uint16_t>(log_event::request_resumed),
+          {{"request", std::to_string(request.value)},
+           {"peer", from.value},
+           {"delivered", std::to_string(at)},
+           {"code", std::string{to_name(why.code)}},
+           {"message", why.message}}};
+}
+
+} // namespace
+
+outcome
+request_table::ran_so_far(const live_request& it) {
+  if (!enabled(mechanism::outcome_from_first_byte)) {
+    return outcome::not_run;
+  }
+  return it.attempt_open || it.may_have_run ? outcome::unknown : outcome::not_run;
+}
+
+request_table::live_request*
+request_table::current(const attempt_id& attempt) {
+  const auto found = live_.find(attempt.request);
+  if (found == live_.end()) {
+    return nullptr;
+  }
+  live_request& it = found->second;
+  const bool same = it.attempt_open && it.attempts == attempt.number;
+  return same || !enabled(mechanism::chunk_offset_check) ? &it : nullptr;
+}
+
+open_attempt
+request_table::attempt_for(const live_request& it, const upstream_state& where) const {
+  open_attempt what;
+  what.attempt = {it.what.request, it.attempts};
+  what.upstream = it.upstream;
+  what.address = where.listed.address;
+  what.port = where.listed.port;
+  if (const auto* service = std::get_if<service_call>(&it.what.call)) {
+    what.method = service->method;
+    what.path = service->path;
+  } else {
+    const auto& call = std::get<inference_call>(it.what.call);
+    const bool chat = call.format == api_format::chat_completions;
+    what.path = chat ? "/v1/chat/completions" : "/v1/completions";
+    what.streaming = true;
+    what.resume_from = static_cast<std::uint32_t>(it.delivered);
+  }
+  what.headers =
+      upstream_headers(it.what, {what.attempt, options_.instance,
+                                 cache_salt(it.team, options_.cache_salt_secret), it.delivered});
+  what.body = it.what.body;
+  what.one_shot = !it.repeatable;
+  what.deadline = it.what.deadline;
+  what.progress_limit = it.progress_limit;
+  return what;
+}
+
+void
+request_table::begin_attempt(const moment& now, live_request& it, const placement& where,
+                             action_list& out) {
+  resuming_.erase(it.what.request);
+  const auto found = needs_.upstreams.find(where.upstream);
+  if (found == needs_.upstreams.end()) {
+    retry_or_fail(now, it,
+                  {error_code::unavailable, step::route, where.upstream.value,
+                   "the upstream is not listed"},
+                  out);
+    return;
+  }
+  ++it.attempts;
+  it.at = phase::running;
+  it.attempt_open = true;
+  it.prefilling = true;
+  it.upstream = where.upstream;
+  it.tried.push_back(where.upstream);
+  it.early.clear();
+  upstream_state& at = found->second;
+  ++at.own_in_flight;
+  if (const auto* call = std::get_if<inference_call>(&it.what.call)) {
+    at.own_prompt_tokens += call->prompt_tokens;
+  }
+  out.emplace_back(attempt_for(it, at));
+}
+
+void
+request_table::close_attempt(live_request& it, bool cancel, action_list& out) {
+  if (!it.attempt_open) {
+    return;
+  }
+  it.attempt_open = false;
+  it.early.clear();
+  if (const auto found = needs_.upstreams.find(it.upstream); found != needs_.upstreams.end()) {
+    upstream_state& at = found->second;
+    at.own_in_flight -= std::min(at.own_in_flight, 1U);
+  }
+  end_prefill(it);
+  if (cancel) {
+    out.emplace_back(cancel_attempt{{it.what.request, it.attempts}, it.upstream});
+  }
+}
+
+void
+request_table::end_prefill(live_request& it) {
+  const auto* call = std::get_if<inference_call>(&it.what.call);
+  const auto found = needs_.upstreams.find(it.upstream);
+  if (it.prefilling && call != nullptr && found != needs_.upstreams.end()) {
+    auto& waiting = found->second.own_prompt_tokens;
+    waiting -= std::min(waiting, call->prompt_tokens);
+  }
+  it.prefilling = false;
+}
+
+void
+request_table::on_opened(const attempt_opened& ev, action_list& out) {
+  live_request* it = current(ev.attempt);
+  if (it == nullptr || std::holds_alternative<inference_call>(it->what.call)) {
+    return; // Inference begins its answer with the first token, so that it can be placed anew.
+  }
+  it->answer.status = ev.status;
+  it->answer.content_type = content_type_of(ev.headers);
+  start(*it, ev.status, caller_headers(ev.headers), out);
+}
+
+void
+request_table::start(live_request& it, int status, std::vector<header_field> headers,
+                     action_list& out) {
+  if (it.started) {
+    return;
+  }
+  it.started = true;
+  if (!it.caller_left) {
+    out.emplace_back(start_answer{it.what.request, status, std::move(headers)});
+  }
+}
+
+void
+request_table::on_chunk(const moment& now, const attempt_chunk& ev, action_list& out) {
+  live_request* it = current(ev.attempt);
+  if (it == nullptr) {
+    return;
+  }
+  end_prefill(*it);
+  if (!enabled(mechanism::chunk_offset_check) || ev.offset == it->delivered) {
+    deliver(*it, ev.tokens, ev.text, out);
+    deliver_early(*it, out);
+    return;
+  }
+  if (ev.offset + ev.tokens <= it->delivered) {
+    return; // A repeat.
+  }
+  const bool fits = it->early.size() < options_.max_early_chunks;
+  if (ev.offset > it->delivered && fits) {
+    it->early.emplace(ev.offset, early_chunk{ev.tokens, ev.text});
+    return;
+  }
+  // A chunk that overlaps what was delivered cannot be cut; nor can the gap be waited out.
+  const error why{error_code::upstream_failed, step::attempt_stream, it->upstream.value,
+                  "the stream has a gap or an overlap", outcome::unknown};
+  close_attempt(*it, true, out);
+  retry_or_fail(now, *it, why, out);
+}
+
+void
+request_table::deliver(live_request& it, std::uint32_t tokens, const std::string& text,
+                       action_list& out) {
+  start(it, 200, {}, out);
+  it.delivered += tokens;
+  if (it.claimed && it.answer.body.size() <= max_recorded_body) {
+    it.answer.body += text;
+  }
+  if (!it.caller_left && !text.empty()) {
+    out.emplace_back(send_chunk{it.what.request, text});
+  }
+}
+
+void
+request_table::deliver_early(live_request& it, action_list& out) {
+  while (!it.early.empty() && it.early.begin()->first <= it.delivered) {
+    const auto node = it.early.extract(it.early.begin());
+    if (node.key() == it.delivered) {
+      deliver(it, node.mapped().tokens, node.mapped().text, out);
+    }
+  }
+}
+
+void
+request_table::on_ended(const moment& now, const attempt_ended& ev, action_list& out) {
+  live_request* it = current(ev.attempt);
+  if (it == nullptr) {
+    return;
+  }
+  if (ev.usage.prompt_tokens > 0) {
+    it->usage.prompt_tokens = ev.usage.prompt_tokens;
+    it->usage.cached_tokens = ev.usage.cached_tokens;
+  }
+  const bool gap = !it->early.empty() || ev.end_offset > it->delivered;
+  if (!ev.failure && gap && enabled(mechanism::chunk_offset_check)) {
+    const error why{error_code::upstream_failed, step::attempt_done, it->upstream.value,
+                    "the stream ended with a gap", outcome::unknown};
+    close_attempt(*it, false, out);
+    retry_or_fail(now, *it, why, out);
+    return;
+  }
+  close_attempt(*it, false, out);
+  if (!ev.failure) {
+    finish_whole(now, *it, ev, out);
+    return;
+  }
+  mark_suspect(now, it->upstream, *ev.failure, out);
+  retry_or_fail(now, *it, *ev.failure, out);
+}
+
+void
+request_table::finish_whole(const moment& now, live_request& it, const attempt_ended& ev,
+                            action_list& out) {
+  start(it, 200, {}, out);
+  it.usage.output_tokens = static_cast<std::uint32_t>(it.delivered);
+  if (it.claimed) {
+    it.answer.ran = outcome::ran;
+    needs_.claims.finish(now, it.what.request, it.answer, out);
+  }
+  if (!it.caller_left) {
+    out.emplace_back(end_answer{it.what.request, it.usage, ev.finish_reason});
+  }
+  erase(now, it, out);
+}
+
+void
+request_table::retry_or_fail(const moment& now, live_request& it, const error& why,
+                             action_list& out) {
+  const bool untouched = why.ran == outcome::not_run;
+  it.may_have_run = it.may_have_run || !untouched;
+  const bool is_service = std::holds_alternative<service_call>(it.what.call);
+  const bool may_repeat = untouched || (it.repeatable && !(is_service && it.started));
+  const bool may_retry = may_repeat && !it.caller_left && !is_final(why.code) &&
+                         it.attempts < options_.max_attempts && now.boot < it.what.deadline;
+  if (may_retry && (untouched || budget_.take(now))) {
+    it.at = phase::resuming;
+    resuming_.insert(it.what.request);
+    out.emplace_back(resume_log(it.what.request, it.upstream, why, it.delivered));
+    return;
+  }
+  error last = why;
+  last.ran = ran_so_far(it);
+  if (!is_final(why.code) && !last.retry_after) {
+    last.retry_after = retry_soon;
+  }
+  refuse(now, it, last, out);
+}
+
+void
+request_table::mark_suspect(const moment& now, const upstream_id& upstream, const error& why,
+                            action_list& out) {
+  const auto found = needs_.upstreams.find(upstream);
+  if (found == needs_.upstreams.end() || is_final(why.code) ||
+      why.code == error_code::overloaded) {
+    return;
+  }
+  found->second.suspect = true;
+  found->second.suspect_until = now.boot + options_.suspect_span;
+  out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::upstream_failed),
+                             {{"peer", upstream.value},
+                              {"code", std::string{to_name(why.code)}},
+                              {"message", why.message}}});
+}
+
+} // namespace nutmegspur
