--- a/src/include/nutmegspur/config.h
+++ b/src/include/nutmegspur/config.h
@@ -36,7 +36,8 @@
   std::unordered_map<std::string, resource> routes;
   std::unordered_map<std::string, resource> drains;
   std::unordered_map<std::string, resource> upstreams;
-  /// Keys by the digest of their secret. Invariant: the same keys as in `keys`.
+  /// Keys by the digest of their secret. Invariant: each digest in `keys` is here, once; where
+  /// two keys share one, a withdrawn key goes first, then the lesser name.
   std::unordered_map<std::string, known_key> by_secret;
 
   /// The resource, or null.
@@ -47,11 +48,20 @@
   [[nodiscard]] const known_key* key(const std::string& secret_sha256) const;
   /// Whether `team` (empty: no key) may use `model` in `zone`.
   [[nodiscard]] bool offered(const team_id& team, const model_id& model, const zone_id& zone) const;
-  /// The route with the longest matching prefix, or null.
+  /// The route with the longest matching prefix, or null; none for a path with dot segments.
   [[nodiscard]] const route_spec* route(const service_id& service, const std::string& path) const;
   [[nodiscard]] bool drained(const upstream_id& upstream) const;
   /// What operators state about the upstream, or the defaults.
   [[nodiscard]] upstream_spec upstream(const upstream_id& id) const;
+
+  /// Adds or replaces one resource, and keeps `by_secret` in step.
+  void put(const resource& it);
+  /// Removes one resource, if it is there.
+  void remove(resource_kind kind, const std::string& name);
+
+ private:
+  void index_key(const std::string& name, const key_spec& spec);
+  void unindex_key(const std::string& name, const std::string& secret_sha256);
 };
 
 using config_view = std::shared_ptr<const config_snapshot>;
--- /dev/null
+++ b/src/libnutmegspur/json_reader.cpp
@@ -0,0 +1,179 @@
+// Strict reading of JSON objects.
+#include "json_reader.h"
+
+#include <nutmegspur/records.h>
+
+#include <QtCore/QJsonDocument>
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegspur {
+
+namespace {
+
+error
+invalid(std::string message) {
+  return {error_code::invalid_argument, step::config_read, "", std::move(message)};
+}
+
+} // namespace
+
+QString
+to_qt(std::string_view text) {
+  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+result<QJsonObject>
+parse_json_object(std::string_view json, std::string_view what) {
+  const QByteArray bytes(json.data(), static_cast<qsizetype>(json.size()));
+  QJsonParseError ec{};
+  const QJsonDocument document = QJsonDocument::fromJson(bytes, &ec);
+  const std::string prefix{what};
+  if (ec.error != QJsonParseError::NoError) {
+    return fail(invalid(prefix + ": not JSON: " + ec.errorString().toStdString() + " at byte " +
+                        std::to_string(ec.offset)));
+  }
+  if (!document.isObject()) {
+    return fail(invalid(prefix + ": must be a JSON object"));
+  }
+  return document.object();
+}
+
+std::string
+compact_json(const QJsonObject& object) {
+  return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+QJsonValue
+json_reader::take(const char* name) {
+  known_.insert(name);
+  return object_.value(QLatin1String(name));
+}
+
+void
+json_reader::reject(const char* name, const std::string& why) {
+  if (!first_) {
+    first_ = invalid(what_ + ": field '" + name + "' " + why);
+  }
+}
+
+std::string
+json_reader::text(const char* name, std::string_view fallback, std::size_t most) {
+  const QJsonValue value = take(name);
+  if (value.isUndefined()) {
+    return std::string{fallback};
+  }
+  if (!value.isString()) {
+    reject(name, "must be a string");
+    return {};
+  }
+  std::string out = value.toString().toStdString();
+  if (out.size() > most) {
+    reject(name, "must be at most " + std::to_string(most) + " bytes long");
+  }
+  return out;
+}
+
+std::string
+json_reader::required_text(const char* name, std::size_t most) {
+  if (!has(name)) {
+    known_.insert(name);
+    reject(name, "is missing");
+    return {};
+  }
+  return text(name, "", most);
+}
+
+std::string
+json_reader::name(const char* field, bool required) {
+  std::string out = required ? required_text(field) : text(field, "");
+  if (out.empty() && !required) {
+    return out;
+  }
+  if (const auto ok = check_resource_name(out); !ok) {
+    reject(field, "is no name: " + ok.error().message);
+  }
+  return out;
+}
+
+std::vector<std::string>
+json_reader::names(const char* field) {
+  const QJsonValue value = take(field);
+  std::vector<std::string> out;
+  if (value.isUndefined()) {
+    return out;
+  }
+  if (!value.isArray()) {
+    reject(field, "must be a list of names");
+    return out;
+  }
+  for (const auto& it : value.toArray()) {
+    std::string text = it.toString().toStdString();
+    if (!it.isString() || !check_resource_name(text)) {
+      reject(field, "must be a list of names of [a-z0-9._-]");
+      return out;
+    }
+    if (std::find(out.begin(), out.end(), text) != out.end()) {
+      reject(field, "holds '" + text + "' twice");
+      return out;
+    }
+    out.push_back(std::move(text));
+  }
+  return out;
+}
+
+std::int64_t
+json_reader::integer(const char* name, std::int64_t fallback, std::int64_t least,
+                     std::int64_t most) {
+  const QJsonValue value = take(name);
+  if (value.isUndefined()) {
+    return fallback;
+  }
+  const double number = value.toDouble(std::nan(""));
+  const bool whole = value.isDouble() && std::floor(number) == number;
+  if (!whole || number < static_cast<double>(least) || number > static_cast<double>(most)) {
+    reject(name,
+           "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return fallback;
+  }
+  return static_cast<std::int64_t>(number);
+}
+
+bool
+json_reader::boolean(const char* name, bool fallback) {
+  const QJsonValue value = take(name);
+  if (value.isUndefined()) {
+    return fallback;
+  }
+  if (!value.isBool()) {
+    reject(name, "must be true or false");
+    return fallback;
+  }
+  return value.toBool();
+}
+
+QJsonObject
+json_reader::required_object(const char* name) {
+  const QJsonValue value = take(name);
+  if (!value.isObject()) {
+    reject(name, value.isUndefined() ? "is missing" : "must be an object");
+    return {};
+  }
+  return value.toObject();
+}
+
+result<void>
+json_reader::finish() const {
+  if (first_) {
+    return fail(*first_);
+  }
+  for (const auto& field : object_.keys()) {
+    if (!known_.contains(field.toStdString())) {
+      return fail(invalid(what_ + ": unknown field '" + field.toStdString() + "'"));
+    }
+  }
+  return {};
+}
+
+} // namespace nutmegspur
