--- /dev/null
+++ b/src/http_streams.upstream/attempt_manager.cpp
@@ -0,0 +1,347 @@
+// Attempts under way at upstreams.
+#include "attempt_manager.h"
+
+#include <nutmegspur/mechanisms.h>
+
+#include <QtNetwork/QNetworkRequest>
+
+#include <algorithm>
+#include <vector>
+
+namespace nutmegspur::http_streams {
+namespace {
+
+constexpr milliseconds sweep_period{100};
+constexpr milliseconds retry_period{5};
+constexpr qint64 read_buffer_bytes = 256L * 1024;
+constexpr qsizetype max_error_text = 300;
+constexpr int first_error_status = 400;
+
+QNetworkRequest
+request_for(const open_attempt& what, const connection_slot& slot) {
+  QNetworkRequest request{QUrl::fromEncoded(
+      QByteArray::fromStdString("http://" + slot.endpoint + what.path), QUrl::TolerantMode)};
+  request.setPeerVerifyName(QString::fromStdString(slot.name));
+  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                       QNetworkRequest::ManualRedirectPolicy);
+  request.setAttribute(QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
+  request.setAttribute(QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
+  request.setAttribute(QNetworkRequest::AuthenticationReuseAttribute, QNetworkRequest::Manual);
+  request.setAttribute(QNetworkRequest::CacheLoadControlAttribute, QNetworkRequest::AlwaysNetwork);
+  request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+  // In place of what the library would say by itself.
+  request.setRawHeader("user-agent", "nutmegspur");
+  request.setRawHeader("accept-encoding", "identity");
+  request.setRawHeader("accept-language", "*");
+  for (const auto& field : what.headers) {
+    request.setRawHeader(QByteArray::fromStdString(field.name),
+                         QByteArray::fromStdString(field.value));
+  }
+  if (what.one_shot) {
+    request.setRawHeader("connection", "close"); // Its connection serves nobody else.
+  }
+  return request;
+}
+
+int
+status_of(const QNetworkReply& reply) {
+  return reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+}
+
+error_code
+code_of_status(int status) {
+  switch (status) {
+  case 400:
+  case 422:
+    return error_code::invalid_argument;
+  case 413:
+    return error_code::too_large;
+  case 429:
+  case 503:
+    return error_code::overloaded;
+  default:
+    return error_code::upstream_failed;
+  }
+}
+
+} // namespace
+
+attempt_manager::attempt_manager(const worker_context& context, event_sink sink)
+    : context_(context), sink_(std::move(sink)) {
+  QObject::connect(&sweep_timer_, &QTimer::timeout, &manager_, [this] { sweep(); });
+  QObject::connect(&retry_timer_, &QTimer::timeout, &manager_, [this] { tell_again(); });
+  sweep_timer_.start(sweep_period);
+  retry_timer_.setInterval(retry_period);
+}
+
+attempt_manager::~attempt_manager() {
+  for (auto& [id, it] : live_) {
+    it->reply->disconnect();
+    it->reply->abort();
+    delete it->reply;
+  }
+}
+
+void
+attempt_manager::open(const open_attempt& what) {
+  auto added = std::make_unique<live_attempt>();
+  live_attempt& it = *added;
+  it.what = what;
+  const std::string endpoint = what.address + ":" + std::to_string(what.port);
+  it.slot = what.one_shot ? slots_.take_fresh(endpoint) : slots_.take(endpoint);
+  it.last_progress = boot_clock::now();
+  if (what.streaming) {
+    it.reader = std::make_unique<sse_reader>(what.attempt, what.resume_from);
+  }
+  live_.emplace(what.attempt, std::move(added));
+  send(it);
+}
+
+void
+attempt_manager::send(live_attempt& it) {
+  QNetworkRequest request = request_for(it.what, it.slot);
+  const bool has_body = it.what.body && !it.what.body->empty();
+  if (has_body || it.what.one_shot) {
+    it.body = std::make_unique<one_shot_body>(it.what.body);
+    request.setHeader(QNetworkRequest::ContentLengthHeader, it.body->size());
+  }
+  it.reply = manager_.sendCustomRequest(request, QByteArray::fromStdString(it.what.method),
+                                        it.body.get());
+  it.reply->setReadBufferSize(read_buffer_bytes);
+  connect_reply(it.what.attempt, it.reply);
+}
+
+void
+attempt_manager::connect_reply(const attempt_id& id, QNetworkReply* reply) {
+  const auto on = [this, id](void (attempt_manager::*call)(live_attempt&)) {
+    return [this, id, call] {
+      if (live_attempt* it = find(id); it != nullptr) {
+        it->last_progress = boot_clock::now();
+        (this->*call)(*it);
+      }
+    };
+  };
+  QObject::connect(reply, &QNetworkReply::requestSent, reply, [this, id] {
+    if (live_attempt* it = find(id); it != nullptr) {
+      it->head_sent = true;
+    }
+  });
+  QObject::connect(reply, &QNetworkReply::metaDataChanged, reply, on(&attempt_manager::on_head));
+  QObject::connect(reply, &QNetworkReply::readyRead, reply, on(&attempt_manager::on_bytes));
+  QObject::connect(reply, &QNetworkReply::finished, reply, on(&attempt_manager::on_finished));
+}
+
+attempt_manager::live_attempt*
+attempt_manager::find(const attempt_id& id) {
+  const auto found = live_.find(id);
+  return found == live_.end() ? nullptr : found->second.get();
+}
+
+void
+attempt_manager::on_head(live_attempt& it) {
+  const int status = status_of(*it.reply);
+  constexpr int first_final_status = 200;
+  if (it.opened || status < first_final_status) {
+    return;
+  }
+  it.opened = true;
+  if (it.reader && status >= first_error_status) {
+    return; // An engine's refusal: told at its end, with its text.
+  }
+  attempt_opened opened{it.what.attempt, status, {}};
+  for (const auto& [name, value] : it.reply->rawHeaderPairs()) {
+    opened.headers.push_back({name.toLower().toStdString(), value.toStdString()});
+  }
+  tell(std::move(opened));
+}
+
+void
+attempt_manager::on_bytes(live_attempt& it) {
+  if (!untold_.empty() || (it.reader && status_of(*it.reply) >= first_error_status)) {
+    return;
+  }
+  const QByteArray bytes = it.reply->readAll();
+  if (bytes.isEmpty()) {
+    return;
+  }
+  if (!it.reader) {
+    attempt_chunk chunk{it.what.attempt, it.received, static_cast<std::uint32_t>(bytes.size()),
+                        bytes.toStdString()};
+    it.received += chunk.tokens;
+    tell(std::move(chunk));
+    return;
+  }
+  for (auto& chunk : it.reader->feed(bytes)) {
+    tell(std::move(chunk));
+  }
+  if (!it.reader->broken().empty()) {
+    end(it.what.attempt,
+        error{error_code::upstream_failed, step::attempt_stream, it.what.upstream.value,
+              it.reader->broken(), outcome::unknown},
+        false);
+  }
+}
+
+void
+attempt_manager::on_finished(live_attempt& it) {
+  const attempt_id id = it.what.attempt;
+  if (!untold_.empty()) {
+    return; // Read to its end once the ring takes events again.
+  }
+  on_head(it);
+  if (it.reply->error() == QNetworkReply::NoError || it.reply->bytesAvailable() > 0) {
+    on_bytes(it);
+  }
+  if (find(id) != nullptr) {
+    end(id, failure_of(it), false);
+  }
+}
+
+// What is known of the work. A byte may have left as soon as the library has begun to write the
+// head or has read the body; before that, a refused connection proves that none did.
+outcome
+attempt_manager::outcome_of(const live_attempt& it) {
+  if (!enabled(mechanism::outcome_from_first_byte)) {
+    return outcome::not_run;
+  }
+  const auto ec = it.reply->error();
+  const bool never_connected = ec == QNetworkReply::ConnectionRefusedError ||
+                               ec == QNetworkReply::HostNotFoundError;
+  const bool touched = it.head_sent || it.opened || (it.body && it.body->touched());
+  return never_connected && !touched ? outcome::not_run : outcome::unknown;
+}
+
+std::optional<error>
+attempt_manager::failure_of(const live_attempt& it) const {
+  const int status = status_of(*it.reply);
+  error why{error_code::upstream_failed, step::attempt_open, it.what.upstream.value, "",
+            outcome_of(it)};
+  if (it.reader && status >= first_error_status) {
+    why.code = code_of_status(status);
+    why.message = "the engine answered " + std::to_string(status) + ": " +
+                  it.reply->read(max_error_text).toStdString();
+    return why;
+  }
+  // For a plain answer any status is an answer; the library reports those from 400 on as errors.
+  const bool answered = !it.reader && status > 0 && it.opened &&
+                        it.reply->error() >= QNetworkReply::ContentAccessDenied &&
+                        it.reply->error() != QNetworkReply::ContentReSendError &&
+                        it.reply->error() != QNetworkReply::ProtocolFailure;
+  if (it.reply->error() != QNetworkReply::NoError && !answered) {
+    const bool not_run = why.ran == outcome::not_run;
+    why.code = not_run ? error_code::unavailable : error_code::upstream_failed;
+    why.at = it.opened ? step::attempt_stream : step::attempt_open;
+    why.message = it.reply->errorString().toStdString();
+    return why;
+  }
+  if (it.reader && !it.reader->done()) {
+    why.at = step::attempt_done;
+    why.message = "the stream ended before it was whole";
+    return why;
+  }
+  return std::nullopt;
+}
+
+void
+attempt_manager::end(const attempt_id& id, std::optional<error> failure, bool retire) {
+  const auto found = live_.find(id);
+  const std::unique_ptr<live_attempt> it = std::move(found->second);
+  live_.erase(found);
+  it->reply->disconnect();
+  it->reply->abort();
+  it->reply->deleteLater();
+  // The reply may still hold the body: both go in the next round of the event loop.
+  if (it->body) {
+    it->body.release()->deleteLater();
+  }
+  slots_.give_back(it->slot, retire);
+  attempt_ended ended;
+  ended.attempt = id;
+  ended.failure = std::move(failure);
+  if (it->reader) {
+    ended.usage = it->reader->usage();
+    ended.finish_reason = it->reader->finish_reason();
+    ended.end_offset = it->reader->end_offset();
+  } else {
+    ended.end_offset = it->received;
+  }
+  tell(std::move(ended));
+}
+
+void
+attempt_manager::cancel(const cancel_attempt& what) {
+  const auto found = live_.find(what.attempt);
+  if (found == live_.end()) {
+    return;
+  }
+  const std::unique_ptr<live_attempt> it = std::move(found->second);
+  live_.erase(found);
+  it->reply->disconnect();
+  it->reply->abort();
+  it->reply->deleteLater();
+  if (it->body) {
+    it->body.release()->deleteLater();
+  }
+  slots_.give_back(it->slot, false);
+}
+
+void
+attempt_manager::sweep() {
+  const time_point now = boot_clock::now();
+  std::vector<attempt_id> silent;
+  for (const auto& [id, it] : live_) {
+    if (now - it->last_progress >= it->what.progress_limit && untold_.empty()) {
+      silent.push_back(id);
+    }
+  }
+  for (const attempt_id& id : silent) {
+    const live_attempt& it = *live_.at(id);
+    end(id,
+        error{error_code::upstream_failed,
+              it.opened ? step::attempt_stream : step::attempt_open, it.what.upstream.value,
+              "the upstream was silent for too long",
+              enabled(mechanism::outcome_from_first_byte) ? outcome::unknown : outcome::not_run},
+        true);
+  }
+}
+
+void
+attempt_manager::tell(event&& ev) {
+  if (!untold_.empty()) {
+    untold_.push_back(std::move(ev));
+    return;
+  }
+  event copy = ev;
+  if (!sink_(std::move(ev))) {
+    untold_.push_back(std::move(copy));
+    retry_timer_.start();
+  }
+}
+
+void
+attempt_manager::tell_again() {
+  while (!untold_.empty()) {
+    event copy = untold_.front();
+    if (!sink_(std::move(copy))) {
+      return;
+    }
+    untold_.pop_front();
+  }
+  retry_timer_.stop();
+  // Read on what waited meanwhile.
+  std::vector<attempt_id> ids;
+  for (const auto& [id, it] : live_) {
+    ids.push_back(id);
+  }
+  for (const attempt_id& id : ids) {
+    live_attempt* it = find(id);
+    if (it != nullptr && it->reply->isFinished()) {
+      on_finished(*it);
+    } else if (it != nullptr) {
+      on_bytes(*it);
+    }
+  }
+}
+
+} // namespace nutmegspur::http_streams
--- /dev/null
+++ b/src/http_streams.upstream/attempt_manager.h
@@ -0,0 +1,71 @@
+/// \file attempt_manager.h
+/// Attempts under way at upstreams, over the HTTP library.
+#pragma once
+
+#include "one_shot_body.h"
+#include "slot_pool.h"
+#include "sse_reader.h"
+
+#include <nutmegspur/kernel.h>
+
+#include <QtCore/QTimer>
+#include <QtNetwork/QNetworkAccessManager>
+#include <QtNetwork/QNetworkReply>
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+namespace nutmegspur::http_streams {
+
+/// Opens, reads and ends attempts. Every attempt that was opened and not cancelled gets exactly one
+/// `attempt_ended`.
+class attempt_manager {
+ public:
+  attempt_manager(const worker_context& context, event_sink sink);
+  attempt_manager(const attempt_manager&) = delete;
+  attempt_manager& operator=(const attempt_manager&) = delete;
+  ~attempt_manager();
+
+  void open(const open_attempt& what);
+  void cancel(const cancel_attempt& what);
+
+ private:
+  struct live_attempt {
+    open_attempt what;
+    connection_slot slot;
+    std::unique_ptr<one_shot_body> body; ///< Null where nothing is sent.
+    QNetworkReply* reply = nullptr;
+    std::unique_ptr<sse_reader> reader; ///< Null for a plain answer.
+    std::uint64_t received = 0;         ///< Body bytes of a plain answer.
+    /// The request's head may have been written.
+    bool head_sent = false;
+    bool opened = false;
+    time_point last_progress;
+  };
+
+  void send(live_attempt& it);
+  void connect_reply(const attempt_id& id, QNetworkReply* reply);
+  void on_head(live_attempt& it);
+  void on_bytes(live_attempt& it);
+  void on_finished(live_attempt& it);
+  void sweep();
+  void end(const attempt_id& id, std::optional<error> failure, bool retire);
+  [[nodiscard]] std::optional<error> failure_of(const live_attempt& it) const;
+  [[nodiscard]] static outcome outcome_of(const live_attempt& it);
+  [[nodiscard]] live_attempt* find(const attempt_id& id);
+  void tell(event&& ev);
+  void tell_again();
+
+  const worker_context& context_;
+  event_sink sink_;
+  QNetworkAccessManager manager_;
+  slot_pool slots_;
+  QTimer sweep_timer_;
+  QTimer retry_timer_;
+  std::unordered_map<attempt_id, std::unique_ptr<live_attempt>> live_;
+  /// Events that a full ring refused, in order. While there are any, nothing more is read.
+  std::deque<event> untold_;
+};
+
+} // namespace nutmegspur::http_streams
--- /dev/null
+++ b/src/http_streams.upstream/one_shot_body.cpp
@@ -0,0 +1,40 @@
+// A request body that can be read once.
+#include "one_shot_body.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace nutmegspur::http_streams {
+
+one_shot_body::one_shot_body(shared_body body)
+    : body_(body ? std::move(body) : std::make_shared<const std::string>()) {
+  open(QIODevice::ReadOnly | QIODevice::Unbuffered);
+}
+
+qint64
+one_shot_body::size() const {
+  return static_cast<qint64>(body_->size());
+}
+
+qint64
+one_shot_body::bytesAvailable() const {
+  return size() - at_ + QIODevice::bytesAvailable();
+}
+
+qint64
+one_shot_body::readData(char* to, qint64 most) {
+  const qint64 n = std::min(most, size() - at_);
+  if (n <= 0) {
+    return -1;
+  }
+  std::memcpy(to, body_->data() + at_, static_cast<std::size_t>(n));
+  at_ += n;
+  return n;
+}
+
+qint64
+one_shot_body::writeData(const char* /*from*/, qint64 /*n*/) {
+  return -1;
+}
+
+} // namespace nutmegspur::http_streams
--- /dev/null
+++ b/src/http_streams.upstream/one_shot_body.h
@@ -0,0 +1,37 @@
+/// \file one_shot_body.h
+/// A request body that can be read once.
+///
+/// The HTTP library sends a request again by itself when a connection closes early, and for that it
+/// rewinds the body. A sequential device cannot be rewound, so the call ends in an error instead.
+#pragma once
+
+#include <nutmegspur/request.h>
+
+#include <QtCore/QIODevice>
+
+namespace nutmegspur::http_streams {
+
+/// Reads a shared body from its start to its end, once.
+class one_shot_body : public QIODevice {
+ public:
+  explicit one_shot_body(shared_body body);
+
+  [[nodiscard]] bool isSequential() const override { return true; }
+
+  [[nodiscard]] qint64 bytesAvailable() const override;
+
+  [[nodiscard]] qint64 size() const override;
+
+  /// Whether any byte was read, and so may have left.
+  [[nodiscard]] bool touched() const { return at_ > 0; }
+
+ protected:
+  qint64 readData(char* to, qint64 most) override;
+  qint64 writeData(const char* from, qint64 n) override;
+
+ private:
+  shared_body body_;
+  qint64 at_ = 0;
+};
+
+} // namespace nutmegspur::http_streams
--- a/src/include/nutmegspur/claims.h
+++ b/src/include/nutmegspur/claims.h
@@ -97,11 +97,16 @@
     time_point started;        ///< When this phase began; limits count from here.
     time_point next_try;       ///< When `call` is 0.
     bool may_be_written = false; ///< A claim write's answer was lost: it may stand in the store.
-    bool decided = false;        ///< The verdict was given.
+    bool taken = false;          ///< A claim write found the key taken.
+    bool decided = false;        ///< The verdict was given, or nobody waits for one.
   };
 
   void write(const moment& now, entry& it, action_list& out);
   void read(const moment& now, entry& it, action_list& out);
+  void call(const moment& now, entry& it, platform_request what, action_list& out);
+  void withdraw(const moment& now, entry& it, action_list& out);
+  void hold(const moment& now, entry& it, revision modified, action_list& out);
+  void tend(const moment& now, entry& it, action_list& out);
   void on_reply(const moment& now, const platform_reply& reply, action_list& out);
   void on_claim_written(const moment& now, entry& it, const platform_reply& reply,
                         action_list& out);
--- a/src/include/nutmegspur/prefix.h
+++ b/src/include/nutmegspur/prefix.h
@@ -30,4 +30,8 @@
 std::vector<std::uint64_t> hash_prefix_blocks(std::string_view text, std::string_view salt,
                                               std::uint32_t block_tokens);
 
+/// The hash that stands for `block` (made without a salt) under `salt`; salting each block of
+/// `hash_prefix_blocks(text, "", n)` gives `hash_prefix_blocks(text, salt, n)`.
+std::uint64_t salted_block(std::uint64_t block, std::string_view salt);
+
 } // namespace nutmegspur
--- a/src/include/nutmegspur/request.h
+++ b/src/include/nutmegspur/request.h
@@ -166,6 +166,7 @@
   request_id request;
   int status = 200;
   std::vector<header_field> headers;
+  team_id team; ///< Whose request it is, for metrics.
 };
 
 /// A part of the answer, in order and without gaps.
--- /dev/null
+++ b/src/libnutmegspur/claims.cpp
@@ -0,0 +1,376 @@
+// Claims of calls that may not be repeated: written before the send, ended after it.
+#include <nutmegspur/claims.h>
+
+#include "request_rules.h"
+
+#include <nutmegspur/event_log.h>
+
+namespace nutmegspur {
+namespace {
+
+error
+store_out(outcome ran) {
+  return {error_code::unavailable, step::claim_write, "platform",
+          "the key-value service cannot take the claim now", ran, milliseconds{1000}};
+}
+
+error
+refusal(error_code code, std::string message, outcome ran) {
+  return {code, step::claim_write, "", std::move(message), ran};
+}
+
+} // namespace
+
+claim_book::claim_book(claim_options options) : options_(std::move(options)) {}
+
+void
+claim_book::set_listener(listener hears) {
+  hears_ = std::move(hears);
+}
+
+std::size_t
+claim_book::unfinished() const {
+  return entries_.size();
+}
+
+void
+claim_book::begin(const moment& now, const claim_request& what, action_list& out) {
+  const auto [found, added] = entries_.try_emplace(what.request);
+  if (!added) {
+    return;
+  }
+  entry& it = found->second;
+  it.what = what;
+  it.key = claim_key(what.team, sha256_hex(what.idempotency_key));
+  it.record.phase = claim_phase::claimed;
+  it.record.holder = options_.instance;
+  it.record.writer = options_.instance.value + "/" + std::to_string(options_.seed) + "/" +
+                     std::to_string(++last_token_);
+  it.record.request_sha256 = what.request_sha256;
+  it.record.written_at = now.wall;
+  it.started = now.boot;
+  write(now, it, out);
+}
+
+void
+claim_book::finish(const moment& now, request_id request, const claim_outcome& what,
+                   action_list& out) {
+  const auto found = entries_.find(request);
+  if (found == entries_.end() || found->second.at != phase::held) {
+    return;
+  }
+  entry& it = found->second;
+  if (what.ran == outcome::unknown) {
+    entries_.erase(found); // The claim that stands already says "may have been sent".
+    return;
+  }
+  claim_record record = it.record;
+  record.ran = what.ran;
+  record.phase = claim_phase::released;
+  if (what.ran == outcome::ran) {
+    record.phase = claim_phase::recorded;
+    record.status = what.status;
+    record.content_type = what.content_type;
+    record.body = what.body.size() <= max_recorded_body ? what.body : std::string{};
+  }
+  end_with(now, it, std::move(record), out);
+}
+
+void
+claim_book::abandon(const moment& now, request_id request, action_list& out) {
+  const auto found = entries_.find(request);
+  if (found == entries_.end() || found->second.decided) {
+    return;
+  }
+  withdraw(now, found->second, out);
+}
+
+// Nothing was sent and nothing will be: the claim must not be left standing, nor may a write that
+// is still under way make it stand later.
+void
+claim_book::withdraw(const moment& now, entry& it, action_list& out) {
+  const bool under_way = it.at == phase::writing && it.call != 0;
+  if (!it.may_be_written && !under_way) {
+    calls_.erase(it.call);
+    entries_.erase(it.what.request);
+    return;
+  }
+  claim_record record = it.record;
+  record.phase = claim_phase::released;
+  record.ran = outcome::not_run;
+  end_with(now, it, std::move(record), out);
+}
+
+void
+claim_book::end_with(const moment& now, entry& it, claim_record record, action_list& out) {
+  calls_.erase(it.call);
+  it.call = 0;
+  it.decided = true;
+  it.record = std::move(record);
+  it.record.written_at = now.wall;
+  it.at = phase::recording;
+  it.started = now.boot;
+  write(now, it, out);
+}
+
+void
+claim_book::write(const moment& now, entry& it, action_list& out) {
+  kv_txn txn;
+  txn.conditions.push_back({it.key, it.modified});
+  txn.writes.push_back({it.key, to_json(it.record)});
+  call(now, it, std::move(txn), out);
+}
+
+void
+claim_book::read(const moment& now, entry& it, action_list& out) {
+  kv_range range;
+  range.from = it.key;
+  call(now, it, std::move(range), out);
+}
+
+void
+claim_book::call(const moment& now, entry& it, platform_request what, action_list& out) {
+  it.call = ++last_call_;
+  it.next_try = now.boot + options_.retry_pause;
+  calls_[it.call] = it.what.request;
+  out.emplace_back(call_platform{{duty::claims, it.call}, std::move(what)});
+}
+
+void
+claim_book::step(const moment& now, const event& ev, action_list& out) {
+  if (const auto* reply = std::get_if<platform_reply>(&ev)) {
+    if (reply->call.owner == duty::claims) {
+      on_reply(now, *reply, out);
+    }
+  } else if (std::holds_alternative<tick>(ev)) {
+    on_tick(now, out);
+  }
+}
+
+void
+claim_book::on_reply(const moment& now, const platform_reply& reply, action_list& out) {
+  const auto call = calls_.find(reply.call.number);
+  if (call == calls_.end()) {
+    return; // Left behind when its claim went on without it.
+  }
+  entry& it = entries_.at(call->second);
+  calls_.erase(call);
+  it.call = 0;
+  it.next_try = now.boot + options_.retry_pause;
+  switch (it.at) {
+  case phase::writing:
+    on_claim_written(now, it, reply, out);
+    break;
+  case phase::reading:
+    on_claim_read(now, it, reply, out);
+    break;
+  case phase::recording:
+    on_end_written(now, it, reply, out);
+    break;
+  case phase::checking:
+    on_end_read(now, it, reply, out);
+    break;
+  case phase::held:
+    break;
+  }
+}
+
+void
+claim_book::on_claim_written(const moment& now, entry& it, const platform_reply& reply,
+                             action_list& out) {
+  if (!reply.answer) {
+    if (reply.answer.error().ran != outcome::not_run) {
+      it.may_be_written = true;
+      it.at = phase::reading; // Read back once the pause is over.
+    } else if (!it.may_be_written) {
+      decide(now, it, {it.what.request, claim_decision::refuse, {}, store_out(outcome::not_run)},
+             out);
+    }
+    return;
+  }
+  const auto* txn = std::get_if<kv_txn_reply>(&*reply.answer);
+  if (txn != nullptr && txn->applied) {
+    hold(now, it, txn->store, out);
+    return;
+  }
+  it.at = phase::reading;
+  it.taken = true;
+  read(now, it, out);
+}
+
+void
+claim_book::hold(const moment& now, entry& it, revision modified, action_list& out) {
+  it.modified = modified;
+  it.at = phase::held;
+  decide(now, it, {it.what.request, claim_decision::proceed, it.record, {}}, out);
+}
+
+void
+claim_book::on_claim_read(const moment& now, entry& it, const platform_reply& reply,
+                          action_list& out) {
+  if (!reply.answer) {
+    if (reply.answer.error().ran == outcome::not_run && !it.may_be_written) {
+      // Somebody's claim stands, but not what became of it.
+      decide(now, it, {it.what.request, claim_decision::refuse, {}, store_out(outcome::unknown)},
+             out);
+    }
+    return;
+  }
+  const auto* range = std::get_if<kv_range_reply>(&*reply.answer);
+  if (range == nullptr || range->pairs.empty()) {
+    // Not there yet, or a stale read: the same conditional write again settles it.
+    it.at = phase::writing;
+    it.modified = {};
+    return;
+  }
+  judge(now, it, range->pairs.front(), out);
+}
+
+void
+claim_book::judge(const moment& now, entry& it, const kv_pair& pair, action_list& out) {
+  claim_verdict verdict{it.what.request, claim_decision::refuse, {}, {}};
+  auto record = parse_claim(pair.value);
+  if (!record) {
+    verdict.why = refusal(error_code::internal, "the stored claim cannot be read",
+                          outcome::unknown);
+  } else if (record->request_sha256 != it.record.request_sha256) {
+    verdict.why = refusal(error_code::conflict,
+                          "the idempotency key was used for another request", outcome::not_run);
+    out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::claim_conflict),
+                               {{"team", it.what.team.value},
+                                {"request", std::to_string(it.what.request.value)}}});
+  } else if (record->phase == claim_phase::claimed && record->writer == it.record.writer) {
+    hold(now, it, pair.modified, out);
+    return;
+  } else if (record->phase == claim_phase::released) {
+    it.modified = pair.modified;
+    it.at = phase::writing;
+    write(now, it, out);
+    return;
+  } else if (record->phase == claim_phase::recorded && record->status > 0) {
+    verdict.decision = claim_decision::replay;
+    verdict.record = std::move(*record);
+  } else {
+    verdict.why = refusal(error_code::conflict,
+                          "a call under this idempotency key was begun and its end is not known",
+                          outcome::unknown);
+    verdict.why.retry_after = milliseconds{1000};
+  }
+  decide(now, it, std::move(verdict), out);
+}
+
+// The listener may end the claim at once: `it` must not be used afterwards.
+void
+claim_book::decide(const moment& now, entry& it, claim_verdict verdict, action_list& out) {
+  it.decided = true;
+  if (verdict.decision != claim_decision::proceed) {
+    calls_.erase(it.call);
+    entries_.erase(it.what.request);
+  }
+  if (hears_) {
+    hears_(now, verdict, out);
+  }
+}
+
+void
+claim_book::on_end_written(const moment& now, entry& it, const platform_reply& reply,
+                           action_list& out) {
+  if (!reply.answer) {
+    const bool untouched = reply.answer.error().ran == outcome::not_run;
+    it.at = untouched ? phase::recording : phase::checking;
+    return;
+  }
+  const auto* txn = std::get_if<kv_txn_reply>(&*reply.answer);
+  if (txn != nullptr && txn->applied) {
+    entries_.erase(it.what.request);
+    return;
+  }
+  it.at = phase::checking;
+  read(now, it, out);
+}
+
+void
+claim_book::on_end_read(const moment& now, entry& it, const platform_reply& reply,
+                        action_list& out) {
+  if (!reply.answer) {
+    return; // Read again after the pause.
+  }
+  const auto* range = std::get_if<kv_range_reply>(&*reply.answer);
+  it.at = phase::recording;
+  if (range == nullptr || range->pairs.empty()) {
+    return; // Not there, or a stale read: write again after the pause.
+  }
+  const kv_pair& pair = range->pairs.front();
+  const auto record = parse_claim(pair.value);
+  const bool ours = record && record->writer == it.record.writer;
+  if (!ours && it.record.phase == claim_phase::released && pair.modified > it.modified) {
+    entries_.erase(it.what.request); // Somebody else's claim: ours can no longer come to stand.
+    return;
+  }
+  if (ours && record->phase == it.record.phase) {
+    entries_.erase(it.what.request);
+    return;
+  }
+  if (ours && pair.modified > it.modified) {
+    it.modified = pair.modified;
+    write(now, it, out);
+  }
+}
+
+void
+claim_book::on_tick(const moment& now, action_list& out) {
+  std::vector<request_id> ids;
+  for (const auto& [request, it] : entries_) {
+    ids.push_back(request);
+  }
+  for (const request_id request : ids) {
+    const auto found = entries_.find(request);
+    if (found != entries_.end()) {
+      tend(now, found->second, out);
+    }
+  }
+}
+
+void
+claim_book::tend(const moment& now, entry& it, action_list& out) {
+  if (it.at == phase::held) {
+    return;
+  }
+  if (!it.decided && now.boot >= it.started + options_.decision_limit) {
+    give_up(now, it, out);
+    return;
+  }
+  if (it.decided && now.boot >= it.started + options_.record_limit) {
+    out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::request_failed),
+                               {{"request", std::to_string(it.what.request.value)},
+                                {"step", std::string{to_name(step::claim_record)}},
+                                {"peer", "platform"},
+                                {"message", "the end of the call could not be recorded"}}});
+    calls_.erase(it.call);
+    entries_.erase(it.what.request);
+    return;
+  }
+  if (it.call != 0 || now.boot < it.next_try) {
+    return;
+  }
+  if (it.at == phase::writing || it.at == phase::recording) {
+    write(now, it, out);
+  } else {
+    read(now, it, out);
+  }
+}
+
+// Undecided for too long. Nothing was sent, so the refusal is `not_run`, unless another call under
+// the same key stands in the store.
+void
+claim_book::give_up(const moment& now, entry& it, action_list& out) {
+  const outcome ran = it.taken && !it.may_be_written ? outcome::unknown : outcome::not_run;
+  const claim_verdict verdict{it.what.request, claim_decision::refuse, {}, store_out(ran)};
+  it.decided = true;
+  withdraw(now, it, out);
+  if (hears_) {
+    hears_(now, verdict, out);
+  }
+}
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/prefix.cpp
+++ b/src/libnutmegspur/prefix.cpp
@@ -59,14 +59,19 @@
   return text;
 }
 
+std::uint64_t
+salted_block(std::uint64_t block, std::string_view salt) {
+  return salt.empty() ? block : hash_on(block, salt);
+}
+
 std::vector<std::uint64_t>
 hash_prefix_blocks(std::string_view text, std::string_view salt, std::uint32_t block_tokens) {
   const auto size = std::max<std::size_t>(1, block_tokens) * bytes_per_token;
   std::vector<std::uint64_t> blocks;
-  auto hash = hash_on(hash_basis, salt);
+  auto hash = hash_basis;
   for (std::size_t at = 0; at + size <= text.size(); at += size) {
     hash = hash_on(hash, text.substr(at, size));
-    blocks.push_back(hash);
+    blocks.push_back(salted_block(hash, salt));
   }
   return blocks;
 }
--- a/src/libnutmegspur/request_attempts.cpp
+++ b/src/libnutmegspur/request_attempts.cpp
@@ -159,7 +159,7 @@
   }
   it.started = true;
   if (!it.caller_left) {
-    out.emplace_back(start_answer{it.what.request, status, std::move(headers)});
+    out.emplace_back(start_answer{it.what.request, status, std::move(headers), it.team});
   }
 }
 
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -145,7 +145,7 @@
   }
   const QJsonObject body{{QStringLiteral("object"), QStringLiteral("list")},
                          {QStringLiteral("data"), models}};
-  out.emplace_back(start_answer{it.request, 200, {{"content-type", "application/json"}}});
+  out.emplace_back(start_answer{it.request, 200, {{"content-type", "application/json"}}, team});
   out.emplace_back(
       send_chunk{it.request, QJsonDocument{body}.toJson(QJsonDocument::Compact).toStdString()});
   out.emplace_back(end_answer{it.request, {}, "stop"});
@@ -183,7 +183,8 @@
     out.emplace_back(start_answer{verdict.request,
                                   record.status,
                                   {{"content-type", record.content_type},
-                                   {"idempotency-replayed", "true"}}});
+                                   {"idempotency-replayed", "true"}},
+                                  it.team});
     if (!record.body.empty()) {
       out.emplace_back(send_chunk{verdict.request, record.body});
     }
--- /dev/null
+++ b/src/openai_http.caller/caller_server.h
@@ -0,0 +1,86 @@
+/// \file caller_server.h
+/// The HTTP server for callers: one live answer for each request until it has ended.
+#pragma once
+
+#include "answer_format.h"
+#include "caller_parse.h"
+#include "guarded_listener.h"
+
+#include <nutmegspur/kernel.h>
+
+#include <QtCore/QTimer>
+#include <QtHttpServer/QAbstractHttpServer>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegspur::openai_http {
+
+/// Turns requests into events and actions into bytes.
+class caller_server : public QAbstractHttpServer {
+ public:
+  caller_server(const worker_context& context, event_sink sink);
+
+  /// Listens on the caller port.
+  result<void> listen_for_callers();
+  void close_all();
+
+  void on_ready(const set_ready& what) { ready_ = what; }
+
+  void on_start(const start_answer& what);
+  void on_text(const send_chunk& what);
+  void on_end(const end_answer& what);
+  void on_refuse(const refuse_request& what);
+
+ protected:
+  bool handleRequest(const QHttpServerRequest& request, QTcpSocket* socket) override;
+  void missingHandler(const QHttpServerRequest& request, QTcpSocket* socket) override;
+
+ private:
+  /// An answer that has not ended. Invariant: `socket` is open; a closed one ends its answer.
+  struct live_answer {
+    QTcpSocket* socket = nullptr;
+    answer_identity identity;
+    bool inference = false;
+    bool stream = false;
+    bool include_usage = false;
+    bool has_body = true;
+    bool close_after = false;
+    bool started = false;
+    bool first_text = true;
+    std::string text; ///< Of an answer that is written whole.
+    request_class priority = request_class::standard;
+    time_point arrived;
+  };
+
+  using live_map = std::unordered_map<request_id, live_answer>;
+
+  bool handle_local(const raw_request& raw, QTcpSocket* socket);
+  void handle_call(const raw_request& raw, QTcpSocket* socket);
+  void on_closed(QTcpSocket* socket);
+  void write(live_answer& it, const QByteArray& bytes);
+  void write_document(QTcpSocket* socket, int status, const QByteArray& body,
+                      std::vector<header_field> headers, bool close_after);
+  void write_error(QTcpSocket* socket, const error& why, const std::string& id, bool close_after);
+  void end(request_id request);
+  void tell(nutmegspur::event&& ev);
+  void tell_again();
+  [[nodiscard]] std::string public_id(request_id request) const;
+  void count(const live_answer& it, std::string_view code);
+
+  const worker_context& context_;
+  event_sink sink_;
+  guarded_listener listener_;
+  QTimer retry_timer_;
+  set_ready ready_{false, "starting"};
+  std::uint64_t last_request_ = 0;
+  live_map live_;
+  // Invariant: a row for each live answer.
+  std::unordered_map<QTcpSocket*, request_id> by_socket_;
+  /// Events that a full ring refused and that must not be lost.
+  std::vector<nutmegspur::event> untold_;
+};
+
+} // namespace nutmegspur::openai_http
--- /dev/null
+++ b/src/openai_http.caller/guarded_listener.cpp
@@ -0,0 +1,115 @@
+// Connections of callers, with bounds.
+#include "guarded_listener.h"
+
+#include "answer_format.h"
+
+#include <vector>
+
+namespace nutmegspur::openai_http {
+namespace {
+
+constexpr milliseconds sweep_period{1000};
+
+} // namespace
+
+guarded_listener::guarded_listener(connection_limits limits) : limits_(limits) {
+  QObject::connect(&sweep_timer_, &QTimer::timeout, this, [this] { sweep(); });
+  sweep_timer_.start(sweep_period);
+}
+
+void
+guarded_listener::incomingConnection(qintptr handle) {
+  auto* socket = new QTcpSocket(this); // Owned by the server; the HTTP library deletes it.
+  if (!socket->setSocketDescriptor(handle) || connections_.size() >= limits_.max_connections) {
+    socket->abort();
+    socket->deleteLater();
+    return;
+  }
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  connections_[socket].since = boot_clock::now();
+  // Connected before the HTTP library's own reader, and so called before it.
+  QObject::connect(socket, &QTcpSocket::readyRead, this, [this, socket] { on_ready_read(socket); });
+  QObject::connect(socket, &QTcpSocket::disconnected, this,
+                   [this, socket] { on_disconnected(socket); });
+  addPendingConnection(socket);
+}
+
+void
+guarded_listener::request_begun(QTcpSocket* socket) {
+  connection& it = connections_[socket];
+  it.unfinished_bytes = 0;
+  it.answering = true;
+}
+
+void
+guarded_listener::request_done(QTcpSocket* socket) {
+  const auto found = connections_.find(socket);
+  if (found != connections_.end()) {
+    found->second.answering = false;
+    found->second.since = boot_clock::now();
+  }
+}
+
+void
+guarded_listener::on_ready_read(QTcpSocket* socket) {
+  const auto found = connections_.find(socket);
+  if (found == connections_.end()) {
+    return;
+  }
+  connection& it = found->second;
+  if (it.unfinished_bytes == 0) {
+    it.since = boot_clock::now();
+  }
+  it.unfinished_bytes += static_cast<std::uint64_t>(socket->bytesAvailable());
+  if (it.unfinished_bytes > limits_.max_request_bytes) {
+    refuse(socket, "too_large", 413, "the request is too large");
+  }
+}
+
+void
+guarded_listener::on_disconnected(QTcpSocket* socket) {
+  connections_.erase(socket);
+  if (on_closed_) {
+    on_closed_(socket);
+  }
+}
+
+// Says why, then closes; what still comes in is thrown away, so that the answer can arrive.
+void
+guarded_listener::refuse(QTcpSocket* socket, const char* code, int status, const char* message) {
+  QObject::disconnect(socket, &QTcpSocket::readyRead, nullptr, nullptr);
+  QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket] { socket->readAll(); });
+  socket->rollbackTransaction();
+  socket->readAll();
+  const error why{from_name<error_code>(code).value_or(error_code::internal), step::caller_read, "",
+                  message};
+  const QByteArray body = error_document(why, "");
+  socket->write(response_head(status, {{"content-type", "application/json"},
+                                       {"connection", "close"},
+                                       {"content-length", std::to_string(body.size())}}) +
+                body);
+  socket->disconnectFromHost();
+}
+
+void
+guarded_listener::sweep() {
+  const time_point now = boot_clock::now();
+  std::vector<QTcpSocket*> slow;
+  std::vector<QTcpSocket*> idle;
+  for (const auto& [socket, it] : connections_) {
+    const bool waits = !it.answering && it.unfinished_bytes == 0;
+    if (waits && now >= it.since + limits_.idle_limit) {
+      idle.push_back(socket);
+    } else if (!it.answering && !waits && now >= it.since + limits_.request_limit) {
+      slow.push_back(socket);
+    }
+  }
+  for (QTcpSocket* socket : slow) {
+    refuse(socket, "deadline_exceeded", 408, "the request did not come in whole in time");
+  }
+  for (QTcpSocket* socket : idle) {
+    socket->disconnectFromHost();
+  }
+}
+
+} // namespace nutmegspur::openai_http
