--- /dev/null
+++ b/src/include/nutmegspur/call_numbers.h
@@ -0,0 +1,23 @@
+/// \file call_numbers.h
+/// Numbers for the platform calls of one duty, so that replies find who asked.
+#pragma once
+
+#include <nutmegspur/platform.h>
+
+#include <cstdint>
+
+namespace nutmegspur {
+
+/// Hands out each number once.
+class call_numbers {
+ public:
+  explicit call_numbers(duty owner) : owner_(owner) {}
+
+  call_id next() { return {owner_, ++last_}; }
+
+ private:
+  duty owner_;
+  std::uint64_t last_ = 0;
+};
+
+} // namespace nutmegspur
--- a/src/include/nutmegspur/config.h
+++ b/src/include/nutmegspur/config.h
@@ -42,6 +42,8 @@
 
   /// The resource, or null.
   [[nodiscard]] const resource* find(resource_kind kind, const std::string& name) const;
+  /// All resources of a kind, by name.
+  [[nodiscard]] const std::unordered_map<std::string, resource>& all_of(resource_kind kind) const;
   [[nodiscard]] const team_spec* team(const team_id& id) const;
   [[nodiscard]] const model_spec* model(const model_id& id) const;
   /// The key with this secret's digest, withdrawn or not, or null.
--- a/src/include/nutmegspur/peer.h
+++ b/src/include/nutmegspur/peer.h
@@ -40,14 +40,19 @@
   revision to;
   std::vector<kv_change> changes;
   bool last_page = true;
+  /// Counts the pages from 0, so that a delta is whole only once none is missing.
+  std::uint32_t page = 0;
 };
 
 /// The sender has configuration `at` in force and has heard of `highest`.
 struct config_heartbeat {
   revision at;
-  revision highest;
+  revision highest; ///< Of the last change that the sender knows of; at most `at` if it has it.
   /// How long ago the sender, or its source, last heard from the store.
   milliseconds age{0};
+  /// The sender knows every change after this revision; who is at or past both this and `highest`
+  /// holds the same configuration as the sender.
+  revision known_since{};
 };
 
 /// Load of one upstream, as one instance read it.
--- /dev/null
+++ b/src/libnutmegspur/config_reader.cpp
@@ -0,0 +1,66 @@
+// Reading the whole configuration in pages.
+#include <nutmegspur/config_reader.h>
+#include <nutmegspur/mechanisms.h>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr std::uint32_t page_pairs = 500;
+// Longer than a slow store takes for a page: giving up early would never get to the end.
+constexpr seconds page_deadline{10};
+
+} // namespace
+
+void
+config_reader::start(const moment& now, revision least, action_list& out) {
+  least_ = least;
+  so_far_ = {};
+  ask(now, std::string{config_prefix}, out);
+}
+
+void
+config_reader::ask(const moment& now, std::string from, action_list& out) {
+  call_ = numbers_.next();
+  asked_at_ = now.boot;
+  out.push_back(call_platform{
+      *call_, kv_range{std::move(from), prefix_end(config_prefix), page_pairs, so_far_.at}});
+}
+
+bool
+config_reader::overdue(const moment& now) const {
+  return active() && now.boot - asked_at_ > page_deadline;
+}
+
+result<std::optional<config_reader::reading>>
+config_reader::on_reply(const moment& now, const platform_reply& reply, action_list& out) {
+  call_.reset();
+  if (!reply.answer) {
+    return fail(reply.answer.error());
+  }
+  const auto* page = std::get_if<kv_range_reply>(&*reply.answer);
+  if (page == nullptr) {
+    return fail({error_code::internal, step::config_read, "platform", "not an answer to a range"});
+  }
+  const bool first = so_far_.at == revision{};
+  if (first) {
+    so_far_.at = page->store;
+  }
+  if (enabled(mechanism::revision_only_grows) &&
+      (so_far_.at < least_ || page->store < so_far_.at)) {
+    return fail({error_code::unavailable, step::config_read, "platform",
+                 "stale read: revision " + std::to_string(page->store.value) + " is older than " +
+                     std::to_string(least_.value)});
+  }
+  for (const auto& it : page->pairs) {
+    so_far_.pairs.push_back({it.key, it.value, it.created, it.modified});
+  }
+  if (!page->more || page->pairs.empty()) {
+    return std::optional{std::move(so_far_)};
+  }
+  // The least key after the last one of this page.
+  ask(now, page->pairs.back().key + '\0', out);
+  return std::optional<reading>{};
+}
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/config_snapshot.cpp
+++ b/src/libnutmegspur/config_snapshot.cpp
@@ -81,6 +81,11 @@
   return find_in(map_of(*this, kind), name);
 }
 
+const std::unordered_map<std::string, resource>&
+config_snapshot::all_of(resource_kind kind) const {
+  return map_of(*this, kind);
+}
+
 const team_spec*
 config_snapshot::team(const team_id& id) const {
   return spec_of<team_spec>(find_in(teams, id.value));
--- /dev/null
+++ b/src/libnutmegspur/config_watcher.cpp
@@ -0,0 +1,139 @@
+// Watches with a progress deadline.
+#include <nutmegspur/config_watcher.h>
+#include <nutmegspur/records.h>
+
+#include <algorithm>
+
+namespace nutmegspur {
+
+namespace {
+
+// The platform gives a sign of progress every second.
+constexpr milliseconds progress_deadline{2200};
+// How long a start may take before another is tried in its place.
+constexpr milliseconds start_deadline{3500};
+constexpr milliseconds first_wait{100};
+constexpr std::uint32_t max_doublings = 10;
+
+} // namespace
+
+std::vector<config_watcher::open_watch>::iterator
+config_watcher::find(call_id call) {
+  return std::find_if(watches_.begin(), watches_.end(),
+                      [&](const open_watch& it) { return it.id == call; });
+}
+
+bool
+config_watcher::owns(call_id call) const {
+  return std::any_of(watches_.begin(), watches_.end(),
+                     [&](const open_watch& it) { return it.id == call; });
+}
+
+bool
+config_watcher::stands(const moment& now) const {
+  return std::any_of(watches_.begin(), watches_.end(), [&](const open_watch& it) {
+    return it.stands && now.boot - it.last_sign <= progress_deadline;
+  });
+}
+
+void
+config_watcher::open(const moment& now, revision at, action_list& out) {
+  const call_id id = numbers_.next();
+  watches_.push_back({id, at, false, now.boot});
+  const watch_start what{std::string{config_prefix}, prefix_end(config_prefix),
+                         revision{at.value + 1}};
+  out.push_back(call_platform{id, what});
+}
+
+void
+config_watcher::failed(const moment& now) {
+  ++failures_;
+  failed_at_ = now.boot;
+}
+
+void
+config_watcher::drop_dead_starts(const moment& now, action_list& out) {
+  const auto dead = [&](const open_watch& it) {
+    return !it.stands && now.boot - it.last_sign > start_deadline;
+  };
+  for (const auto& it : watches_) {
+    if (dead(it)) {
+      out.push_back(call_platform{numbers_.next(), watch_stop{it.id}});
+      failed(now);
+    }
+  }
+  std::erase_if(watches_, dead);
+}
+
+void
+config_watcher::keep(const moment& now, bool wanted, revision at, duration longest_wait,
+                     action_list& out) {
+  if (!wanted) {
+    stop(out);
+    return;
+  }
+  drop_dead_starts(now, out);
+  const bool starting = std::any_of(watches_.begin(), watches_.end(),
+                                    [](const open_watch& it) { return !it.stands; });
+  if (starting || stands(now)) {
+    return;
+  }
+  const duration doubled = first_wait * (1U << std::min(failures_, max_doublings));
+  const auto wait =
+      std::chrono::duration_cast<duration>(std::min(doubled, longest_wait) * options_.spread);
+  if (failures_ == 0 || now.boot - failed_at_ >= wait) {
+    open(now, at, out);
+  }
+}
+
+void
+config_watcher::stop(action_list& out) {
+  for (const auto& it : watches_) {
+    out.push_back(call_platform{numbers_.next(), watch_stop{it.id}});
+  }
+  watches_.clear();
+}
+
+bool
+config_watcher::on_reply(const moment& now, const platform_reply& reply, action_list& out) {
+  const auto it = find(reply.call);
+  if (!reply.answer) {
+    watches_.erase(it);
+    failed(now);
+    return false;
+  }
+  it->stands = true;
+  it->last_sign = now.boot;
+  failures_ = 0;
+  // The new one stands: now the older ones are given up.
+  for (auto old = watches_.begin(); old != it; ++old) {
+    out.push_back(call_platform{numbers_.next(), watch_stop{old->id}});
+  }
+  watches_.erase(watches_.begin(), it);
+  return true;
+}
+
+revision
+config_watcher::on_batch(const moment& now, const watch_batch& batch) {
+  const auto it = find(batch.watch);
+  it->stands = true;
+  it->last_sign = now.boot;
+  failures_ = 0;
+  // A batch with changes proves nothing beyond its last change: more may follow up to the store's
+  // revision. A batch without changes is a sign of progress up to there.
+  revision upto = batch.changes.empty() ? batch.store : revision{};
+  for (const auto& change : batch.changes) {
+    upto = std::max(upto, change.modified);
+  }
+  it->covered = std::max(it->covered, upto);
+  return it->covered;
+}
+
+void
+config_watcher::on_ended(const moment& now, const watch_ended& ended) {
+  const auto it = find(ended.watch);
+  watches_.erase(it);
+  failed(now);
+}
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/coordination_records.cpp
+++ b/src/libnutmegspur/coordination_records.cpp
@@ -110,7 +110,8 @@
   }
 
   template <class E>
-    requires std::is_enum_v<E>
+  requires std::is_enum_v<E>
+
   void read(std::string_view name, E& into) {
     std::string text;
     read(name, text);
--- a/src/libnutmegspur/coordination_records_test.cpp
+++ b/src/libnutmegspur/coordination_records_test.cpp
@@ -97,7 +97,8 @@
   RC_ASSERT(parse_claim(to_json(claim)).value() == claim);
 }
 
-RC_GTEST_PROP(coordination_records, any_bytes_give_a_value_or_an_error, (const std::string& bytes)) {
+RC_GTEST_PROP(coordination_records, any_bytes_give_a_value_or_an_error,
+              (const std::string& bytes)) {
   RC_ASSERT(!parse_zone_lease(bytes).has_value());
   RC_ASSERT(!parse_intent(bytes).has_value());
   RC_ASSERT(!parse_usage(bytes).has_value());
