--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -8,6 +8,7 @@
   add_executable(${name} ${arg_SOURCES})
   target_link_libraries(${name} PRIVATE
     nutmegspur_testing nutmegspur_lib GTest::gtest_main rapidcheck ${arg_LIBRARIES})
+  target_compile_definitions(${name} PRIVATE NUTMEGSPUR_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   if(NUTMEGSPUR_PCH)
     target_precompile_headers(${name} REUSE_FROM nutmegspur_lib)
   endif()
