--- a/src/libnutmegspur/peer.cpp
+++ b/src/libnutmegspur/peer.cpp
@@ -29,9 +29,9 @@
   } else if constexpr (std::is_same_v<type, config_pull>) {
     return std::tie(it.since);
   } else if constexpr (std::is_same_v<type, config_delta>) {
-    return std::tie(it.from, it.to, it.changes, it.last_page);
+    return std::tie(it.from, it.to, it.changes, it.last_page, it.page);
   } else if constexpr (std::is_same_v<type, config_heartbeat>) {
-    return std::tie(it.at, it.highest, it.age);
+    return std::tie(it.at, it.highest, it.age, it.known_since);
   } else if constexpr (std::is_same_v<type, load_digest>) {
     return std::tie(it.entries);
   } else if constexpr (std::is_same_v<type, fairness_digest>) {
