--- a/src/libnutmegspur/settings.cpp
+++ b/src/libnutmegspur/settings.cpp
@@ -8,7 +8,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
-#include <functional>
+#include <variant>
 
 namespace nutmegspur {
 
@@ -124,90 +124,57 @@
   return {};
 }
 
-bool
-is_number(setting_type it) {
-  return it == type::port || it == type::integer || it == type::span_seconds ||
-         it == type::span_milliseconds;
-}
-
-bool
-assign_number(settings& out, std::string_view flag, std::int64_t n) {
-  if (flag == "caller-port") {
-    out.caller_port = static_cast<std::uint16_t>(n);
-  } else if (flag == "operator-port") {
-    out.operator_port = static_cast<std::uint16_t>(n);
-  } else if (flag == "peer-port") {
-    out.peer_port = static_cast<std::uint16_t>(n);
-  } else if (flag == "platform-port") {
-    out.platform_port = static_cast<std::uint16_t>(n);
-  } else if (flag == "lease-ttl") {
-    out.lease_ttl = seconds{n};
-  } else if (flag == "usage-window") {
-    out.usage_window = seconds{n};
-  } else if (flag == "drain-limit") {
-    out.drain_limit = seconds{n};
-  } else if (flag == "balancer-lag") {
-    out.balancer_lag = milliseconds{n};
-  } else if (flag == "default-deadline") {
-    out.default_deadline = milliseconds{n};
-  } else if (flag == "max-body-bytes") {
-    out.max_body_bytes = static_cast<std::uint32_t>(n);
-  } else if (flag == "max-in-flight") {
-    out.max_in_flight = static_cast<std::uint32_t>(n);
-  } else {
-    return false;
-  }
-  return true;
-}
-
-bool
-assign_text(settings& out, std::string_view flag, const std::string& text) {
-  if (flag == "instance") {
-    out.instance = instance_id{text};
-  } else if (flag == "zone") {
-    out.zone = zone_id{text};
-  } else if (flag == "region") {
-    out.region = text;
-  } else if (flag == "bind-address") {
-    out.bind_address = text;
-  } else if (flag == "platform-address") {
-    out.platform_address = text;
-  } else if (flag == "platform-plugin") {
-    out.platform_plugin = text;
-  } else if (flag == "routing-policy") {
-    out.routing_policy = text;
-  } else if (flag == "admission-policy") {
-    out.admission_policy = text;
-  } else if (flag == "peer-secret") {
-    out.peer_secret = text;
-  } else if (flag == "bootstrap-operator-key-sha256") {
-    out.bootstrap_operator_key_sha256 = text;
-  } else if (flag == "log-level") {
-    out.log_level = text;
-  } else if (flag == "log-directory") {
-    out.log_directory = text;
-  } else {
-    return false;
-  }
-  return true;
-}
-
-result<void>
-assign(settings& out, const given_setting& given, const setting_info& info) {
-  if (is_number(info.type)) {
+/// Where a setting's value goes.
+using setting_member =
+    std::variant<std::string settings::*, instance_id settings::*, zone_id settings::*,
+                 std::uint16_t settings::*, std::uint32_t settings::*, seconds settings::*,
+                 milliseconds settings::*>;
+
+/// The members, in the order of the table.
+constexpr std::array<setting_member, table.size()> members{
+    &settings::instance,         &settings::zone,
+    &settings::region,           &settings::bind_address,
+    &settings::caller_port,      &settings::operator_port,
+    &settings::peer_port,        &settings::platform_address,
+    &settings::platform_port,    &settings::platform_plugin,
+    &settings::routing_policy,   &settings::admission_policy,
+    &settings::peer_secret,      &settings::bootstrap_operator_key_sha256,
+    &settings::lease_ttl,        &settings::usage_window,
+    &settings::drain_limit,      &settings::balancer_lag,
+    &settings::default_deadline, &settings::max_body_bytes,
+    &settings::max_in_flight,    &settings::log_level,
+    &settings::log_directory,
+};
+
+/// Checks a value for its row and assigns it to the row's member.
+struct assign_checked {
+  settings& out;
+  const given_setting& given;
+  const setting_info& info;
+
+  result<void> operator()(std::string settings::*member) const { return text(member); }
+
+  result<void> operator()(instance_id settings::*member) const { return text(member); }
+
+  result<void> operator()(zone_id settings::*member) const { return text(member); }
+
+  template <class N> result<void> operator()(N settings::*member) const {
     const auto n = parse_number(given, info);
     if (!n) {
       return fail(n.error());
     }
-    assign_number(out, given.flag, *n);
+    out.*member = static_cast<N>(*n);
     return {};
   }
-  if (auto checked = check_text(given, info); !checked) {
-    return checked;
+
+  template <class T> result<void> text(T settings::*member) const {
+    if (auto checked = check_text(given, info); !checked) {
+      return checked;
+    }
+    out.*member = T{given.value};
+    return {};
   }
-  assign_text(out, given.flag, given.value);
-  return {};
-}
+};
 
 const setting_info*
 info_of(std::string_view flag) {
@@ -252,7 +219,8 @@
       return fail({error_code::invalid_argument, step::settings_parse, "",
                    "--" + it.flag + " (from " + it.source + ") is not a setting; see --help"});
     }
-    if (auto assigned = assign(out, it, *info); !assigned) {
+    const auto row = static_cast<std::size_t>(info - table.data());
+    if (auto assigned = std::visit(assign_checked{out, it, *info}, members.at(row)); !assigned) {
       return fail(assigned.error());
     }
   }
--- a/src/libnutmegspur/settings_test.cpp
+++ b/src/libnutmegspur/settings_test.cpp
@@ -67,6 +67,17 @@
   EXPECT_FALSE(parse_with({"operator-port", "8080", "flag"}).has_value());
 }
 
+TEST(settings, values_go_to_the_members_of_their_rows)
+{
+  const auto parsed = parse_with({"peer-port", "9100", "flag"});
+  ASSERT_TRUE(parsed.has_value());
+  EXPECT_EQ(parsed->peer_port, 9100);
+  EXPECT_EQ(parse_with({"balancer-lag", "1500", "flag"})->balancer_lag, milliseconds{1500});
+  EXPECT_EQ(parse_with({"lease-ttl", "15", "flag"})->lease_ttl, seconds{15});
+  EXPECT_EQ(parse_with({"log-directory", "logs", "flag"})->log_directory, "logs");
+  EXPECT_EQ(parse_with({"max-in-flight", "77", "flag"})->max_in_flight, 77U);
+}
+
 TEST(settings, every_row_of_the_table_changes_the_settings) {
   for (const auto& info : settings_table()) {
     std::string value = "x1";
