--- /dev/null
+++ b/src/libnutmegspur/order_keeper.cpp
@@ -0,0 +1,503 @@
+// Orders to a zone's engines.
+#include <nutmegspur/event_log.h>
+#include <nutmegspur/mechanisms.h>
+#include <nutmegspur/order_keeper.h>
+
+#include <algorithm>
+
+namespace nutmegspur {
+
+namespace {
+
+/// After a failed store call, and after an order that the engine did not take.
+constexpr seconds retry_after{1};
+constexpr seconds next_order_after{5};
+/// A store call without any reply is given up after this.
+constexpr seconds call_limit{30};
+/// Peers are told again of a drain after this.
+constexpr seconds notice_period{1};
+/// Orders for one change that the engine may refuse before the change is given up.
+constexpr unsigned max_failures = 3;
+
+template <class A>
+const A*
+answer_as(const platform_reply& reply) {
+  return reply.answer ? std::get_if<A>(&*reply.answer) : nullptr;
+}
+
+bool
+is_open(const std::optional<intent_record>& intent) {
+  return intent && (intent->phase == intent_phase::written || intent->phase == intent_phase::sent);
+}
+
+write_log
+log_line(log_event number, const upstream_id& id, const intent_record& intent, std::string why) {
+  return {static_cast<std::uint16_t>(number),
+          {{"upstream", id.value},
+           {"sequence", std::to_string(intent.sequence)},
+           {"fence", std::to_string(intent.authority.value)},
+           {"why", std::move(why)}}};
+}
+
+} // namespace
+
+order_keeper::order_keeper(order_settings config, order_hooks hooks, const authority_source& source)
+    : config_(std::move(config)), hooks_(std::move(hooks)), source_(source),
+      upstream_orders_({config_.self, config_.zone, config_.send_window, config_.delivery_bound},
+                       last_call_) {}
+
+void
+order_keeper::want(const moment& now, const upstream_id& upstream, const engine_state& wanted,
+                   action_list& out) {
+  const auto held = source_.current(now.boot);
+  if (!held || stopping_) {
+    return;
+  }
+  if (held->number != fence_) {
+    begin(now, held->number, out);
+  }
+  auto [it, is_new] = changes_.try_emplace(upstream);
+  it->second.wanted = wanted;
+  if (is_new) {
+    it->second.quiet_after = std::max(ready_at_, now.boot);
+  }
+}
+
+void
+order_keeper::want_upstreams(const moment& now, const std::string& kind, std::uint32_t wanted,
+                             action_list& out) {
+  const auto held = source_.current(now.boot);
+  if (!held || stopping_) {
+    return;
+  }
+  if (held->number != fence_) {
+    begin(now, held->number, out);
+  }
+  upstream_orders_.want(kind, wanted);
+}
+
+bool
+order_keeper::changing(const upstream_id& upstream) const {
+  return changes_.count(upstream) != 0;
+}
+
+std::vector<upstream_id>
+order_keeper::watched() const {
+  std::vector<upstream_id> ids;
+  for (const auto& [id, it] : changes_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+bool
+order_keeper::busy() const {
+  return upstream_orders_.busy() ||
+         std::any_of(changes_.begin(), changes_.end(),
+                     [](const auto& it) { return it.second.at >= stage::writing; });
+}
+
+void
+order_keeper::step(const moment& now, const event& ev, action_list& out) {
+  if (std::holds_alternative<tick>(ev)) {
+    on_tick(now, out);
+  } else if (const auto* reply = std::get_if<platform_reply>(&ev)) {
+    if (reply->call.owner == duty::orders) {
+      on_reply(now, *reply, out);
+    }
+  } else if (const auto* answered = std::get_if<order_answered>(&ev)) {
+    on_answered(now, *answered, out);
+  } else if (const auto* report = std::get_if<engine_report>(&ev)) {
+    on_report(*report);
+  } else if (const auto* closing = std::get_if<upstream_closing>(&ev)) {
+    const auto it = changes_.find(closing->upstream);
+    if (closing->gone && it != changes_.end()) {
+      give_up(it->first, it->second, "upstream gone", out);
+      erase_finished();
+    }
+  } else if (std::holds_alternative<stop_requested>(ev)) {
+    on_stop(out);
+  }
+}
+
+void
+order_keeper::on_stop(action_list& out) {
+  stopping_ = true;
+  for (auto& [id, it] : changes_) {
+    if (it.at < stage::writing) {
+      give_up(id, it, "instance is stopping", out);
+    }
+  }
+  erase_finished();
+}
+
+void
+order_keeper::begin(const moment& now, fence number, action_list& out) {
+  abandon_all(out);
+  fence_ = number;
+  ready_at_ = now.boot + config_.delivery_bound;
+  upstream_orders_.begin(number, ready_at_);
+}
+
+void
+order_keeper::abandon_all(action_list& out) {
+  for (auto& [id, it] : changes_) {
+    end_drain(id, it, out);
+  }
+  changes_.clear();
+}
+
+void
+order_keeper::erase_finished() {
+  for (const auto& id : std::exchange(finished_, {})) {
+    changes_.erase(id);
+  }
+}
+
+void
+order_keeper::on_tick(const moment& now, action_list& out) {
+  const auto held = source_.current(now.boot);
+  if (!held) {
+    abandon_all(out);
+    upstream_orders_.clear();
+    fence_ = fence{};
+    return;
+  }
+  if (held->number != fence_) {
+    begin(now, held->number, out);
+  }
+  for (auto& [id, it] : changes_) {
+    advance(now, *held, id, it, out);
+  }
+  erase_finished();
+  upstream_orders_.on_tick(now, *held, out);
+}
+
+void
+order_keeper::advance(const moment& now, const authority& held, const upstream_id& id, change& it,
+                      action_list& out) {
+  if (it.draining && now.boot >= it.next_notice) {
+    it.next_notice = now.boot + notice_period;
+    announce(id, true, out);
+  }
+  if (it.call != 0) {
+    if (now.boot >= it.call_limit) {
+      it.call = 0;
+      it.at = stage::load;
+    }
+    return;
+  }
+  if (now.boot < it.next_try || now.boot < ready_at_) {
+    return;
+  }
+  switch (it.at) {
+  case stage::load:
+    load(now, id, it, out);
+    break;
+  case stage::settle:
+    settle(now, id, it, out);
+    break;
+  case stage::drain:
+    drain(now, id, it, out);
+    break;
+  case stage::send:
+    send(now, held, id, it, out);
+    break;
+  case stage::sent:
+    if (now.boot >= it.quiet_after) {
+      it.at = stage::settle; // No answer; reports measured from here on tell.
+    }
+    break;
+  default:
+    break;
+  }
+}
+
+// ---------------------------------------------------------------------------------------------
+// Resolving what is or may be under way
+
+void
+order_keeper::load(const moment& now, const upstream_id& id, change& it, action_list& out) {
+  it.at = stage::loading;
+  it.call = ++last_call_;
+  it.call_limit = now.boot + call_limit;
+  out.emplace_back(call_platform{{duty::orders, it.call}, kv_range{intent_key(id), ""}});
+}
+
+void
+order_keeper::on_loaded(const moment& now, change& it, const platform_reply& reply) {
+  const auto* range = answer_as<kv_range_reply>(reply);
+  it.at = stage::load;
+  it.next_try = now.boot + retry_after;
+  // An answer from before this lease was won may miss the last holder's intent.
+  if (range == nullptr || range->store.value < fence_.value) {
+    return;
+  }
+  it.intent.reset();
+  it.modified = revision{};
+  if (!range->pairs.empty()) {
+    auto intent = parse_intent(range->pairs.front().value);
+    if (!intent) {
+      return;
+    }
+    it.intent = std::move(*intent);
+    it.modified = range->pairs.front().modified;
+  }
+  const bool written = it.unsent && it.intent && it.intent->writer == it.pending.writer;
+  it.unsent = written;
+  it.at = written ? stage::send : stage::settle;
+  it.next_try = now.boot;
+}
+
+void
+order_keeper::settle(const moment& now, const upstream_id& id, change& it, action_list& out) {
+  if (!enabled(mechanism::one_open_intent)) {
+    it.at = stage::drain;
+    return;
+  }
+  if (!fresh(it, it.quiet_after) || it.report->changing) {
+    return;
+  }
+  if (is_open(it.intent)) {
+    const bool seen = it.report->last_sequence >= it.intent->sequence;
+    it.failures += seen ? 0 : 1;
+    record(now, id, it, seen ? intent_phase::answered : intent_phase::failed, out);
+    return;
+  }
+  if (it.report->state == it.wanted) {
+    end_drain(id, it, out);
+    finished_.push_back(id);
+    return;
+  }
+  if (it.failures >= max_failures) {
+    give_up(id, it, "engine did not take the order", out);
+    return;
+  }
+  it.at = stage::drain;
+}
+
+void
+order_keeper::on_report(const engine_report& report) {
+  const auto it = changes_.find(report.upstream);
+  if (it == changes_.end()) {
+    return;
+  }
+  auto& newest = it->second.report;
+  if (!newest || newest->measured.boot <= report.measured.boot) {
+    newest = report;
+  }
+}
+
+void
+order_keeper::on_answered(const moment& now, const order_answered& answered, action_list& out) {
+  const auto found = changes_.find(answered.upstream);
+  if (found == changes_.end()) {
+    return;
+  }
+  auto& [id, it] = *found;
+  if (it.at != stage::sent || it.call != 0 || answered.sequence != it.intent->sequence) {
+    return;
+  }
+  if (answered.answer) {
+    it.quiet_after = now.boot;
+    record(now, id, it, intent_phase::answered, out);
+    return;
+  }
+  const error& ec = answered.answer.error();
+  out.emplace_back(log_line(log_event::order_refused, id, *it.intent, ec.message));
+  if (ec.ran != outcome::not_run) {
+    return; // It may still arrive: waits until `quiet_after`.
+  }
+  it.quiet_after = now.boot;
+  ++it.failures;
+  it.next_try = now.boot + next_order_after;
+  const bool refused = ec.code == error_code::conflict;
+  record(now, id, it, refused ? intent_phase::failed : intent_phase::undeliverable, out);
+}
+
+void
+order_keeper::record(const moment& now, const upstream_id& id, change& it, intent_phase phase,
+                     action_list& out) {
+  it.unsent = false;
+  it.pending = *it.intent;
+  it.pending.phase = phase;
+  out.emplace_back(
+      log_line(log_event::order_resolved, id, it.pending, std::string{to_name(phase)}));
+  write_pending(now, id, it, stage::recording, out);
+}
+
+// ---------------------------------------------------------------------------------------------
+// Drain, write, send
+
+bool
+order_keeper::interrupts(const change& it) {
+  const engine_state& is = it.report->state;
+  return is.role != it.wanted.role || is.model != it.wanted.model ||
+         is.version != it.wanted.version;
+}
+
+bool
+order_keeper::fresh(const change& it, time_point after) {
+  return it.report && it.report->measured.boot > after;
+}
+
+bool
+order_keeper::drained(const moment& now, const upstream_id& id, const change& it) const {
+  if (!enabled(mechanism::drain_before_change) || !interrupts(it)) {
+    return true;
+  }
+  const time_point heard = it.drain_began + config_.notice_bound;
+  if (!it.draining || now.boot < heard || !fresh(it, heard)) {
+    return false;
+  }
+  if (it.report->load.running != 0 || it.report->load.waiting != 0) {
+    return false;
+  }
+  if (hooks_.has_streams && hooks_.has_streams(id)) {
+    return false;
+  }
+  return !hooks_.all_heard || hooks_.all_heard(id, it.drain_began);
+}
+
+void
+order_keeper::drain(const moment& now, const upstream_id& id, change& it, action_list& out) {
+  if (!it.report) {
+    return;
+  }
+  if (!it.draining && interrupts(it)) {
+    it.draining = true;
+    it.drain_began = now.boot;
+    it.next_notice = now.boot + notice_period;
+    announce(id, true, out);
+  }
+  if (drained(now, id, it)) {
+    write_intent(now, id, it, out);
+    return;
+  }
+  if (now.boot >= it.drain_began + config_.drain_limit) {
+    give_up(id, it, "streams did not end in time", out);
+  }
+}
+
+void
+order_keeper::write_intent(const moment& now, const upstream_id& id, change& it, action_list& out) {
+  const std::uint64_t last = it.intent ? it.intent->sequence : 0;
+  it.pending = {};
+  it.pending.authority = fence_;
+  it.pending.sequence = std::max(last, it.report->last_sequence) + 1;
+  it.pending.wanted = it.wanted;
+  it.pending.phase = intent_phase::written;
+  it.pending.holder = config_.self;
+  it.pending.writer = config_.self.value + "/" + std::to_string(++last_writer_);
+  it.pending.written_at = now.wall;
+  it.unsent = true;
+  write_pending(now, id, it, stage::writing, out);
+}
+
+void
+order_keeper::write_pending(const moment& now, const upstream_id& id, change& it, stage next,
+                            action_list& out) {
+  const std::string key = intent_key(id);
+  kv_txn txn;
+  // The lease record is written once, so its revision is the fence: no write without authority.
+  txn.conditions = {{zone_lease_key(config_.zone), revision{fence_.value}}, {key, it.modified}};
+  txn.writes = {{key, to_json(it.pending), {}}};
+  it.at = next;
+  it.call = ++last_call_;
+  it.call_limit = now.boot + call_limit;
+  out.emplace_back(call_platform{{duty::orders, it.call}, std::move(txn)});
+}
+
+void
+order_keeper::on_reply(const moment& now, const platform_reply& reply, action_list& /*out*/) {
+  if (upstream_orders_.on_reply(now, reply)) {
+    return;
+  }
+  for (auto& [id, it] : changes_) {
+    if (it.call == 0 || it.call != reply.call.number) {
+      continue;
+    }
+    it.call = 0;
+    if (it.at == stage::loading) {
+      on_loaded(now, it, reply);
+    } else {
+      on_written(now, it, reply);
+    }
+    return;
+  }
+}
+
+void
+order_keeper::on_written(const moment& now, change& it, const platform_reply& reply) {
+  const auto* txn = answer_as<kv_txn_reply>(reply);
+  if (txn == nullptr || !txn->applied) {
+    it.at = stage::load; // The record's writer tells whether it took effect.
+    it.next_try = now.boot + retry_after;
+    return;
+  }
+  it.intent = it.pending;
+  it.modified = txn->store;
+  it.at = it.at == stage::writing ? stage::send : stage::settle;
+}
+
+void
+order_keeper::send(const moment& now, const authority& held, const upstream_id& id, change& it,
+                   action_list& out) {
+  const auto address = hooks_.address ? hooks_.address(id) : std::nullopt;
+  const bool late = now.boot >= it.drain_began + config_.drain_limit && it.draining;
+  const bool superseded = it.intent->wanted != it.wanted;
+  if (late || superseded || !address) {
+    record(now, id, it, intent_phase::undeliverable, out); // It was never sent.
+    return;
+  }
+  if (!drained(now, id, it)) {
+    return;
+  }
+  send_order sent;
+  sent.order.upstream = id;
+  sent.order.authority = held.number;
+  sent.order.sequence = it.intent->sequence;
+  sent.order.wanted = it.intent->wanted;
+  sent.order.not_after = std::min(held.until, now.boot + config_.send_window);
+  sent.address = address->address;
+  sent.port = address->port;
+  it.unsent = false;
+  it.quiet_after = sent.order.not_after + config_.delivery_bound;
+  it.at = stage::sent;
+  out.emplace_back(std::move(sent));
+  out.emplace_back(log_line(log_event::order_sent, id, *it.intent, ""));
+}
+
+// ---------------------------------------------------------------------------------------------
+// Telling the zone
+
+void
+order_keeper::announce(const upstream_id& id, bool leaving, action_list& out) {
+  if (hooks_.mark_changing) {
+    hooks_.mark_changing(id, leaving);
+  }
+  if (!hooks_.peers) {
+    return;
+  }
+  for (const auto& peer : hooks_.peers()) {
+    out.emplace_back(send_peer{peer, upstream_notice{id, leaving}});
+  }
+}
+
+void
+order_keeper::end_drain(const upstream_id& id, change& it, action_list& out) {
+  if (it.draining) {
+    it.draining = false;
+    announce(id, false, out);
+  }
+}
+
+void
+order_keeper::give_up(const upstream_id& id, change& it, const char* why, action_list& out) {
+  end_drain(id, it, out);
+  out.emplace_back(
+      log_line(log_event::order_refused, id, it.intent.value_or(intent_record{}), why));
+  finished_.push_back(id);
+}
+
+} // namespace nutmegspur
