--- /dev/null
+++ b/src/include/nutmegspur/drain_notices.h
@@ -0,0 +1,73 @@
+/// \file drain_notices.h
+/// Tells a zone's instances that an upstream takes no new work while it changes, and knows whether
+/// all of them have heard.
+///
+/// A notice is repeated while the drain lasts, and each instance acknowledges each one. An instance
+/// that hears no more of it forgets the mark after `mark_limit`, so a lost drainer does not keep an
+/// upstream out of use. An order that follows a drain arrives before that.
+#pragma once
+
+#include <nutmegspur/decision.h>
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace nutmegspur {
+
+/// What drain notices ask of the rest of the node. Both are optional.
+struct drain_hooks {
+  /// The zone's other live entry instances.
+  std::function<std::vector<instance_id>()> peers;
+  /// Called when this instance's routing must stop or may resume giving an upstream new work.
+  std::function<void(const upstream_id&, bool changing)> mark_changing;
+};
+
+/// Both sides of the notices: this instance's own drains, and the marks it was told of.
+class drain_notices {
+ public:
+  /// A notice is sent again after this.
+  static constexpr seconds repeat_period{1};
+  /// A notice counts as heard for this long after it was sent.
+  static constexpr seconds fresh_for{3};
+  /// A mark lasts this long after the last notice. It covers `fresh_for`, the time in which an
+  /// order may then be sent, and the time in which it may arrive (3 + 2 + 5 s).
+  static constexpr seconds mark_limit{12};
+
+  explicit drain_notices(drain_hooks hooks);
+
+  /// Begins to tell of `id`.
+  void begin(const moment& now, const upstream_id& id, action_list& out);
+  /// Ends it, if it was begun.
+  void end(const upstream_id& id, action_list& out);
+  /// Whether every peer has acknowledged a notice that was sent within `fresh_for`.
+  [[nodiscard]] bool all_heard(time_point now, const upstream_id& id) const;
+  void step(const moment& now, const event& ev, action_list& out);
+
+ private:
+  struct own_drain {
+    time_point next_notice;
+    std::map<std::uint64_t, time_point> sent; ///< The newest notices, by number.
+    std::map<instance_id, time_point> heard;  ///< When the newest heard notice was sent.
+  };
+
+  struct mark {
+    instance_id drainer;
+    time_point until;
+  };
+
+  void on_tick(const moment& now, action_list& out);
+  void on_notice(const moment& now, const instance_id& from, const upstream_notice& notice,
+                 action_list& out);
+  void on_acknowledged(const instance_id& from, const upstream_notice& notice);
+  void announce(const moment& now, const upstream_id& id, own_drain& it, action_list& out);
+  void update(const upstream_id& id);
+  [[nodiscard]] std::vector<instance_id> peers() const;
+
+  drain_hooks hooks_;
+  std::uint64_t last_notice_ = 0;
+  std::map<upstream_id, own_drain> own_;
+  std::map<upstream_id, mark> marks_;
+};
+
+} // namespace nutmegspur
--- a/src/include/nutmegspur/order_keeper.h
+++ b/src/include/nutmegspur/order_keeper.h
@@ -9,6 +9,7 @@
 
 #include <nutmegspur/authority.h>
 #include <nutmegspur/decision.h>
+#include <nutmegspur/drain_notices.h>
 #include <nutmegspur/upstream_orders.h>
 
 #include <cstdint>
@@ -46,13 +47,8 @@
   std::function<std::optional<engine_address>(const upstream_id&)> address;
   /// Whether a stream of this zone's instances is known to be live there. Optional.
   std::function<bool(const upstream_id&)> has_streams;
-  /// Whether every instance that may route to the upstream has heard what was said of it at
-  /// `since`. Optional.
-  std::function<bool(const upstream_id&, time_point since)> all_heard;
-  /// The peers that are told of a drain.
-  std::function<std::vector<instance_id>()> peers;
-  /// Called when a change begins and ends, for this instance's own routing. Optional.
-  std::function<void(const upstream_id&, bool changing)> mark_changing;
+  /// Who is told of a drain, and how this instance's own routing hears of it.
+  drain_hooks drain;
 };
 
 /// Gives the orders of a zone while its lease is held.
@@ -104,7 +100,6 @@
     unsigned failures = 0; ///< Orders that the engine did not take.
     bool draining = false; ///< Peers were told.
     time_point drain_began;
-    time_point next_notice;
     std::optional<engine_report> report; ///< The newest.
   };
 
@@ -135,7 +130,6 @@
                      action_list& out);
   void give_up(const upstream_id& id, change& it, const char* why, action_list& out);
 
-  void announce(const upstream_id& id, bool leaving, action_list& out);
   void end_drain(const upstream_id& id, change& it, action_list& out);
   [[nodiscard]] static bool interrupts(const change& it);
   [[nodiscard]] bool drained(const moment& now, const upstream_id& id, const change& it) const;
@@ -152,6 +146,7 @@
   change_map changes_;
   /// Finished ones, to be dropped after the loop over `changes_`.
   std::vector<upstream_id> finished_;
+  drain_notices notices_;
   upstream_orders upstream_orders_;
 };
 
--- a/src/include/nutmegspur/peer.h
+++ b/src/include/nutmegspur/peer.h
@@ -79,6 +79,8 @@
 struct upstream_notice {
   upstream_id upstream;
   bool leaving = true;
+  bool acknowledges = false; ///< Answers the receiver's own notice; it says nothing new.
+  std::uint64_t number = 0;  ///< Of the sender's notice; an acknowledgement repeats it.
 };
 
 /// A part of usage for the zone's usage duty; resent until acknowledged.
--- /dev/null
+++ b/src/libnutmegspur/drain_notices.cpp
@@ -0,0 +1,143 @@
+// Telling a zone's instances of a drain, and knowing that they heard.
+#include <nutmegspur/drain_notices.h>
+
+#include <algorithm>
+
+namespace nutmegspur {
+
+namespace {
+
+/// Notices whose time of sending is remembered; more than are sent within `fresh_for`.
+constexpr std::size_t max_remembered = 8;
+
+} // namespace
+
+drain_notices::drain_notices(drain_hooks hooks) : hooks_(std::move(hooks)) {}
+
+std::vector<instance_id>
+drain_notices::peers() const {
+  return hooks_.peers ? hooks_.peers() : std::vector<instance_id>{};
+}
+
+void
+drain_notices::begin(const moment& now, const upstream_id& id, action_list& out) {
+  const auto [it, is_new] = own_.try_emplace(id);
+  if (!is_new) {
+    return;
+  }
+  update(id);
+  announce(now, id, it->second, out);
+}
+
+void
+drain_notices::end(const upstream_id& id, action_list& out) {
+  if (own_.erase(id) == 0) {
+    return;
+  }
+  update(id);
+  for (const auto& peer : peers()) {
+    out.emplace_back(send_peer{peer, upstream_notice{id, false, false, 0}});
+  }
+}
+
+bool
+drain_notices::all_heard(time_point now, const upstream_id& id) const {
+  const auto found = own_.find(id);
+  if (found == own_.end()) {
+    return false;
+  }
+  const auto all = peers();
+  return std::all_of(all.begin(), all.end(), [&](const instance_id& peer) {
+    const auto heard = found->second.heard.find(peer);
+    return heard != found->second.heard.end() && now <= heard->second + fresh_for;
+  });
+}
+
+void
+drain_notices::step(const moment& now, const event& ev, action_list& out) {
+  if (std::holds_alternative<tick>(ev)) {
+    on_tick(now, out);
+    return;
+  }
+  const auto* received = std::get_if<peer_received>(&ev);
+  if (received == nullptr) {
+    return;
+  }
+  if (const auto* notice = std::get_if<upstream_notice>(&received->message)) {
+    on_notice(now, received->peer, *notice, out);
+  }
+}
+
+void
+drain_notices::on_tick(const moment& now, action_list& out) {
+  for (auto& [id, it] : own_) {
+    if (now.boot >= it.next_notice) {
+      announce(now, id, it, out);
+    }
+  }
+  for (auto it = marks_.begin(); it != marks_.end();) {
+    const auto id = it->first;
+    const bool over = now.boot >= it->second.until;
+    it = over ? marks_.erase(it) : std::next(it);
+    if (over) {
+      update(id);
+    }
+  }
+}
+
+void
+drain_notices::on_notice(const moment& now, const instance_id& from, const upstream_notice& notice,
+                         action_list& out) {
+  if (notice.acknowledges) {
+    on_acknowledged(from, notice);
+    return;
+  }
+  if (notice.leaving) {
+    marks_[notice.upstream] = {from, now.boot + mark_limit};
+    update(notice.upstream);
+    const upstream_notice answer{notice.upstream, true, true, notice.number};
+    out.emplace_back(send_peer{from, answer});
+    return;
+  }
+  // An earlier drainer that gives up must not undo the notice of a later one.
+  const auto marked = marks_.find(notice.upstream);
+  if (marked != marks_.end() && marked->second.drainer == from) {
+    marks_.erase(marked);
+    update(notice.upstream);
+  }
+}
+
+void
+drain_notices::on_acknowledged(const instance_id& from, const upstream_notice& notice) {
+  const auto own = own_.find(notice.upstream);
+  if (own == own_.end()) {
+    return;
+  }
+  // An answer may be late: it counts from when its notice was sent.
+  const auto sent = own->second.sent.find(notice.number);
+  if (sent != own->second.sent.end()) {
+    time_point& heard = own->second.heard[from];
+    heard = std::max(heard, sent->second);
+  }
+}
+
+void
+drain_notices::announce(const moment& now, const upstream_id& id, own_drain& it, action_list& out) {
+  it.next_notice = now.boot + repeat_period;
+  it.sent[++last_notice_] = now.boot;
+  if (it.sent.size() > max_remembered) {
+    it.sent.erase(it.sent.begin());
+  }
+  for (const auto& peer : peers()) {
+    out.emplace_back(send_peer{peer, upstream_notice{id, true, false, last_notice_}});
+  }
+}
+
+void
+drain_notices::update(const upstream_id& id) {
+  if (hooks_.mark_changing) {
+    hooks_.mark_changing(id, own_.count(id) != 0 || marks_.count(id) != 0);
+  }
+}
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/order_keeper.cpp
+++ b/src/libnutmegspur/order_keeper.cpp
@@ -14,8 +14,6 @@
 constexpr seconds next_order_after{5};
 /// A store call without any reply is given up after this.
 constexpr seconds call_limit{30};
-/// Peers are told again of a drain after this.
-constexpr seconds notice_period{1};
 /// Orders for one change that the engine may refuse before the change is given up.
 constexpr unsigned max_failures = 3;
 
@@ -42,7 +40,7 @@
 } // namespace
 
 order_keeper::order_keeper(order_settings config, order_hooks hooks, const authority_source& source)
-    : config_(std::move(config)), hooks_(std::move(hooks)), source_(source),
+    : config_(std::move(config)), hooks_(std::move(hooks)), source_(source), notices_(hooks_.drain),
       upstream_orders_({config_.self, config_.zone, config_.send_window, config_.delivery_bound},
                        last_call_) {}
 
@@ -99,6 +97,7 @@
 
 void
 order_keeper::step(const moment& now, const event& ev, action_list& out) {
+  notices_.step(now, ev, out);
   if (std::holds_alternative<tick>(ev)) {
     on_tick(now, out);
   } else if (const auto* reply = std::get_if<platform_reply>(&ev)) {
@@ -176,10 +175,6 @@
 void
 order_keeper::advance(const moment& now, const authority& held, const upstream_id& id, change& it,
                       action_list& out) {
-  if (it.draining && now.boot >= it.next_notice) {
-    it.next_notice = now.boot + notice_period;
-    announce(id, true, out);
-  }
   if (it.call != 0) {
     if (now.boot >= it.call_limit) {
       it.call = 0;
@@ -356,7 +351,7 @@
   if (hooks_.has_streams && hooks_.has_streams(id)) {
     return false;
   }
-  return !hooks_.all_heard || hooks_.all_heard(id, it.drain_began);
+  return notices_.all_heard(now.boot, id);
 }
 
 void
@@ -367,8 +362,7 @@
   if (!it.draining && interrupts(it)) {
     it.draining = true;
     it.drain_began = now.boot;
-    it.next_notice = now.boot + notice_period;
-    announce(id, true, out);
+    notices_.begin(now, id, out);
   }
   if (drained(now, id, it)) {
     write_intent(now, id, it, out);
@@ -469,26 +463,13 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Telling the zone
-
-void
-order_keeper::announce(const upstream_id& id, bool leaving, action_list& out) {
-  if (hooks_.mark_changing) {
-    hooks_.mark_changing(id, leaving);
-  }
-  if (!hooks_.peers) {
-    return;
-  }
-  for (const auto& peer : hooks_.peers()) {
-    out.emplace_back(send_peer{peer, upstream_notice{id, leaving}});
-  }
-}
+// Ends
 
 void
 order_keeper::end_drain(const upstream_id& id, change& it, action_list& out) {
   if (it.draining) {
     it.draining = false;
-    announce(id, false, out);
+    notices_.end(id, out);
   }
 }
 
--- a/src/libnutmegspur/peer.cpp
+++ b/src/libnutmegspur/peer.cpp
@@ -37,7 +37,7 @@
   } else if constexpr (std::is_same_v<type, fairness_digest>) {
     return std::tie(it.sequence, it.entries);
   } else if constexpr (std::is_same_v<type, upstream_notice>) {
-    return std::tie(it.upstream, it.leaving);
+    return std::tie(it.upstream, it.leaving, it.acknowledges, it.number);
   } else if constexpr (std::is_same_v<type, usage_part>) {
     return std::tie(it.source, it.sequence, it.window_start, it.lines);
   } else if constexpr (std::is_same_v<type, usage_part_ack>) {
--- /dev/null
+++ b/src/libnutmegspur/testing/authority_zone.h
@@ -0,0 +1,126 @@
+/// \file authority_zone.h
+/// A zone of instances with the parts that carry authority (lease, orders, usage) over the fake
+/// store and fake engines, on a manual clock, with faults that a test sets.
+///
+/// The parts are those that the daemon runs. A run is deterministic.
+#pragma once
+
+#include "testing/fake_engine.h"
+#include "testing/fake_store.h"
+
+#include <nutmegspur/order_keeper.h>
+#include <nutmegspur/usage_ledger.h>
+#include <nutmegspur/zone_lease.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace nutmegspur::testing {
+
+/// One entry process. The process is gone once it is out of the zone's list.
+struct zone_member {
+  std::string name;
+  unsigned rank = 0;
+  std::unique_ptr<zone_lease> lease;
+  std::unique_ptr<usage_ledger> usage;
+  std::unique_ptr<order_keeper> orders;
+  std::set<upstream_id> marked; ///< Gets no new streams from here.
+
+  bool stopping = false;
+  bool paused = false;
+  bool cut_from_engines = false;
+  bool engine_answers_lost = false; ///< What it sends arrives, what is sent to it does not.
+  bool cut_from_peers = false;
+  std::deque<action> frozen_actions;
+  std::deque<event> frozen_events;
+};
+
+/// What a fault hook tells the zone to do with an action or an event.
+enum class passage {
+  normal,
+  drop,
+  twice,
+  late,      ///< A little later than what follows it.
+  very_late, ///< Later than a lease lasts.
+};
+
+/// The zone under test.
+class authority_zone {
+ public:
+  /// Sees each action before it is carried out, or each event before it is fed in.
+  using action_hook = std::function<passage(zone_member&, const action&)>;
+  using event_hook = std::function<passage(zone_member&, const event&)>;
+
+  static constexpr seconds lease_ttl{10};
+  static constexpr milliseconds little_late{1500};
+  static constexpr seconds very_late{20};
+
+  authority_zone();
+
+  manual_clock clock;
+  fake_store store;
+  std::vector<fake_engine> engines;
+  std::vector<std::unique_ptr<zone_member>> members;
+  action_hook before_action;
+  event_hook before_event;
+  /// What the planner wants now; every holder asks for it each second.
+  std::function<engine_state(const upstream_id&)> wanted_state;
+  std::uint32_t wanted_upstreams = 1;
+  /// Usage counted by all members so far, in requests.
+  std::uint64_t counted = 0;
+  /// Upper bound of what killed processes took with them, in requests.
+  std::uint64_t may_be_lost = 0;
+  bool counting = true;
+  std::vector<std::string> trace;
+  bool tracing = false;
+
+  zone_member& add_member(unsigned rank);
+  void kill(const std::string& name);
+  void stop_gracefully(zone_member& it);
+  void resume(zone_member& it);
+  void run_for(duration span);
+  [[nodiscard]] zone_member* holder();
+  [[nodiscard]] zone_member* find(const std::string& name);
+
+ private:
+  struct in_flight {
+    std::string to;
+    event what;
+  };
+
+  struct stream {
+    std::size_t engine;
+    time_point ends;
+  };
+
+  void build(zone_member& it);
+  void feed(zone_member& to, const event& ev);
+  void dispatch(zone_member& from, const action& what);
+  void carry_out(zone_member& from, const action& what, passage how);
+  void carry_call(zone_member& from, const call_platform& call, passage how);
+  void carry_order(zone_member& from, const send_order& what, passage how);
+  void carry_message(zone_member& from, const send_peer& what, passage how);
+  void deliver_due();
+  void receive(zone_member& to, const event& ev);
+  void tick_all();
+  void drive_streams();
+  void drive_reports();
+  void drive_load();
+  void replace_stopped();
+  [[nodiscard]] std::optional<instance_id> other_member(const zone_member& it,
+                                                        const std::optional<instance_id>& not_this);
+  void note(const std::string& who, const std::string& what);
+
+  std::multimap<time_point, in_flight> network_;
+  std::vector<stream> streams_;
+  std::uint64_t ticks_ = 0;
+  int last_name_ = 0;
+  std::map<std::string, std::deque<time_point>> recent_counts_;
+};
+
+} // namespace nutmegspur::testing
--- a/src/libnutmegspur/testing/fake_store.cpp
+++ b/src/libnutmegspur/testing/fake_store.cpp
@@ -118,6 +118,11 @@
   case store_fault::lost_before_effect:
     push(now, lost_after, {.client = client, .call = call, .answer = fail(lost_answer())});
     return;
+  case store_fault::doubled:
+    static_cast<void>(carry_out(now, client, call, false));
+    push(now, duration{0},
+         {.client = client, .call = call, .answer = carry_out(now, client, call, false)});
+    return;
   case store_fault::none:
   case store_fault::stale_read:
     push(now, duration{0},
--- a/src/libnutmegspur/testing/fake_store.h
+++ b/src/libnutmegspur/testing/fake_store.h
@@ -26,6 +26,7 @@
   late_answer,        ///< Takes effect at once and answers late.
   lost_after_effect,  ///< Takes effect; the answer never comes (an error `unknown` after a while).
   lost_before_effect, ///< No effect; the answer never comes (an error `unknown` after a while).
+  doubled,            ///< Carried out twice; the second answer comes back.
   stale_read,         ///< A range is answered from an older revision.
 };
 
