--- a/src/libnutmegspur/testing/authority_zone.cpp
+++ b/src/libnutmegspur/testing/authority_zone.cpp
@@ -130,6 +130,15 @@
                                [&](const auto& each) { return each->name == name; });
   const unsigned rank = (*it)->rank;
   members.erase(it);
+  leave(name, rank);
+}
+
+void
+authority_zone::leave(const std::string& name, unsigned rank) {
+  for (const auto& it : members) {
+    network_.emplace(clock.now().boot + hop,
+                     in_flight{it->name, peer_disconnected{instance_id{name}}});
+  }
   add_member(rank);
 }
 
@@ -451,9 +460,10 @@
     if (it.stopping && !it.paused && it.lease->released() && it.usage->handed_over()) {
       note(it.name, "stopped");
       const unsigned rank = it.rank;
-      store.forget(it.name);
+      const std::string name = it.name;
+      store.forget(name);
       members.erase(members.begin() + static_cast<std::ptrdiff_t>(i));
-      add_member(rank);
+      leave(name, rank);
       return;
     }
   }
--- a/src/libnutmegspur/testing/authority_zone.h
+++ b/src/libnutmegspur/testing/authority_zone.h
@@ -112,6 +112,7 @@
   void drive_reports();
   void drive_load();
   void replace_stopped();
+  void leave(const std::string& name, unsigned rank);
   [[nodiscard]] std::optional<instance_id> other_member(const zone_member& it,
                                                         const std::optional<instance_id>& not_this);
   void note(const std::string& who, const std::string& what);
