--- a/src/etcd_http.platform/etcd_http.cpp
+++ b/src/etcd_http.platform/etcd_http.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr milliseconds held_retry_period{5};
+constexpr milliseconds flush_period{5};
 
 error
 lost(const std::string& message, outcome ran) {
@@ -36,7 +36,7 @@
 
 result<void>
 adapter::start(event_sink sink) {
-  sink_ = std::move(sink);
+  outbox_.set_sink(std::move(sink));
   scope_ = std::make_unique<QObject>();
   manager_ = new_manager();
   base_.setScheme("http");
@@ -47,7 +47,7 @@
 
 void
 adapter::stop() {
-  sink_ = nullptr;
+  outbox_.set_sink(nullptr);
   watches_.clear();
   const auto calls = std::move(calls_);
   calls_.clear();
@@ -77,7 +77,7 @@
   }
   if (const auto* ending = std::get_if<watch_stop>(&what.request)) {
     end_watch(ending->watch);
-    return emit_event(platform_reply{what.call, accepted_reply{}, boot_clock::now()});
+    return post(platform_reply{what.call, accepted_reply{}, boot_clock::now()});
   }
   const http_call call = encode(what.request);
   if (calls_.size() >= max_calls) {
@@ -177,19 +177,19 @@
     reply(id, "watch_start", asked_at, watch_started{store});
   };
   calls.batch = [this, id](std::vector<kv_change> changes, revision store) {
-    if (held_.size() >= max_held_events) {
+    if (outbox_.size() >= max_held_events) {
       end_watch(id);
-      return emit_event(
+      return post(
           watch_ended{id, false, lost("the decision thread does not keep up", outcome::not_run)});
     }
-    emit_event(watch_batch{id, std::move(changes), store});
+    post(watch_batch{id, std::move(changes), store});
   };
   calls.ended = [this, id, asked_at, started](bool compacted, const error& why) {
     if (*started || compacted) {
       if (!*started) {
         reply(id, "watch_start", asked_at, watch_started{});
       }
-      emit_event(watch_ended{id, compacted, why});
+      post(watch_ended{id, compacted, why});
     } else {
       reply(id, "watch_start", asked_at, fail(why));
     }
@@ -219,7 +219,7 @@
                result<platform_answer> answer) {
   count(kind, answer ? "ok" : to_name(answer.error().code));
   note_reachable(answer);
-  emit_event(platform_reply{call, std::move(answer), asked_at});
+  post(platform_reply{call, std::move(answer), asked_at});
 }
 
 void
@@ -245,25 +245,21 @@
 }
 
 void
-adapter::emit_event(event ev) {
-  if (!sink_) {
-    return;
-  }
-  held_.push_back(std::move(ev));
-  if (held_.size() == 1) {
-    emit_held();
-  }
+adapter::post(event ev) {
+  outbox_.post(std::move(ev));
+  flush();
 }
 
 void
-adapter::emit_held() {
-  // A refused event is not moved from.
-  while (!held_.empty() && sink_ && sink_(std::move(held_.front()))) {
-    held_.pop_front();
-  }
-  if (!held_.empty()) {
-    QTimer::singleShot(held_retry_period, scope_.get(), [this] { emit_held(); });
+adapter::flush() {
+  if (outbox_.flush() || flushing_) {
+    return;
   }
+  flushing_ = true;
+  QTimer::singleShot(flush_period, scope_.get(), [this] {
+    flushing_ = false;
+    flush();
+  });
 }
 
 } // namespace nutmegspur::etcd_http
--- a/src/etcd_http.platform/etcd_http.h
+++ b/src/etcd_http.platform/etcd_http.h
@@ -9,11 +9,11 @@
 #include "one_shot_body.h"
 #include "watch_stream.h"
 
+#include <nutmegspur/event_outbox.h>
 #include <nutmegspur/kernel.h>
 
 #include <QtCore/QObject>
 
-#include <deque>
 #include <map>
 #include <memory>
 
@@ -62,19 +62,18 @@
   void note_reachable(const result<platform_answer>& answer);
   /// Later calls use new connections.
   void renew_manager();
-  void emit_event(event ev);
-  void emit_held();
+  void post(event ev);
+  void flush();
 
   const worker_context context_;
-  event_sink sink_;
+  event_outbox outbox_;
   QUrl base_;
   // Parent of all timers and connections; null before `start`.
   std::unique_ptr<QObject> scope_;
   std::shared_ptr<QNetworkAccessManager> manager_;
   std::map<call_id, std::shared_ptr<pending_call>> calls_;
   std::map<call_id, std::unique_ptr<watch_stream>> watches_;
-  // Events that the full ring refused, in order.
-  std::deque<event> held_;
+  bool flushing_ = false; ///< A flush of the outbox is scheduled.
   bool reachable_ = true;
 };
 
--- /dev/null
+++ b/src/tcp_msgpack.peers/peer_link.cpp
@@ -0,0 +1,155 @@
+// One TCP connection to a peer.
+#include "peer_link.h"
+
+#include <QtCore/QRandomGenerator>
+#include <QtCore/QtEndian>
+
+namespace nutmegspur::tcp_msgpack {
+
+namespace {
+
+constexpr char magic[] = "nutmegp1";
+constexpr qsizetype magic_bytes = 8;
+constexpr qsizetype head_bytes = magic_bytes + 8;
+
+error
+link_error(const std::string& peer, const std::string& message,
+           error_code code = error_code::unavailable) {
+  return {code, step::peer_call, peer, message};
+}
+
+} // namespace
+
+peer_link::peer_link(QTcpSocket* socket, std::string secret, peer_hello own, callbacks calls)
+    : socket_(socket), secret_(std::move(secret)), own_(std::move(own)), calls_(std::move(calls)),
+      reader_({}, 0), challenge_(QRandomGenerator::system()->generate64()),
+      last_heard_(boot_clock::now()), last_sent_(last_heard_) {
+  reader_ = peer_frame_reader(secret_, challenge_);
+  socket->setParent(this);
+  connect(socket, &QTcpSocket::readyRead, this, [this] { read(); });
+  connect(socket, &QTcpSocket::disconnected, this,
+          [this] { close(link_error(peer_ ? peer_->sender.value : "", "the connection closed")); });
+  connect(socket, &QTcpSocket::errorOccurred, this, [this] {
+    close(link_error(peer_ ? peer_->sender.value : "", socket_->errorString().toStdString()));
+  });
+  if (socket->state() == QAbstractSocket::ConnectedState) {
+    greet();
+  } else {
+    connect(socket, &QTcpSocket::connected, this, [this] { greet(); });
+  }
+}
+
+void
+peer_link::greet() {
+  socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  QByteArray head(magic, magic_bytes);
+  head.resize(head_bytes);
+  qToBigEndian(challenge_, head.data() + magic_bytes);
+  socket_->write(head);
+}
+
+void
+peer_link::read() {
+  if (closed_) {
+    return;
+  }
+  const QByteArray bytes = socket_->readAll();
+  bytes_in_ += static_cast<std::uint64_t>(bytes.size());
+  last_heard_ = boot_clock::now();
+  if (writer_) {
+    reader_.feed(bytes);
+  } else {
+    head_ += bytes;
+    if (!read_challenge()) {
+      return;
+    }
+  }
+  while (!closed_) {
+    const auto frame = reader_.next();
+    if (!frame) {
+      return close(frame.error());
+    }
+    if (!*frame || !take(**frame)) {
+      return;
+    }
+  }
+}
+
+// True once the other end's challenge is whole; then the own hello goes out.
+bool
+peer_link::read_challenge() {
+  if (head_.size() < head_bytes) {
+    return false;
+  }
+  if (!head_.startsWith(QByteArray(magic, magic_bytes))) {
+    close(link_error("", "not a peer", error_code::unauthenticated));
+    return false;
+  }
+  const auto nonce = qFromBigEndian<std::uint64_t>(head_.constData() + magic_bytes);
+  writer_.emplace(secret_, own_.sender, nonce);
+  reader_.feed(head_.mid(head_bytes));
+  head_.clear();
+  send(encode(own_));
+  return !closed_;
+}
+
+bool
+peer_link::take(const peer_frame& frame) {
+  if (frame.payload.empty()) {
+    return true;
+  }
+  auto message = decode_peer_message(frame.payload);
+  if (!message) {
+    close(message.error());
+    return false;
+  }
+  if (peer_) {
+    calls_.received(*this, std::move(*message));
+    return !closed_;
+  }
+  const auto* hello = std::get_if<peer_hello>(&*message);
+  if (hello == nullptr || hello->sender != frame.sender || hello->sender == own_.sender) {
+    close(link_error(frame.sender.value, "no hello", error_code::unauthenticated));
+    return false;
+  }
+  peer_ = *hello;
+  calls_.ready(*this);
+  return !closed_;
+}
+
+void
+peer_link::send(const std::string& payload) {
+  if (closed_ || !writer_) {
+    return;
+  }
+  if (socket_->bytesToWrite() > max_unsent_bytes) {
+    return close(link_error(peer_ ? peer_->sender.value : "", "the send buffer is full",
+                            error_code::overloaded));
+  }
+  const auto frame = writer_->write(payload);
+  if (!frame) {
+    return;
+  }
+  socket_->write(*frame);
+  last_sent_ = boot_clock::now();
+}
+
+void
+peer_link::drop() {
+  closed_ = true;
+  if (socket_) {
+    socket_->disconnect(this);
+    socket_->abort();
+  }
+}
+
+void
+peer_link::close(const error& why) {
+  if (closed_) {
+    return;
+  }
+  drop();
+  calls_.closed(*this, why);
+}
+
+} // namespace nutmegspur::tcp_msgpack
--- /dev/null
+++ b/src/tcp_msgpack.peers/peer_link.h
@@ -0,0 +1,79 @@
+/// \file peer_link.h
+/// One TCP connection to a peer: challenge, hello, then frames both ways.
+///
+/// Each end first sends a magic word and a random challenge; the other end's frames cover that
+/// challenge. The first frame must be a `peer_hello`.
+#pragma once
+
+#include <nutmegspur/clock.h>
+#include <nutmegspur/peer_frame.h>
+
+#include <QtCore/QPointer>
+#include <QtNetwork/QTcpSocket>
+
+#include <functional>
+#include <optional>
+
+namespace nutmegspur::tcp_msgpack {
+
+/// Bytes that may wait to be sent; over it the connection is dropped.
+inline constexpr qint64 max_unsent_bytes = 4L * 1024 * 1024;
+
+/// The connection. Owned by its callbacks' owner; ends with `closed`.
+class peer_link : public QObject {
+ public:
+  struct callbacks {
+    /// The other end is known and authenticated.
+    std::function<void(peer_link&)> ready;
+    std::function<void(peer_link&, peer_message&&)> received;
+    /// The connection is over, with the reason; comes once.
+    std::function<void(peer_link&, const error&)> closed;
+  };
+
+  /// Takes over `socket`, which is connecting or connected.
+  peer_link(QTcpSocket* socket, std::string secret, peer_hello own, callbacks calls);
+
+  /// Sends the encoded message, or ends the connection if too much waits.
+  void send(const std::string& payload);
+
+  /// Sends a frame without a message, as a sign of life.
+  void keep_alive() { send({}); }
+
+  /// Closes without a callback.
+  void drop();
+
+  [[nodiscard]] bool is_ready() const { return peer_.has_value(); }
+
+  /// The other end's hello; only if ready.
+  [[nodiscard]] const peer_hello& peer() const { return *peer_; }
+
+  /// Since when nothing came, the opening counted as something.
+  [[nodiscard]] time_point last_heard() const { return last_heard_; }
+
+  [[nodiscard]] time_point last_sent() const { return last_sent_; }
+
+  [[nodiscard]] std::uint64_t bytes_in() const { return bytes_in_; }
+
+ private:
+  void greet();
+  void read();
+  bool read_challenge();
+  bool take(const peer_frame& frame);
+  void close(const error& why);
+
+  QPointer<QTcpSocket> socket_;
+  std::string secret_;
+  peer_hello own_;
+  callbacks calls_;
+  QByteArray head_; ///< The challenge as far as it has come.
+  std::optional<peer_frame_writer> writer_;
+  peer_frame_reader reader_;
+  std::uint64_t challenge_;
+  std::optional<peer_hello> peer_;
+  time_point last_heard_;
+  time_point last_sent_;
+  std::uint64_t bytes_in_ = 0;
+  bool closed_ = false;
+};
+
+} // namespace nutmegspur::tcp_msgpack
--- /dev/null
+++ b/src/tcp_msgpack.peers/tcp_msgpack.cpp
@@ -0,0 +1,244 @@
+// Connections to other entry instances.
+#include "tcp_msgpack.h"
+
+#include <nutmegspur/event_log.h>
+
+#include <algorithm>
+
+namespace nutmegspur::tcp_msgpack {
+
+namespace {
+
+constexpr milliseconds tick_length{100};
+
+const bool registered = worker_registry::instance().add(
+    "peers/tcp_msgpack", [](const worker_context& context) -> std::unique_ptr<duty_worker> {
+      return std::make_unique<peer_worker>(context);
+    });
+
+} // namespace
+
+result<void>
+peer_worker::start(event_sink sink) {
+  outbox_.set_sink(std::move(sink));
+  server_ = std::make_unique<QTcpServer>();
+  const QHostAddress address(QString::fromStdString(context_.config.bind_address));
+  if (!server_->listen(address, context_.config.peer_port)) {
+    return fail({error_code::unavailable, step::peer_call, "",
+                 "cannot listen for peers on " + context_.config.bind_address + ":" +
+                     std::to_string(context_.config.peer_port) + ": " +
+                     server_->errorString().toStdString()});
+  }
+  QObject::connect(server_.get(), &QTcpServer::newConnection, server_.get(), [this] {
+    while (QTcpSocket* socket = server_->nextPendingConnection()) {
+      add_link(socket, {});
+    }
+  });
+  timer_ = std::make_unique<QTimer>();
+  QObject::connect(timer_.get(), &QTimer::timeout, timer_.get(), [this] { tick(); });
+  timer_->start(tick_length);
+  return {};
+}
+
+void
+peer_worker::stop() {
+  timer_.reset();
+  for (auto& it : links_) {
+    it.link->drop();
+  }
+  links_.clear();
+  server_.reset();
+}
+
+std::uint16_t
+peer_worker::port() const {
+  return server_ ? server_->serverPort() : 0;
+}
+
+void
+peer_worker::carry_out(const action& what) {
+  if (const auto* message = std::get_if<send_peer>(&what)) {
+    send(*message);
+  } else if (const auto* wanted = std::get_if<set_peers>(&what)) {
+    set_targets(*wanted);
+  }
+}
+
+void
+peer_worker::set_targets(const set_peers& wanted) {
+  std::map<instance_id, set_peers::target> targets;
+  for (const auto& it : wanted.targets) {
+    targets[it.peer] = it;
+  }
+  std::vector<peer_link*> unwanted;
+  for (const auto& it : links_) {
+    const auto target = targets.find(it.dialled);
+    if (!it.dialled.empty() &&
+        (target == targets.end() || target->second != targets_[it.dialled])) {
+      unwanted.push_back(it.link.get());
+    }
+  }
+  targets_ = std::move(targets);
+  for (peer_link* it : unwanted) {
+    it->drop();
+    remove(*it);
+  }
+  if (timer_) {
+    dial_missing(boot_clock::now());
+  }
+}
+
+void
+peer_worker::send(const send_peer& what) {
+  peer_link* link = newest(what.peer);
+  if (link == nullptr) {
+    return;
+  }
+  const std::string payload = encode(what.message);
+  count("nutmegspur_peer_messages_sent_total").add();
+  count("nutmegspur_peer_bytes_sent_total").add(payload.size());
+  link->send(payload);
+}
+
+void
+peer_worker::add_link(QTcpSocket* socket, const instance_id& dialled) {
+  if (links_.size() >= max_links) {
+    count("nutmegspur_peer_refused_total").add();
+    socket->abort();
+    socket->deleteLater();
+    return;
+  }
+  peer_link::callbacks calls;
+  calls.ready = [this](peer_link& link) { on_ready(link); };
+  calls.received = [this](peer_link& link, peer_message&& message) {
+    on_received(link, std::move(message));
+  };
+  calls.closed = [this](peer_link& link, const error& why) { on_closed(link, why); };
+  const peer_hello own{context_.config.instance, context_.config.zone, {}};
+  links_.push_back(
+      {std::make_unique<peer_link>(socket, context_.config.peer_secret, own, std::move(calls)),
+       dialled});
+}
+
+void
+peer_worker::on_ready(peer_link& link) {
+  const auto& peer = link.peer();
+  const auto own = std::find_if(links_.begin(), links_.end(),
+                                [&link](const link_entry& it) { return it.link.get() == &link; });
+  if (!own->dialled.empty() && own->dialled != peer.sender) {
+    log(log_event::peer_rejected, {{"peer", peer.sender.value}, {"wanted", own->dialled.value}});
+    link.drop();
+    return remove(link);
+  }
+  const auto same = std::count_if(links_.begin(), links_.end(), [&peer](const link_entry& it) {
+    return it.link->is_ready() && it.link->peer().sender == peer.sender;
+  });
+  if (same == 1) {
+    log(log_event::peer_connected, {{"peer", peer.sender.value}, {"zone", peer.zone.value}});
+    outbox_.post(peer_connected{peer.sender, peer.zone});
+  }
+}
+
+void
+peer_worker::on_received(peer_link& link, peer_message&& message) {
+  count("nutmegspur_peer_messages_received_total").add();
+  if (outbox_.size() >= max_held_events) {
+    count("nutmegspur_peer_dropped_total").add();
+    return;
+  }
+  outbox_.post(peer_received{link.peer().sender, std::move(message)});
+}
+
+void
+peer_worker::on_closed(peer_link& link, const error& why) {
+  if (why.code == error_code::unauthenticated) {
+    log(log_event::peer_rejected, why);
+  }
+  if (why.code == error_code::overloaded) {
+    count("nutmegspur_peer_full_total").add();
+  }
+  remove(link);
+}
+
+void
+peer_worker::remove(peer_link& link) {
+  const auto it = std::find_if(links_.begin(), links_.end(), [&link](const link_entry& entry) {
+    return entry.link.get() == &link;
+  });
+  if (it == links_.end()) {
+    return;
+  }
+  if (!it->dialled.empty()) {
+    next_dial_[it->dialled] = boot_clock::now() + redial_pause;
+  }
+  count("nutmegspur_peer_bytes_received_total").add(link.bytes_in());
+  // The link may be calling us.
+  it->link.release()->deleteLater();
+  links_.erase(it);
+  if (link.is_ready() && newest(link.peer().sender) == nullptr) {
+    log(log_event::peer_lost, {{"peer", link.peer().sender.value}});
+    outbox_.post(peer_disconnected{link.peer().sender});
+  }
+}
+
+peer_link*
+peer_worker::newest(const instance_id& peer) const {
+  const auto it = std::find_if(links_.rbegin(), links_.rend(), [&peer](const link_entry& entry) {
+    return entry.link->is_ready() && entry.link->peer().sender == peer;
+  });
+  return it == links_.rend() ? nullptr : it->link.get();
+}
+
+bool
+peer_worker::dialling(const instance_id& peer) const {
+  return std::any_of(links_.begin(), links_.end(), [&peer](const link_entry& it) {
+    return it.dialled == peer && !it.link->is_ready();
+  });
+}
+
+void
+peer_worker::tick() {
+  const time_point now = boot_clock::now();
+  outbox_.flush();
+  close_silent(now);
+  dial_missing(now);
+  for (std::size_t n = 0; n < links_.size(); ++n) {
+    if (links_[n].link->is_ready() && now - links_[n].link->last_sent() >= keep_alive_period) {
+      links_[n].link->keep_alive();
+    }
+  }
+}
+
+void
+peer_worker::dial_missing(time_point now) {
+  for (const auto& [peer, target] : targets_) {
+    const peer_link* link = newest(peer);
+    const bool trusted = link != nullptr && now - link->last_heard() < silence_limit;
+    if (trusted || dialling(peer) || now < next_dial_[peer]) {
+      continue;
+    }
+    next_dial_[peer] = now + redial_pause;
+    auto* socket = new QTcpSocket;
+    socket->connectToHost(QHostAddress(QString::fromStdString(target.address)), target.port);
+    add_link(socket, peer);
+  }
+}
+
+void
+peer_worker::close_silent(time_point now) {
+  std::vector<peer_link*> silent;
+  for (const auto& it : links_) {
+    const duration span = now - it.link->last_heard();
+    const bool replaced = it.link->is_ready() && newest(it.link->peer().sender) != it.link.get();
+    if (span >= give_up_limit || (replaced && span >= silence_limit)) {
+      silent.push_back(it.link.get());
+    }
+  }
+  for (peer_link* it : silent) {
+    count("nutmegspur_peer_silent_total").add();
+    it->drop();
+    remove(*it);
+  }
+}
+
+} // namespace nutmegspur::tcp_msgpack
--- /dev/null
+++ b/src/tcp_msgpack.peers/tcp_msgpack.h
@@ -0,0 +1,83 @@
+/// \file tcp_msgpack.h
+/// The worker "peers/tcp_msgpack": connections to other entry instances.
+///
+/// It listens on the peer port and dials what `set_peers` asks for. A connection that shows no
+/// sign of life is not trusted: a new one is dialled beside it, and the old one is closed once the
+/// new one stands, or when it has been silent for too long.
+#pragma once
+
+#include "peer_link.h"
+
+#include <nutmegspur/event_outbox.h>
+
+#include <QtCore/QTimer>
+#include <QtNetwork/QTcpServer>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace nutmegspur::tcp_msgpack {
+
+/// A connection sends at least this often.
+inline constexpr milliseconds keep_alive_period{1'000};
+/// Silence after which a second connection is dialled.
+inline constexpr milliseconds silence_limit{3'000};
+/// Silence after which a connection is given up, and the time that one has to say hello.
+inline constexpr milliseconds give_up_limit{6'000};
+/// Pause before a peer is dialled again.
+inline constexpr milliseconds redial_pause{500};
+/// Most connections at once; more are closed as they come.
+inline constexpr std::size_t max_links = 1024;
+/// Most events held while the decision thread's ring is full; further messages are dropped.
+inline constexpr std::size_t max_held_events = 4096;
+
+/// The worker. Lives on one thread with a Qt event loop.
+class peer_worker final : public duty_worker {
+ public:
+  explicit peer_worker(const worker_context& context) : context_(context) {}
+
+  ~peer_worker() override { stop(); }
+
+  peer_worker(const peer_worker&) = delete;
+  peer_worker& operator=(const peer_worker&) = delete;
+
+  result<void> start(event_sink sink) override;
+  void carry_out(const action& what) override;
+  void stop() override;
+
+  /// The port that it listens on.
+  [[nodiscard]] std::uint16_t port() const;
+
+ private:
+  struct link_entry {
+    std::unique_ptr<peer_link> link;
+    instance_id dialled; ///< The peer that it was dialled for, or empty.
+  };
+
+  void set_targets(const set_peers& wanted);
+  void send(const send_peer& what);
+  void add_link(QTcpSocket* socket, const instance_id& dialled);
+  void on_ready(peer_link& link);
+  void on_received(peer_link& link, peer_message&& message);
+  void on_closed(peer_link& link, const error& why);
+  void remove(peer_link& link);
+  void tick();
+  void dial_missing(time_point now);
+  void close_silent(time_point now);
+  [[nodiscard]] peer_link* newest(const instance_id& peer) const;
+  [[nodiscard]] bool dialling(const instance_id& peer) const;
+
+  counter& count(std::string_view name) { return context_.metrics.get_counter(name); }
+
+  const worker_context context_;
+  event_outbox outbox_;
+  std::unique_ptr<QTcpServer> server_;
+  std::unique_ptr<QTimer> timer_;
+  std::map<instance_id, set_peers::target> targets_;
+  std::map<instance_id, time_point> next_dial_;
+  // In the order of their opening.
+  std::vector<link_entry> links_;
+};
+
+} // namespace nutmegspur::tcp_msgpack
