Membership: one tree of pairs in each zone, merged signs of leaving upstreams

Members connect to at most two instances above them and are never all-to-all; only the first pair reads the instance list, the others take lists and loads from one parent. The list, a drain, an upstream's own sign and a peer's notice are merged, whichever is first.

--- a/src/include/nutmegspur/peer.h
+++ b/src/include/nutmegspur/peer.h
@@ -63,9 +63,18 @@
   milliseconds age{0};
 };
 
-/// What an instance read of its share of the zone's upstreams.
+/// What an engine is, as one instance read it; sent when it changes.
+struct engine_state_entry {
+  upstream_id upstream;
+  engine_state state;
+  bool changing = false;
+  milliseconds age{0};
+};
+
+/// What an instance read of its share of the zone's upstreams, or heard of others'.
 struct load_digest {
   std::vector<load_digest_entry> entries;
+  std::vector<engine_state_entry> states;
 };
 
 /// Service given to a team since the last digest, in weighted tokens (thousandths).
--- /dev/null
+++ b/src/libnutmegspur/member_ring.cpp
@@ -0,0 +1,103 @@
+// Rendezvous order and the tree of pairs.
+#include <nutmegspur/member_ring.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace nutmegspur {
+
+namespace {
+
+// FNV-1a.
+std::uint64_t
+hash_bytes(std::uint64_t hash, std::string_view bytes) {
+  constexpr std::uint64_t prime = 0x100000001b3ULL;
+  for (const char it : bytes) {
+    hash = (hash ^ static_cast<unsigned char>(it)) * prime;
+  }
+  return hash;
+}
+
+// The finalizer of SplitMix64: spreads what FNV leaves in the low bits.
+std::uint64_t
+mix(std::uint64_t n) {
+  n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  n = (n ^ (n >> 27U)) * 0x94d049bb133111ebULL;
+  return n ^ (n >> 31U);
+}
+
+using weighted = std::pair<std::uint64_t, const instance_id*>;
+
+std::vector<weighted>
+weigh(std::string_view key, const std::vector<instance_id>& candidates) {
+  std::vector<weighted> all;
+  all.reserve(candidates.size());
+  for (const auto& it : candidates) {
+    all.emplace_back(rendezvous_weight(key, it.value), &it);
+  }
+  return all;
+}
+
+// Equal weights are ordered by name, so that every process agrees.
+bool
+heavier(const weighted& one, const weighted& other) {
+  return one.first != other.first ? one.first > other.first : *one.second < *other.second;
+}
+
+} // namespace
+
+std::uint64_t
+rendezvous_weight(std::string_view key, std::string_view candidate) {
+  constexpr std::uint64_t offset_basis = 0xcbf29ce484222325ULL;
+  return mix(hash_bytes(hash_bytes(offset_basis, key) ^ 0xFFU, candidate));
+}
+
+std::vector<instance_id>
+rendezvous_order(std::string_view key, std::vector<instance_id> candidates) {
+  return rendezvous_top(key, candidates, candidates.size());
+}
+
+std::vector<instance_id>
+rendezvous_top(std::string_view key, const std::vector<instance_id>& candidates,
+               std::size_t count) {
+  auto all = weigh(key, candidates);
+  const std::size_t n = std::min(count, all.size());
+  std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end(), heavier);
+  std::vector<instance_id> top;
+  top.reserve(n);
+  for (std::size_t i = 0; i < n; ++i) {
+    top.push_back(*all[i].second);
+  }
+  return top;
+}
+
+std::vector<std::size_t>
+parent_ranks(std::size_t rank) {
+  if (rank == 0) {
+    return {};
+  }
+  if (rank < relay_count) {
+    return {0};
+  }
+  const std::size_t pair = (rank / 2 - 1) / tree_branching;
+  const std::size_t preferred = pair * 2 + rank % 2;
+  const std::size_t other = pair * 2 + (rank + 1) % 2;
+  return {preferred, other};
+}
+
+std::vector<std::size_t>
+child_ranks(std::size_t rank, std::size_t size) {
+  std::vector<std::size_t> children;
+  if (rank == 0 && size > 1) {
+    children.push_back(1);
+  }
+  const std::size_t pair = rank / 2;
+  const std::size_t first = (pair * tree_branching + 1) * 2;
+  for (std::size_t n = first; n < std::min(first + tree_branching * 2, size); ++n) {
+    children.push_back(n);
+  }
+  return children;
+}
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/peer.cpp
+++ b/src/libnutmegspur/peer.cpp
@@ -33,7 +33,7 @@
   } else if constexpr (std::is_same_v<type, config_heartbeat>) {
     return std::tie(it.at, it.highest, it.age, it.known_since);
   } else if constexpr (std::is_same_v<type, load_digest>) {
-    return std::tie(it.entries);
+    return std::tie(it.entries, it.states);
   } else if constexpr (std::is_same_v<type, fairness_digest>) {
     return std::tie(it.sequence, it.entries);
   } else if constexpr (std::is_same_v<type, upstream_notice>) {
@@ -62,6 +62,10 @@
     return std::tie(it.upstream, it.load, it.role, it.age);
   } else if constexpr (std::is_same_v<type, engine_load>) {
     return std::tie(it.running, it.waiting, it.waiting_tokens, it.free_blocks, it.total_blocks);
+  } else if constexpr (std::is_same_v<type, engine_state_entry>) {
+    return std::tie(it.upstream, it.state, it.changing, it.age);
+  } else if constexpr (std::is_same_v<type, engine_state>) {
+    return std::tie(it.role, it.model, it.version, it.adapters);
   } else if constexpr (std::is_same_v<type, team_service_entry>) {
     return std::tie(it.team, it.weighted_tokens_milli, it.waiting);
   } else if constexpr (std::is_same_v<type, usage_line>) {
--- a/src/libnutmegspur/peer_test.cpp
+++ b/src/libnutmegspur/peer_test.cpp
@@ -58,12 +58,20 @@
   case 0:
     return peer_hello{instance_id{small_text()}, zone_id{small_text()}, {7}};
   case 1:
-    return config_delta{{1}, {2}, some(any_change), *rc::gen::arbitrary<bool>(),
+    return config_delta{{1},
+                        {2},
+                        some(any_change),
+                        *rc::gen::arbitrary<bool>(),
                         *rc::gen::arbitrary<std::uint32_t>()};
   case 2:
     return config_heartbeat{{3}, {4}, milliseconds{*rc::gen::arbitrary<std::int32_t>()}, {2}};
   case 3:
-    return load_digest{some(any_load)};
+    return load_digest{
+        some(any_load),
+        {{upstream_id{small_text()},
+          {engine_role::decode, model_id{small_text()}, "v", {small_text(), "adapter"}},
+          true,
+          milliseconds{9}}}};
   case 4:
     return usage_part{
         instance_id{small_text()}, number, -5, {{team_id{small_text()}, "m", 1, number, 3}}};
--- /dev/null
+++ b/src/libnutmegspur/testing/member_cluster.h
@@ -0,0 +1,205 @@
+/// \file member_cluster.h
+/// Several memberships on one manual clock, with connections that can be cut and instances that
+/// can be stopped. For tests and for measuring.
+#pragma once
+
+#include <nutmegspur/membership.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegspur::testing {
+
+/// One instance of the cluster.
+struct cluster_instance {
+  listed_instance listed;
+  std::unique_ptr<membership> part;
+  bool running = true;
+  std::vector<instance_id> dials;
+  std::vector<upstream_id> reads;
+  std::set<upstream_id> drains;
+  std::uint64_t messages_sent = 0;
+  std::uint64_t bytes_sent = 0; ///< Of the encoded messages; counted if `measure`.
+  std::uint64_t list_calls = 0;
+};
+
+/// The cluster. Messages take one round of `round_length`.
+class member_cluster {
+ public:
+  static constexpr milliseconds round_length{100};
+
+  manual_clock clock;
+  std::map<instance_id, cluster_instance> instances;
+  std::vector<listed_instance> list; ///< What the instance list shows.
+  bool list_is_down = false;
+  bool measure = false;
+  /// Whether two instances can talk.
+  std::function<bool(const cluster_instance&, const cluster_instance&)> reachable =
+      [](const auto&, const auto&) { return true; };
+
+  instance_id add(const std::string& zone, const std::string& name) {
+    const instance_id id{name};
+    cluster_instance& it = instances[id];
+    it.listed = {name, instance_kind::entry, zone_id{zone}, "r", "127.0.0.1", next_port_++, "",
+                 false};
+    list.push_back(it.listed);
+    start(id);
+    return id;
+  }
+
+  upstream_id add_engine(const std::string& zone, const std::string& name) {
+    list.push_back(
+        {name, instance_kind::engine, zone_id{zone}, "r", "127.0.0.1", next_port_++, "", false});
+    return upstream_id{name};
+  }
+
+  /// Starts, or starts again with nothing held.
+  void start(const instance_id& id) {
+    cluster_instance& it = instances.at(id);
+    upstream_tracker_hooks hooks;
+    hooks.drained = [&it](const upstream_id& upstream) { return it.drains.contains(upstream); };
+    it.part = std::make_unique<membership>(
+        membership_options{id, it.listed.zone, it.listed.address, it.listed.port}, hooks);
+    it.running = true;
+    it.dials.clear();
+  }
+
+  void feed(const instance_id& id, const event& ev) {
+    cluster_instance& it = instances.at(id);
+    action_list out;
+    it.part->step(clock.now(), ev, out);
+    for (auto& what : out) {
+      carry_out(it, what);
+    }
+  }
+
+  /// One round: time passes, connections follow, messages arrive, everybody ticks.
+  void round() {
+    clock.advance(round_length);
+    update_links();
+    auto arriving = std::move(in_flight_);
+    in_flight_.clear();
+    for (auto& it : arriving) {
+      if (links_.contains({it.first, it.second.peer}) && instances.at(it.first).running) {
+        feed(it.first, it.second);
+      }
+    }
+    for (auto& [id, it] : instances) {
+      if (it.running) {
+        feed(id, tick{});
+      }
+    }
+  }
+
+  void run(duration span) {
+    for (duration passed{0}; passed < span; passed += round_length) {
+      round();
+    }
+  }
+
+  /// Rounds until `holds`; the time that took, or empty after `limit`.
+  template <class F> std::optional<duration> run_until(F holds, duration limit) {
+    for (duration passed{0}; passed <= limit; passed += round_length) {
+      if (holds()) {
+        return passed;
+      }
+      round();
+    }
+    return std::nullopt;
+  }
+
+  /// How many instances `id` is connected to.
+  [[nodiscard]] std::size_t degree(const instance_id& id) const {
+    return static_cast<std::size_t>(std::count_if(
+        links_.begin(), links_.end(), [&id](const auto& it) { return it.first == id; }));
+  }
+
+  template <class F> [[nodiscard]] bool every_running(F holds) const {
+    return std::all_of(instances.begin(), instances.end(),
+                       [&holds](const auto& it) { return !it.second.running || holds(it.second); });
+  }
+
+ private:
+  using link = std::pair<instance_id, instance_id>;
+
+  void carry_out(cluster_instance& from, action& what) {
+    const instance_id id{from.listed.name};
+    if (auto* message = std::get_if<send_peer>(&what)) {
+      if (measure) {
+        from.messages_sent += 1;
+        from.bytes_sent += encode(message->message).size();
+      }
+      in_flight_.emplace_back(message->peer, peer_received{id, std::move(message->message)});
+    } else if (const auto* peers = std::get_if<set_peers>(&what)) {
+      from.dials.clear();
+      for (const auto& it : peers->targets) {
+        from.dials.push_back(it.peer);
+      }
+    } else if (const auto* polled = std::get_if<set_polled_upstreams>(&what)) {
+      from.reads.clear();
+      for (const auto& it : polled->targets) {
+        from.reads.push_back(it.upstream);
+      }
+    } else if (const auto* call = std::get_if<call_platform>(&what)) {
+      from.list_calls += 1;
+      result<platform_answer> answer = instances_reply{list};
+      if (list_is_down) {
+        answer = fail({error_code::unavailable, step::platform_call, "platform", "down"});
+      }
+      replies_.push_back({id, {call->call, std::move(answer), clock.now().boot}});
+      deliver_replies();
+    }
+  }
+
+  void deliver_replies() {
+    if (delivering_) {
+      return;
+    }
+    delivering_ = true;
+    while (!replies_.empty()) {
+      const auto [id, reply] = std::move(replies_.front());
+      replies_.pop_front();
+      feed(id, reply);
+    }
+    delivering_ = false;
+  }
+
+  void update_links() {
+    std::set<link> now;
+    for (const auto& [id, it] : instances) {
+      for (const auto& to : it.dials) {
+        const auto other = instances.find(to);
+        if (it.running && other != instances.end() && other->second.running &&
+            reachable(it, other->second)) {
+          now.insert({id, to});
+          now.insert({to, id});
+        }
+      }
+    }
+    const auto before = std::exchange(links_, now);
+    for (const auto& it : before) {
+      if (!now.contains(it) && instances.at(it.first).running) {
+        feed(it.first, peer_disconnected{it.second});
+      }
+    }
+    for (const auto& it : now) {
+      if (!before.contains(it)) {
+        feed(it.first, peer_connected{it.second, instances.at(it.second).listed.zone});
+      }
+    }
+  }
+
+  std::set<link> links_;
+  std::deque<std::pair<instance_id, peer_received>> in_flight_;
+  std::deque<std::pair<instance_id, platform_reply>> replies_;
+  std::uint16_t next_port_ = 1000;
+  bool delivering_ = false;
+};
+
+} // namespace nutmegspur::testing
