--- a/src/libnutmegspur/config_records.cpp
+++ b/src/libnutmegspur/config_records.cpp
@@ -1,6 +1,5 @@
 // The configuration resources: their names, keys and JSON form.
-#include "json_reader.h"
-
+#include <nutmegspur/json_reader.h>
 #include <nutmegspur/records.h>
 
 #include <algorithm>
--- a/src/libnutmegspur/json_reader.cpp
+++ b/src/libnutmegspur/json_reader.cpp
@@ -1,6 +1,5 @@
 // Strict reading of JSON objects.
-#include "json_reader.h"
-
+#include <nutmegspur/json_reader.h>
 #include <nutmegspur/records.h>
 
 #include <QtCore/QJsonDocument>
--- a/src/libnutmegspur/resource_api.cpp
+++ b/src/libnutmegspur/resource_api.cpp
@@ -1,6 +1,5 @@
 // The operators' API: who may, reads, writes and watches.
-#include "json_reader.h"
-
+#include <nutmegspur/json_reader.h>
 #include <nutmegspur/resource_api.h>
 
 #include <algorithm>
--- /dev/null
+++ b/src/nutmegspur/ctl.cpp
@@ -0,0 +1,474 @@
+// The operators' client: reads the command line, calls the API, prints.
+#include "ctl.h"
+
+#include "ctl_client.h"
+#include "ctl_output.h"
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QJsonDocument>
+#include <QtCore/QUrl>
+
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <vector>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr std::size_t help_width = 100;
+// The API takes at most this many resources in one all-or-nothing change.
+constexpr qsizetype max_apply = 100;
+
+constexpr const char* commands_text = R"(
+commands:
+  get KIND NAME             show one resource
+  list [KIND]               show all resources, or those of one kind
+  apply -f FILE             create or change resources from a JSON file ('-' reads standard input);
+                            a list of up to 100 is changed all or nothing, a longer one in parts
+  delete KIND NAME          delete a resource
+  watch [KIND]              print changes as they come, until interrupted
+  key issue NAME --team T   issue a caller's key and print its secret, this once
+  key issue NAME --role operator
+                            issue an operator's key
+  key withdraw NAME         withdraw a key for good
+  drain UPSTREAM            let an upstream take no new work
+  undrain UPSTREAM          let it take work again
+  status                    show what the instance holds
+
+kinds: team, key, model, adapter, version, offer, route, drain, upstream
+
+exit status: 0 done, 1 refused by the server, 2 wrong usage, 3 no answer from the server
+)";
+
+cxxopts::Options
+describe_options() {
+  cxxopts::Options options{"nutmegspur ctl", "The operators' client.\n"};
+  options.set_width(help_width);
+  options.custom_help("COMMAND [options]");
+  options.positional_help("");
+  auto add = options.add_options();
+  add("operator-url", "address of an instance's operator port (or NUTMEGSPUR_OPERATOR_URL)",
+      cxxopts::value<std::string>());
+  add("operator-key", "operator's key (or NUTMEGSPUR_OPERATOR_KEY)", cxxopts::value<std::string>());
+  add("json", "print the server's JSON instead of tables");
+  add("f,file", "file to apply; '-' is standard input", cxxopts::value<std::string>());
+  add("revision",
+      "with apply of one resource, or delete: only if it is at this revision; 0: only if "
+      "it does not exist",
+      cxxopts::value<std::int64_t>());
+  add("since", "with watch: changes after this revision", cxxopts::value<std::int64_t>());
+  add("team", "with key issue: the key's team", cxxopts::value<std::string>());
+  add("role", "with key issue: caller or operator",
+      cxxopts::value<std::string>()->default_value("caller"));
+  add("reason", "with drain: why", cxxopts::value<std::string>()->default_value(""));
+  add("h,help", "show this page");
+  options.add_options("hidden")("words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"words"});
+  return options;
+}
+
+ctl_status
+usage_error(const std::string& why) {
+  std::cerr << "nutmegspur ctl: " << why << "\n"
+            << "'nutmegspur ctl --help' shows the commands.\n";
+  return ctl_status::usage;
+}
+
+QString
+path_of(const std::string& kind, const std::string& name = {}) {
+  const auto encoded = [](const std::string& it) {
+    return QString::fromLatin1(QUrl::toPercentEncoding(QString::fromStdString(it)));
+  };
+  return "/api/v1/" + encoded(kind) + (name.empty() ? QString{} : "/" + encoded(name));
+}
+
+QByteArray
+compact(const QJsonObject& it) {
+  return QJsonDocument(it).toJson(QJsonDocument::Compact);
+}
+
+/// One run of the client.
+class ctl_run {
+ public:
+  ctl_run(const cxxopts::ParseResult& options, ctl_target target)
+      : options_(options), client_(std::move(target)),
+        words_(options["words"].as<std::vector<std::string>>()), json_(options.count("json") > 0) {}
+
+  ctl_status run();
+
+ private:
+  ctl_status get();
+  ctl_status list();
+  ctl_status apply();
+  ctl_status apply_parts(const QJsonArray& items);
+  ctl_status remove();
+  ctl_status watch();
+  ctl_status key();
+  ctl_status issue();
+  ctl_status withdraw();
+  ctl_status drain();
+  ctl_status undrain();
+  ctl_status status();
+
+  /// Whether there are `least` to `most` words after the command's own.
+  [[nodiscard]] bool takes(std::size_t least, std::size_t most) const {
+    return words_.size() > least && words_.size() <= most + 1;
+  }
+
+  [[nodiscard]] QByteArray condition() const;
+  ctl_status show(const ctl_reply& reply, const std::string& done = {}) const;
+  static ctl_status failed(const ctl_reply& reply);
+
+  const cxxopts::ParseResult& options_;
+  ctl_client client_;
+  std::vector<std::string> words_;
+  bool json_;
+};
+
+ctl_status
+ctl_run::failed(const ctl_reply& reply) {
+  std::cerr << "nutmegspur ctl: " << reply.error_text() << "\n";
+  return reply.status == 0 ? ctl_status::unreachable : ctl_status::refused;
+}
+
+ctl_status
+ctl_run::show(const ctl_reply& reply, const std::string& done) const {
+  if (!reply.ok()) {
+    return failed(reply);
+  }
+  if (json_) {
+    std::cout << reply.body.toStdString() << "\n";
+    return ctl_status::ok;
+  }
+  if (!done.empty()) {
+    std::cout << done << "\n";
+    return ctl_status::ok;
+  }
+  const QJsonObject json = reply.json();
+  const bool one = json.contains("spec");
+  const QJsonArray items = one ? QJsonArray{json} : json.value("items").toArray();
+  std::cout << resource_table(items);
+  return ctl_status::ok;
+}
+
+QByteArray
+ctl_run::condition() const {
+  if (options_.count("revision") == 0) {
+    return {};
+  }
+  const auto number = options_["revision"].as<std::int64_t>();
+  return number == 0 ? "If-None-Match: *"
+                     : "If-Match: \"" + QByteArray::number(qint64{number}) + "\"";
+}
+
+ctl_status
+ctl_run::get() {
+  if (!takes(2, 2)) {
+    return usage_error("get takes a kind and a name");
+  }
+  return show(client_.get(path_of(words_[1], words_[2])));
+}
+
+ctl_status
+ctl_run::list() {
+  if (!takes(0, 1)) {
+    return usage_error("list takes at most one kind");
+  }
+  if (words_.size() == 2) {
+    return show(client_.get(path_of(words_[1])));
+  }
+  QJsonArray all;
+  QJsonObject last;
+  for (const char* kind :
+       {"team", "key", "model", "adapter", "version", "offer", "route", "drain", "upstream"}) {
+    const ctl_reply reply = client_.get(path_of(kind));
+    if (!reply.ok()) {
+      return failed(reply);
+    }
+    last = reply.json();
+    for (const auto& it : last.value("items").toArray()) {
+      all.append(it);
+    }
+  }
+  last.insert("items", all);
+  return show({200, compact(last), {}});
+}
+
+ctl_status
+ctl_run::apply() {
+  if (!takes(0, 0) || options_.count("file") == 0) {
+    return usage_error("apply takes -f FILE, and no other words");
+  }
+  const auto name = options_["file"].as<std::string>();
+  std::string text;
+  if (name == "-") {
+    text.assign(std::istreambuf_iterator<char>{std::cin}, {});
+  } else {
+    std::ifstream file{name, std::ios::binary};
+    if (!file) {
+      return usage_error("cannot read file '" + name + "'");
+    }
+    text.assign(std::istreambuf_iterator<char>{file}, {});
+  }
+  QJsonParseError ec{};
+  const QJsonDocument document = QJsonDocument::fromJson(QByteArray::fromStdString(text), &ec);
+  if (ec.error != QJsonParseError::NoError) {
+    return usage_error("'" + name + "' is not JSON: " + ec.errorString().toStdString() +
+                       " at byte " + std::to_string(ec.offset));
+  }
+  QJsonArray items = document.isArray() ? document.array() : QJsonArray{document.object()};
+  if (document.isObject() && document.object().contains("items")) {
+    items = document.object().value("items").toArray();
+  }
+  if (options_.count("revision") == 0) {
+    return apply_parts(items);
+  }
+  if (items.size() != 1) {
+    return usage_error("--revision goes with one resource");
+  }
+  const QJsonObject it = items.first().toObject();
+  const QString path =
+      path_of(it.value("kind").toString().toStdString(), it.value("name").toString().toStdString());
+  return show(client_.send("PUT", path, compact(it), condition()));
+}
+
+ctl_status
+ctl_run::apply_parts(const QJsonArray& items) {
+  QJsonArray done;
+  QJsonObject last;
+  qsizetype from = 0;
+  do {
+    QJsonArray part;
+    while (from < items.size() && part.size() < max_apply) {
+      part.append(items.at(from++));
+    }
+    const QByteArray body = QJsonDocument(part).toJson(QJsonDocument::Compact);
+    const ctl_reply reply = client_.send("POST", "/api/v1/apply", body);
+    if (!reply.ok()) {
+      if (!done.isEmpty()) {
+        std::cerr << "nutmegspur ctl: the first " << done.size() << " resources are applied\n";
+      }
+      return failed(reply);
+    }
+    last = reply.json();
+    for (const auto& it : last.value("items").toArray()) {
+      done.append(it);
+    }
+  } while (from < items.size());
+  last.insert("items", done);
+  return show({200, compact(last), {}});
+}
+
+ctl_status
+ctl_run::remove() {
+  if (!takes(2, 2)) {
+    return usage_error("delete takes a kind and a name");
+  }
+  return show(client_.send("DELETE", path_of(words_[1], words_[2]), {}, condition()),
+              words_[1] + " '" + words_[2] + "' is deleted");
+}
+
+ctl_status
+ctl_run::watch() {
+  if (!takes(0, 1)) {
+    return usage_error("watch takes at most one kind");
+  }
+  QString path = "/api/v1/watch?since=";
+  path += QString::number(options_.count("since") > 0 ? options_["since"].as<std::int64_t>() : 0);
+  if (words_.size() == 2) {
+    path +=
+        "&kind=" + QString::fromLatin1(QUrl::toPercentEncoding(QString::fromStdString(words_[1])));
+  }
+  std::string ended;
+  const auto on_line = [&](const QByteArray& line) {
+    const QJsonObject it = QJsonDocument::fromJson(line).object();
+    if (it.contains("error")) {
+      ended = ctl_reply{500, line, {}}.error_text();
+    } else if (json_) {
+      std::cout << line.toStdString() << std::endl;
+    } else if (!it.contains("progress")) {
+      const bool gone = it.value("resource").isNull();
+      std::cout << it.value("revision").toVariant().toString().toStdString() << "  "
+                << (gone ? "deleted  " : "changed  ") << it.value("kind").toString().toStdString()
+                << "/" << it.value("name").toString().toStdString() << std::endl;
+    }
+    return true;
+  };
+  const ctl_reply reply = client_.stream(path, on_line);
+  if (!ended.empty()) {
+    std::cerr << "nutmegspur ctl: " << ended << "\n";
+    return ctl_status::refused;
+  }
+  return reply.ok() ? ctl_status::ok : failed(reply);
+}
+
+ctl_status
+ctl_run::key() {
+  if (takes(2, 2) && words_[1] == "issue") {
+    return issue();
+  }
+  if (takes(2, 2) && words_[1] == "withdraw") {
+    return withdraw();
+  }
+  return usage_error("key takes 'issue NAME' or 'withdraw NAME'");
+}
+
+ctl_status
+ctl_run::issue() {
+  QJsonObject body{{"name", QString::fromStdString(words_[2])},
+                   {"role", QString::fromStdString(options_["role"].as<std::string>())}};
+  if (options_.count("team") > 0) {
+    body.insert("team", QString::fromStdString(options_["team"].as<std::string>()));
+  }
+  const ctl_reply reply = client_.send("POST", "/api/v1/keys:issue", compact(body));
+  return show(reply, "key '" + words_[2] + "' is issued; its secret is shown only now:\n" +
+                         reply.json().value("secret").toString().toStdString());
+}
+
+ctl_status
+ctl_run::withdraw() {
+  constexpr int max_tries = 5;
+  constexpr int conflict = 409;
+  const QString path = path_of("key", words_[2]);
+  ctl_reply reply;
+  for (int n = 0; n < max_tries; ++n) {
+    reply = client_.get(path);
+    if (!reply.ok()) {
+      return failed(reply);
+    }
+    QJsonObject it = reply.json();
+    QJsonObject spec = it.value("spec").toObject();
+    spec.insert("withdrawn", true);
+    it.insert("spec", spec);
+    const auto number = it.value("revision").toInteger();
+    reply =
+        client_.send("PUT", path, compact(it), "If-Match: \"" + QByteArray::number(number) + "\"");
+    if (reply.status != conflict) {
+      break;
+    }
+  }
+  return show(reply, "key '" + words_[2] + "' is withdrawn");
+}
+
+ctl_status
+ctl_run::drain() {
+  if (!takes(1, 1)) {
+    return usage_error("drain takes an upstream");
+  }
+  const QString name = QString::fromStdString(words_[1]);
+  const QJsonObject spec{{"upstream", name},
+                         {"reason", QString::fromStdString(options_["reason"].as<std::string>())}};
+  const QJsonObject body{{"kind", "drain"}, {"name", name}, {"spec", spec}};
+  return show(client_.send("PUT", path_of("drain", words_[1]), compact(body)),
+              "upstream '" + words_[1] + "' is drained");
+}
+
+ctl_status
+ctl_run::undrain() {
+  if (!takes(1, 1)) {
+    return usage_error("undrain takes an upstream");
+  }
+  return show(client_.send("DELETE", path_of("drain", words_[1]), {}),
+              "upstream '" + words_[1] + "' takes work again");
+}
+
+ctl_status
+ctl_run::status() {
+  if (!takes(0, 0)) {
+    return usage_error("status takes no words");
+  }
+  const ctl_reply reply = client_.get("/api/v1/status");
+  if (!reply.ok() || json_) {
+    return show(reply);
+  }
+  std::cout << field_list(reply.json());
+  return ctl_status::ok;
+}
+
+ctl_status
+ctl_run::run() {
+  struct command {
+    std::string_view name;
+    ctl_status (ctl_run::*run)();
+  };
+
+  static constexpr std::array<command, 9> commands{{
+      {"get", &ctl_run::get},
+      {"list", &ctl_run::list},
+      {"apply", &ctl_run::apply},
+      {"delete", &ctl_run::remove},
+      {"watch", &ctl_run::watch},
+      {"key", &ctl_run::key},
+      {"drain", &ctl_run::drain},
+      {"undrain", &ctl_run::undrain},
+      {"status", &ctl_run::status},
+  }};
+  for (const auto& it : commands) {
+    if (it.name == words_.front()) {
+      return (this->*it.run)();
+    }
+  }
+  return usage_error("there is no command '" + words_.front() + "'");
+}
+
+/// The option, or the environment variable, or nothing.
+std::string
+option_or_variable(const cxxopts::ParseResult& options, const char* option, const char* variable) {
+  if (options.count(option) > 0) {
+    return options[option].as<std::string>();
+  }
+  const char* value = std::getenv(variable);
+  return value == nullptr ? std::string{} : std::string{value};
+}
+
+ctl_status
+run_parsed(const cxxopts::ParseResult& options) {
+  ctl_target target{option_or_variable(options, "operator-url", "NUTMEGSPUR_OPERATOR_URL"),
+                    option_or_variable(options, "operator-key", "NUTMEGSPUR_OPERATOR_KEY")};
+  while (target.url.ends_with('/')) {
+    target.url.pop_back();
+  }
+  const QUrl url{QString::fromStdString(target.url)};
+  if (url.scheme() != QLatin1String("http") || url.host().isEmpty()) {
+    return usage_error("--operator-url must be given as http://ADDRESS:PORT");
+  }
+  if (target.key.empty()) {
+    return usage_error("--operator-key or NUTMEGSPUR_OPERATOR_KEY must be given");
+  }
+  if (options.count("words") == 0) {
+    return usage_error("a command is missing");
+  }
+  return ctl_run{options, std::move(target)}.run();
+}
+
+} // namespace
+
+int
+run_ctl(std::span<const std::string> args) {
+  std::string program = "nutmegspur-ctl";
+  std::vector<const char*> argv{program.c_str()};
+  for (const auto& it : args) {
+    argv.push_back(it.c_str());
+  }
+  int argc = 1;
+  char* name = program.data();
+  const QCoreApplication application{argc, &name};
+  cxxopts::Options options = describe_options();
+  try {
+    const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+    if (parsed.count("help") > 0) {
+      std::cout << options.help({""}) << commands_text;
+      return static_cast<int>(ctl_status::ok);
+    }
+    return static_cast<int>(run_parsed(parsed));
+  } catch (const cxxopts::exceptions::exception& ec) {
+    return static_cast<int>(usage_error(ec.what()));
+  }
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/resource_http.operators/resource_http.h
@@ -0,0 +1,59 @@
+/// \file resource_http.h
+/// The worker that serves the operators' API over HTTP on its own address.
+///
+/// Each connection carries one call. A watch is a chunked stream of JSON lines that ends when
+/// either side closes.
+#pragma once
+
+#include "operator_call.h"
+
+#include <nutmegspur/kernel.h>
+
+#include <QtCore/QPointer>
+#include <QtHttpServer/QAbstractHttpServer>
+#include <QtNetwork/QTcpSocket>
+
+#include <map>
+#include <memory>
+
+namespace nutmegspur::operators {
+
+/// Requests of this worker are numbered from here, apart from those of callers.
+inline constexpr std::uint64_t first_request = std::uint64_t{1} << 62;
+
+/// "operators/resource_http".
+class resource_http final : public duty_worker {
+ public:
+  explicit resource_http(const worker_context& context);
+  ~resource_http() override;
+
+  result<void> start(event_sink sink) override;
+  void carry_out(const action& what) override;
+  void stop() override;
+
+ private:
+  class server;
+
+  /// A call that is not answered yet, or a watch.
+  struct open_call {
+    QPointer<QTcpSocket> socket;
+    std::string secret; ///< Of a key being issued.
+    resource_verb verb = resource_verb::get;
+    bool streaming = false; ///< The head of a watch's answer was sent.
+  };
+
+  void on_call(const operator_call& it, QTcpSocket* socket);
+  void on_closed(request_id id);
+  void on_answer(const resource_answer& it);
+  void answer_stream(open_call& call, const resource_answer& it);
+  void send_error(QTcpSocket* socket, const error& ec, request_id id);
+  void send(QTcpSocket* socket, int status, const QByteArray& body, const QByteArray& head = {});
+
+  const worker_context& context_;
+  event_sink sink_;
+  std::unique_ptr<server> server_;
+  std::map<request_id, open_call> calls_;
+  std::uint64_t next_ = first_request;
+};
+
+} // namespace nutmegspur::operators
