--- a/src/http_streams.upstream/http_streams_test.cpp
+++ b/src/http_streams.upstream/http_streams_test.cpp
@@ -66,7 +66,7 @@
     QEventLoop loop;
     std::optional<attempt_ended> ended;
     wake_ = [&](const event& ev) {
-      events_.push_back(ev);
+      events.push_back(ev);
       if (const auto* end = std::get_if<attempt_ended>(&ev)) {
         ended = *end;
         loop.quit();
@@ -90,7 +90,7 @@
     return what;
   }
 
-  std::vector<event> events_;
+  std::vector<event> events;
 
  private:
   static QCoreApplication& application() {
@@ -167,8 +167,8 @@
   const auto ended = run(one_shot(peer, "POST", "amount=3"));
   EXPECT_FALSE(ended.failure.has_value()) << ended.failure->message;
   EXPECT_EQ(ended.end_offset, 4U);
-  EXPECT_EQ(std::get<attempt_opened>(events_.at(0)).status, 500);
-  EXPECT_EQ(std::get<attempt_chunk>(events_.at(1)).text, "some");
+  EXPECT_EQ(std::get<attempt_opened>(events.at(0)).status, 500);
+  EXPECT_EQ(std::get<attempt_chunk>(events.at(1)).text, "some");
 }
 
 TEST_F(http_streams, a_stream_without_its_end_is_not_whole) {
@@ -187,9 +187,8 @@
 }
 
 TEST_F(http_streams, sends_only_the_headers_that_it_was_given) {
-  scripted_peer peer{[](QTcpSocket* socket) {
-    socket->write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
-  }};
+  scripted_peer peer{
+      [](QTcpSocket* socket) { socket->write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"); }};
   open_attempt what = one_shot(peer, "POST", "amount=3");
   what.headers = {{"x-attempt", "1"}};
   EXPECT_FALSE(run(what).failure.has_value());
