--- /dev/null
+++ b/src/libnutmegspur/node.cpp
@@ -0,0 +1,179 @@
+// Composition of the decision core's parts for one instance.
+#include <nutmegspur/config_replica.h>
+#include <nutmegspur/event_log.h>
+#include <nutmegspur/membership.h>
+#include <nutmegspur/node.h>
+#include <nutmegspur/policy.h>
+#include <nutmegspur/request_table.h>
+#include <nutmegspur/resource_api.h>
+#include <nutmegspur/usage_ledger.h>
+#include <nutmegspur/zone_lease.h>
+
+namespace nutmegspur {
+
+/// The parts, in the order in which they see an event: what others read comes first.
+struct node::parts {
+  settings config;
+  std::unique_ptr<routing_policy> routing;
+  std::unique_ptr<admission_policy> admission;
+  config_replica replica;
+  membership members;
+  zone_lease lease;
+  usage_ledger usage;
+  claim_book claims;
+  request_table requests;
+  resource_api resources;
+  std::optional<bool> said_ready;
+
+  parts(const settings& given, std::uint64_t seed, std::unique_ptr<routing_policy> routing_made,
+        std::unique_ptr<admission_policy> admission_made);
+
+  action_list step(const moment& now, const event& ev);
+  void say_ready(action_list& out);
+  [[nodiscard]] std::vector<instance_id> zone_peers() const;
+  [[nodiscard]] std::optional<instance_id> usage_holder() const;
+  [[nodiscard]] std::optional<instance_id> usage_copy_peer() const;
+  [[nodiscard]] milliseconds config_age(const moment& now) const;
+  request_needs needs_of_requests();
+};
+
+node::parts::parts(const settings& given, std::uint64_t seed,
+                   std::unique_ptr<routing_policy> routing_made,
+                   std::unique_ptr<admission_policy> admission_made)
+    : config(given), routing(std::move(routing_made)), admission(std::move(admission_made)),
+      replica({given.instance, given.zone},
+              {[this] { return members.is_relay(); }, [this] { return members.neighbours(); }}),
+      members({given.instance, given.zone, given.bind_address, given.peer_port},
+              {[this](const upstream_id& id) { return replica.view()->drained(id); }, {}}),
+      lease({given.instance, given.zone, given.lease_ttl},
+            {[this] { return static_cast<unsigned>(members.rank().value_or(~0U)); },
+             [this] { return usage.busy(); }}),
+      usage({.self = given.instance, .zone = given.zone, .window = given.usage_window},
+            {[this] { return usage_holder(); }, [this] { return usage_copy_peer(); }}, lease),
+      claims({.instance = given.instance, .seed = seed}),
+      requests({.instance = given.instance,
+                .zone = given.zone,
+                .region = given.region,
+                .seed = seed,
+                .cache_salt_secret = given.peer_secret},
+               needs_of_requests()),
+      resources({given.instance, given.zone, given.bootstrap_operator_key_sha256}, replica)
+{
+}
+
+request_needs
+node::parts::needs_of_requests()
+{
+  return {.config = [this] { return replica.view(); },
+          .upstreams = members.upstreams(),
+          .routing = *routing,
+          .admission = *admission,
+          .claims = claims,
+          .count_usage =
+              [this](const moment& now, const usage_line& line, action_list& out) {
+                usage.count(now, line, out);
+              },
+          .config_age = [this](const moment& now) { return config_age(now); }};
+}
+
+milliseconds
+node::parts::config_age(const moment& now) const
+{
+  return std::chrono::duration_cast<milliseconds>(now.boot - replica.last_news());
+}
+
+std::vector<instance_id>
+node::parts::zone_peers() const
+{
+  std::vector<instance_id> peers;
+  for (const auto& it : members.neighbours()) {
+    const member* known = members.members().find(it);
+    if (known != nullptr && known->entry.zone == config.zone) {
+      peers.push_back(it);
+    }
+  }
+  return peers;
+}
+
+std::optional<instance_id>
+node::parts::usage_holder() const
+{
+  if (lease.seen_holder()) {
+    return lease.seen_holder();
+  }
+  const auto relays = members.relays(config.zone);
+  return relays.empty() ? std::nullopt : std::optional{relays.front()};
+}
+
+std::optional<instance_id>
+node::parts::usage_copy_peer() const
+{
+  const auto holder = usage_holder();
+  for (const auto& it : zone_peers()) {
+    if (it != holder) {
+      return it;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+node::parts::say_ready(action_list& out)
+{
+  const bool ready = replica.ready();
+  if (said_ready == ready) {
+    return;
+  }
+  said_ready = ready;
+  out.emplace_back(set_ready{ready, ready ? "" : "no whole configuration is held yet"});
+  if (ready) {
+    out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::process_ready), {}});
+  }
+}
+
+action_list
+node::parts::step(const moment& now, const event& ev)
+{
+  action_list out;
+  replica.step(now, ev, out);
+  members.step(now, ev, out);
+  lease.step(now, ev, out);
+  usage.step(now, ev, out);
+  claims.step(now, ev, out);
+  requests.step(now, ev, out);
+  resources.step(now, ev, out);
+  say_ready(out);
+  return out;
+}
+
+node::node(std::unique_ptr<parts> all) : parts_(std::move(all)) {}
+
+node::~node() = default;
+
+result<std::unique_ptr<node>>
+node::make(const settings& config, std::uint64_t seed)
+{
+  routing_options routing_with;
+  routing_with.seed = seed;
+  auto routing = routing_registry::instance().make(config.routing_policy, routing_with);
+  if (!routing) {
+    return fail(routing.error());
+  }
+  admission_options admission_with;
+  admission_with.max_waiting = config.max_in_flight;
+  auto admission = admission_registry::instance().make(config.admission_policy, admission_with);
+  if (!admission) {
+    return fail(admission.error());
+  }
+  auto all =
+      std::make_unique<parts>(config, seed, std::move(*routing), std::move(*admission));
+  return std::unique_ptr<node>{new node{std::move(all)}};
+}
+
+action_list
+node::step(const moment& now, const event& ev)
+{
+  return parts_->step(now, ev);
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/testsuite/lib/streaming.py
@@ -0,0 +1,73 @@
+"""Streamed requests for the whole-program cases, read chunk by chunk."""
+
+import http.client
+import json
+
+import processes
+
+CHAT = "/v1/chat/completions"
+
+
+def bearer(key):
+    return {"Authorization": f"Bearer {key}"}
+
+
+def chat_body(model, text, max_tokens, stream=True):
+    return {"model": model, "stream": stream, "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": text}]}
+
+
+class Stream:
+    """One streamed chat request."""
+
+    def __init__(self, port, key, model, text, max_tokens):
+        self.connection = http.client.HTTPConnection(processes.LOOPBACK, port, timeout=60)
+        self.connection.request("POST", CHAT, json.dumps(chat_body(model, text, max_tokens)),
+                                {"Content-Type": "application/json", **bearer(key)})
+        self.reply = self.connection.getresponse()
+        self.text = ""
+        self.error = None
+        self.finish_reason = None
+        self.done = False
+
+    def read_event(self):
+        """Reads one event; false at the end of the stream."""
+        for line in self.reply:
+            line = line.decode().strip()
+            if line == "data: [DONE]":
+                self.done = True
+            elif line.startswith("data: "):
+                self.take(json.loads(line[len("data: "):]))
+            else:
+                continue
+            return True
+        return False
+
+    def take(self, chunk):
+        self.error = chunk.get("error") or self.error
+        for choice in chunk.get("choices", []):
+            self.text += choice.get("delta", {}).get("content") or ""
+            self.finish_reason = choice.get("finish_reason") or self.finish_reason
+
+    def read_all(self):
+        while self.read_event():
+            pass
+        return self
+
+    def close(self):
+        self.connection.close()
+
+
+def whole_answer(port, key, model, text, max_tokens):
+    """The text of an answer that is not streamed."""
+    reply = processes.call(port, "POST", CHAT, chat_body(model, text, max_tokens, stream=False), bearer(key))
+    if reply.status != 200:
+        raise processes.Failure(f"status {reply.status}: {reply.body}")
+    return reply.json()["choices"][0]["message"]["content"]
+
+
+def wait_offered(system, key, model):
+    """Waits until every entry instance offers the model to the key's team."""
+    for name, it in system.entries.items():
+        processes.wait_until(f"{model} at {name}", lambda: model in processes.call(
+            it["caller"], "GET", "/v1/models", headers=bearer(key)).body)
