Claims, streams, access and shutdown: properties and single faults at every step

A key withdrawn while its call was being claimed let the call go out: the verdict now looks at the configuration first. A resumption no longer waits for a tick.

--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -57,6 +57,9 @@
 
   void step(const moment& now, const event& ev, action_list& out);
 
+  /// From now on new requests are refused as `not_run`; those that are live go on.
+  void close() { closed_ = true; }
+
   /// Requests without a final answer, and calls that go on after their caller left.
   [[nodiscard]] std::size_t live() const { return live_.size(); }
 
@@ -151,6 +154,7 @@
   request_needs needs_;
   retry_budget budget_;
   config_view seen_config_;
+  bool closed_ = false;
   live_map live_;
   // Invariant: a row for each live request that came with a key, under the digest of its secret.
   std::unordered_map<std::string, std::set<request_id>> by_key_;
--- /dev/null
+++ b/src/libnutmegspur/claims_test.cpp
@@ -0,0 +1,256 @@
+// A call that must not be repeated runs at most once, whatever happens to the store, the upstream
+// and the instances, and what callers are told of it is true.
+// labels: P10 P11
+#include "testing/request_rig.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace nutmegspur::testing {
+namespace {
+
+constexpr std::array<store_fault, 7> all_faults{store_fault::none,
+                                                store_fault::down,
+                                                store_fault::slow,
+                                                store_fault::late_answer,
+                                                store_fault::lost_after_effect,
+                                                store_fault::lost_before_effect,
+                                                store_fault::stale_read};
+constexpr std::array<call_fate, 4> all_fates{call_fate::answered, call_fate::lost_after_run,
+                                             call_fate::lost_before_run, call_fate::refused};
+
+/// Where the first call's instance is killed.
+enum class kill_at { never, claim_written, sent, ended };
+
+/// Which call of the store is hit.
+enum class hit { claim_write, claim_read, claim_record };
+
+bool
+is_record(const platform_request& what) {
+  const auto* txn = std::get_if<kv_txn>(&what);
+  return txn != nullptr && parse_claim(*txn->writes[0].value)->phase != claim_phase::claimed;
+}
+
+fake_store::call_filter
+filter_of(hit what) {
+  return [what](const std::string& client, const platform_request& request) {
+    const bool is_read = std::holds_alternative<kv_range>(request);
+    if (client != "i0" || is_read != (what == hit::claim_read)) {
+      return false;
+    }
+    return is_read || is_record(request) == (what == hit::claim_record);
+  };
+}
+
+/// What must hold at any time, from what reached the service and what callers saw.
+std::string
+broken_promise(const request_rig& rig) {
+  for (const auto& [body, n] : rig.runs) {
+    if (n > 1) {
+      return "'" + body + "' ran " + std::to_string(n) + " times";
+    }
+  }
+  for (const auto& [handle, view] : rig.views()) {
+    const std::string who = "request " + std::to_string(handle.request.value);
+    if (view.finals > 1 || view.after_final) {
+      return who + " was answered more than once";
+    }
+    if (view.refused && view.refused->ran == outcome::not_run && rig.touched.count(handle) > 0) {
+      return who + " was told not_run after a byte had left";
+    }
+    if (view.ended && view.text != "done b1" && view.text != "done b2") {
+      return who + " got '" + view.text + "'";
+    }
+  }
+  return "";
+}
+
+std::string
+run_cell(hit where, store_fault fault, call_fate fate, kill_at kill) {
+  request_rig rig{2};
+  if (where == hit::claim_read) {
+    // Only a lost answer makes the first call read back.
+    rig.store.fault_next(store_fault::lost_after_effect, filter_of(hit::claim_write), 1);
+  }
+  rig.store.fault_next(fault, filter_of(where), 2);
+  const request_handle first = rig.call_service(0, "pay", "k1", "b1");
+  if (kill == kill_at::claim_written) {
+    rig.kill(0);
+  }
+  bool sent = false;
+  for (int i = 0; i < 60; ++i) {
+    rig.pass(tick_period);
+    if (rig.open.empty()) {
+      continue;
+    }
+    const open_call call = rig.open.front();
+    rig.open.pop_front();
+    if (kill == kill_at::sent) {
+      rig.kill(0);
+    }
+    rig.end_call(call, sent ? call_fate::answered : fate);
+    sent = true;
+    if (kill == kill_at::ended && rig.alive(0)) {
+      rig.kill(0);
+    }
+  }
+  const request_handle second = rig.call_service(1, "pay", "k1", "b1");
+  for (int i = 0; i < 60; ++i) {
+    rig.pass(tick_period);
+    rig.answer_all_calls();
+  }
+  const request_handle other = rig.call_service(1, "pay", "k1", "b2");
+  rig.pass_slowly(seconds{3});
+  rig.answer_all_calls();
+  const bool whole = rig.view(second).finals == 1 && rig.view(other).finals == 1 &&
+                     (kill != kill_at::never || rig.view(first).finals == 1);
+  if (!whole) {
+    return "a request had no final answer";
+  }
+  if (rig.runs["b1"] + rig.runs["b2"] > 1) {
+    return "two calls ran under one key";
+  }
+  if (rig.view(first).ended && fault == store_fault::none && kill == kill_at::never &&
+      (!rig.view(second).ended || rig.view(second).text != rig.view(first).text)) {
+    return "the repeat did not get the recorded answer";
+  }
+  return broken_promise(rig);
+}
+
+TEST(claims, hold_under_every_single_fault_at_every_step) {
+  int cells = 0;
+  for (const hit where : {hit::claim_write, hit::claim_read, hit::claim_record}) {
+    for (const store_fault fault : all_faults) {
+      for (const call_fate fate : all_fates) {
+        for (const kill_at kill :
+             {kill_at::never, kill_at::claim_written, kill_at::sent, kill_at::ended}) {
+          EXPECT_EQ(run_cell(where, fault, fate, kill), "")
+              << "step " << static_cast<int>(where) << " fault " << static_cast<int>(fault)
+              << " fate " << static_cast<int>(fate) << " kill " << static_cast<int>(kill);
+          ++cells;
+        }
+      }
+    }
+  }
+  EXPECT_EQ(cells, 3 * 7 * 4 * 4);
+}
+
+TEST(claims, a_repeat_through_another_instance_gets_the_recorded_answer) {
+  request_rig rig{2};
+  const auto first = rig.call_service(0, "pay", "k1", "b1");
+  rig.pass(tick_period);
+  rig.answer_all_calls();
+  rig.pass_slowly(seconds{1});
+  const auto second = rig.call_service(1, "pay", "k1", "b1");
+  rig.pass_slowly(seconds{1});
+  EXPECT_TRUE(rig.view(first).ended);
+  EXPECT_TRUE(rig.view(second).ended);
+  EXPECT_EQ(rig.view(second).text, rig.view(first).text);
+  EXPECT_EQ(rig.view(second).status, 200);
+  EXPECT_EQ(rig.runs["b1"], 1);
+  EXPECT_EQ(rig.claims(0).unfinished() + rig.claims(1).unfinished(), 0U);
+}
+
+TEST(claims, another_request_under_the_same_key_is_a_conflict) {
+  request_rig rig{2};
+  rig.call_service(0, "pay", "k1", "b1");
+  rig.pass(tick_period);
+  rig.answer_all_calls();
+  const auto other = rig.call_service(1, "pay", "k1", "b2");
+  const auto team_b = rig.call_service(1, "pay", "k1", "b2", "key-b");
+  rig.pass_slowly(seconds{1});
+  rig.answer_all_calls();
+  ASSERT_TRUE(rig.view(other).refused.has_value());
+  EXPECT_EQ(rig.view(other).refused->code, error_code::conflict);
+  EXPECT_TRUE(rig.view(team_b).ended) << "another team's key is another claim";
+}
+
+TEST(claims, a_store_out_of_reach_refuses_at_once_as_not_run) {
+  request_rig rig{1};
+  rig.store.set_fault(store_fault::down);
+  const auto call = rig.call_service(0, "pay", "k1", "b1");
+  rig.pass(milliseconds{0});
+  ASSERT_TRUE(rig.view(call).refused.has_value());
+  EXPECT_EQ(rig.view(call).refused->code, error_code::unavailable);
+  EXPECT_EQ(rig.view(call).refused->ran, outcome::not_run);
+  EXPECT_TRUE(rig.view(call).refused->retry_after.has_value());
+  EXPECT_TRUE(rig.open.empty());
+}
+
+TEST(claims, a_caller_that_leaves_does_not_undo_its_call) {
+  request_rig rig{2};
+  const auto call = rig.call_service(0, "pay", "k1", "b1");
+  rig.pass(tick_period);
+  rig.feed(0, caller_gone{call.request});
+  EXPECT_TRUE(rig.cancelled.empty());
+  rig.answer_all_calls();
+  rig.pass(tick_period);
+  const auto again = rig.call_service(1, "pay", "k1", "b1");
+  rig.pass(tick_period);
+  rig.pass(tick_period);
+  EXPECT_EQ(rig.view(again).text, "done b1");
+  EXPECT_EQ(rig.runs["b1"], 1);
+}
+
+TEST(claims, without_a_key_a_call_is_not_sent_again_once_a_byte_may_have_left) {
+  for (const call_fate fate : all_fates) {
+    request_rig rig{1};
+    const auto call = rig.call_service(0, "pay", "", "b1");
+    ASSERT_EQ(rig.open.size(), 1U);
+    EXPECT_TRUE(rig.open.front().what.one_shot);
+    rig.end_call(rig.open.front(), fate);
+    rig.open.pop_front();
+    rig.pass_slowly(seconds{1});
+    EXPECT_EQ(rig.open.size(), fate == call_fate::refused ? 1U : 0U);
+    EXPECT_EQ(rig.view(call).refused.has_value(),
+              fate == call_fate::lost_after_run || fate == call_fate::lost_before_run);
+  }
+}
+
+// Random calls under two keys through three instances, with faults, kills and outcomes at random.
+RC_GTEST_PROP(claims, hold_under_random_interleavings, ()) {
+  request_rig rig{3};
+  const int steps = *rc::gen::inRange(5, 60);
+  for (int i = 0; i < steps; ++i) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, rig.size());
+    switch (*rc::gen::weightedElement<int>({{4, 0}, {5, 1}, {3, 2}, {8, 3}, {1, 4}, {1, 5}})) {
+    case 0: {
+      const std::string n = *rc::gen::element<std::string>("1", "2");
+      rig.call_service(at, "pay", "k" + n, "b" + n);
+      break;
+    }
+    case 1:
+      if (!rig.open.empty()) {
+        const auto pick = *rc::gen::inRange<std::size_t>(0, rig.open.size());
+        const open_call call = rig.open[pick];
+        rig.open.erase(rig.open.begin() + static_cast<std::ptrdiff_t>(pick));
+        rig.end_call(call, *rc::gen::elementOf(all_fates));
+      }
+      break;
+    case 2:
+      rig.store.fault_next(*rc::gen::elementOf(all_faults), {}, *rc::gen::inRange(1, 5));
+      break;
+    case 3:
+      rig.pass_slowly(milliseconds{*rc::gen::element(100, 300, 1500)});
+      break;
+    case 4:
+      rig.kill(at);
+      rig.restart(at);
+      break;
+    default:
+      if (!rig.views().empty()) {
+        rig.feed(rig.views().rbegin()->first.instance,
+                 caller_gone{rig.views().rbegin()->first.request});
+      }
+      break;
+    }
+    RC_ASSERT(broken_promise(rig) == "");
+  }
+  rig.answer_all_calls();
+  rig.pass_slowly(seconds{6});
+  rig.answer_all_calls();
+  RC_ASSERT(broken_promise(rig) == "");
+}
+
+} // namespace
+} // namespace nutmegspur::testing
--- /dev/null
+++ b/src/libnutmegspur/request_stream_test.cpp
@@ -0,0 +1,309 @@
+// Streams: the whole answer in order, whatever is lost, doubled, reordered or late, and truth about
+// whether work ran.
+// labels: P09 P10
+#include "testing/request_rig.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace nutmegspur::testing {
+namespace {
+
+/// An engine's side of one attempt.
+struct engine_stream {
+  open_attempt what;
+  std::uint64_t next = 0; ///< Token to be sent next.
+  bool touched = false;
+};
+
+/// One instance and engines that produce `total` tokens for a request.
+class stream_rig {
+ public:
+  static constexpr std::uint64_t total = 12;
+
+  request_rig rig{1};
+  std::vector<engine_stream> streams; ///< Open attempts.
+  std::vector<attempt_id> old;        ///< Attempts that the instance has left behind.
+
+  /// Takes over what the instance opened and cancelled meanwhile.
+  void collect() {
+    for (const auto& id : rig.cancelled) {
+      std::erase_if(streams, [&](const engine_stream& it) { return it.what.attempt == id; });
+      old.push_back(id);
+    }
+    rig.cancelled.clear();
+    for (const auto& it : rig.open) {
+      streams.push_back({it.what, it.what.resume_from});
+    }
+    rig.open.clear();
+  }
+
+  void send(const attempt_id& id, std::uint64_t offset) {
+    rig.touched.insert({0, id.request});
+    rig.feed(0, attempt_chunk{id, offset, 1, request_rig::token(offset)});
+    collect();
+  }
+
+  /// The stream's end as its engine or the connection gives it.
+  void end(std::size_t i, std::optional<error> failure) {
+    const engine_stream it = streams[i];
+    streams.erase(streams.begin() + static_cast<std::ptrdiff_t>(i));
+    old.push_back(it.what.attempt);
+    if (!failure || failure->ran != outcome::not_run) {
+      rig.touched.insert({0, it.what.attempt.request});
+    }
+    rig.feed(0, attempt_ended{it.what.attempt, std::move(failure), {4, 0, 0}, "stop", it.next});
+    collect();
+  }
+
+  void break_off(std::size_t i, outcome ran) {
+    end(i, error{error_code::upstream_failed, step::attempt_stream, "e", "broke", ran});
+  }
+
+  /// Lets everything go well from here on.
+  void settle() {
+    for (int round = 0; round < 200 && rig.table(0).live() > 0; ++round) {
+      rig.pass(tick_period);
+      collect();
+      if (streams.empty()) {
+        continue;
+      }
+      const std::size_t last = streams.size() - 1;
+      if (streams[last].next < total) {
+        send(streams[last].what.attempt, streams[last].next++);
+      } else {
+        end(last, {});
+      }
+    }
+  }
+
+  [[nodiscard]] std::string broken_promise() const {
+    for (const auto& [handle, view] : rig.views()) {
+      const std::string whole = request_rig::tokens(total);
+      if (view.finals > 1 || view.after_final) {
+        return "answered more than once";
+      }
+      if (whole.compare(0, view.text.size(), view.text) != 0) {
+        return "not a prefix: " + view.text;
+      }
+      if (view.ended && view.text != whole) {
+        return "said whole: " + view.text;
+      }
+      if (view.refused && view.refused->ran == outcome::not_run && rig.touched.count(handle) > 0) {
+        return "told not_run after a byte had left";
+      }
+    }
+    return "";
+  }
+};
+
+const request_handle&
+only(const stream_rig& it) {
+  return it.rig.views().begin()->first;
+}
+
+TEST(request_stream, resumes_elsewhere_from_what_was_delivered) {
+  stream_rig it;
+  it.rig.call_model(0);
+  it.collect();
+  const upstream_id first = it.streams[0].what.upstream;
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    it.send(it.streams[0].what.attempt, i);
+  }
+  it.break_off(0, outcome::unknown);
+  ASSERT_EQ(it.streams.size(), 1U);
+  EXPECT_NE(it.streams[0].what.upstream, first);
+  EXPECT_EQ(it.streams[0].what.resume_from, 5U);
+  const auto& headers = it.streams[0].what.headers;
+  EXPECT_NE(std::find(headers.begin(), headers.end(), header_field{"x-resume-from", "5"}),
+            headers.end());
+  it.streams[0].next = 5;
+  it.settle();
+  EXPECT_TRUE(it.rig.view(only(it)).ended);
+  EXPECT_EQ(it.rig.view(only(it)).text, request_rig::tokens(stream_rig::total));
+  ASSERT_EQ(it.rig.usage.size(), 1U);
+  EXPECT_EQ(it.rig.usage[0].output_tokens, stream_rig::total);
+}
+
+TEST(request_stream, a_gap_is_never_delivered) {
+  stream_rig it;
+  it.rig.call_model(0);
+  it.collect();
+  const attempt_id id = it.streams[0].what.attempt;
+  it.send(id, 0);
+  it.send(id, 2);
+  EXPECT_EQ(it.rig.view(only(it)).text, request_rig::tokens(1));
+  it.streams[0].next = 3;
+  it.end(0, {});
+  EXPECT_FALSE(it.rig.view(only(it)).ended);
+  ASSERT_EQ(it.streams.size(), 1U);
+  EXPECT_EQ(it.streams[0].what.resume_from, 1U);
+}
+
+TEST(request_stream, holds_back_a_bounded_number_of_early_chunks) {
+  stream_rig it;
+  it.rig.call_model(0);
+  it.collect();
+  const attempt_id id = it.streams[0].what.attempt;
+  constexpr std::uint64_t more_than_held = 70;
+  for (std::uint64_t i = 1; i < more_than_held; ++i) {
+    it.send(id, i);
+  }
+  ASSERT_EQ(it.streams.size(), 1U);
+  EXPECT_NE(it.streams[0].what.attempt, id) << "the gap was not waited out";
+  EXPECT_EQ(it.rig.view(only(it)).text, "");
+}
+
+TEST(request_stream, ends_at_the_deadline_with_a_time_to_come_back) {
+  for (const bool started : {false, true}) {
+    stream_rig it;
+    it.rig.call_model(0);
+    it.collect();
+    if (started) {
+      it.send(it.streams[0].what.attempt, 0);
+    }
+    it.rig.pass(seconds{31});
+    it.collect();
+    const caller_view& view = it.rig.view(only(it));
+    ASSERT_TRUE(view.refused.has_value());
+    EXPECT_EQ(view.refused->code, error_code::deadline_exceeded);
+    EXPECT_EQ(view.refused->ran, outcome::unknown);
+    EXPECT_TRUE(view.refused->retry_after.has_value());
+    EXPECT_TRUE(it.streams.empty()) << "the engine's stream is cancelled";
+  }
+}
+
+TEST(request_stream, a_caller_that_leaves_cancels_its_stream) {
+  stream_rig it;
+  const auto call = it.rig.call_model(0);
+  it.collect();
+  it.send(it.streams[0].what.attempt, 0);
+  it.rig.feed(0, caller_gone{call.request});
+  it.collect();
+  EXPECT_TRUE(it.streams.empty());
+  EXPECT_EQ(it.rig.table(0).live(), 0U);
+  ASSERT_EQ(it.rig.usage.size(), 1U);
+  EXPECT_EQ(it.rig.usage[0].output_tokens, 1U);
+  for (const auto& [id, state] : it.rig.upstreams(0)) {
+    EXPECT_EQ(state.own_in_flight, 0U);
+    EXPECT_EQ(state.own_prompt_tokens, 0U);
+  }
+}
+
+TEST(request_stream, retries_of_touched_work_stay_within_the_budget) {
+  stream_rig it;
+  constexpr int calls = 200;
+  int attempts = 0;
+  for (int i = 0; i < calls; ++i) {
+    it.rig.call_model(0);
+    it.collect();
+    while (!it.streams.empty()) {
+      ++attempts;
+      it.break_off(0, outcome::unknown);
+      for (auto& [id, state] : it.rig.upstreams(0)) {
+        state.suspect = false;
+      }
+      it.rig.feed(0, tick{});
+      it.collect();
+    }
+  }
+  // A tenth of the fresh work, and what had been saved up at the start.
+  EXPECT_LE(attempts - calls, calls / 10 + 10);
+  EXPECT_GE(attempts - calls, calls / 10);
+}
+
+// One fault at each step of an attempt: the answer still comes whole.
+TEST(request_stream, survives_every_single_fault_at_every_step) {
+  enum class fault { broke_untouched, broke, ended_early, lost, doubled, reordered, stray };
+  for (const fault what : {fault::broke_untouched, fault::broke, fault::ended_early, fault::lost,
+                           fault::doubled, fault::reordered, fault::stray}) {
+    for (std::uint64_t at = 0; at <= stream_rig::total; ++at) {
+      stream_rig it;
+      it.rig.call_model(0);
+      it.collect();
+      for (std::uint64_t i = 0; i < at; ++i) {
+        it.send(it.streams[0].what.attempt, it.streams[0].next++);
+      }
+      engine_stream& stream = it.streams[0];
+      const attempt_id id = stream.what.attempt;
+      switch (what) {
+      case fault::broke_untouched:
+        it.break_off(0, at == 0 ? outcome::not_run : outcome::unknown);
+        break;
+      case fault::broke:
+        it.break_off(0, outcome::unknown);
+        break;
+      case fault::ended_early:
+        stream.next = stream_rig::total;
+        it.end(0, {});
+        break;
+      case fault::lost:
+        ++stream.next;
+        break;
+      case fault::doubled:
+        it.send(id, at == 0 ? 0 : at - 1);
+        break;
+      case fault::reordered:
+        it.send(id, std::min(at + 1, stream_rig::total - 1));
+        break;
+      case fault::stray:
+        it.break_off(0, outcome::unknown);
+        it.send(id, at);
+        break;
+      }
+      it.settle();
+      EXPECT_EQ(it.broken_promise(), "") << static_cast<int>(what) << " at " << at;
+      EXPECT_TRUE(it.rig.view(only(it)).ended) << static_cast<int>(what) << " at " << at;
+    }
+  }
+}
+
+// Random interleavings of chunks, losses, repeats, reordering, strays, breaks, ticks and callers
+// that leave.
+RC_GTEST_PROP(request_stream, gives_whole_answers_under_random_interleavings, ()) {
+  stream_rig it;
+  const int calls = *rc::gen::inRange(1, 4);
+  for (int i = 0; i < calls; ++i) {
+    it.rig.call_model(0);
+  }
+  it.collect();
+  const int steps = *rc::gen::inRange(1, 80);
+  for (int i = 0; i < steps && !it.streams.empty(); ++i) {
+    const auto pick = *rc::gen::inRange<std::size_t>(0, it.streams.size());
+    engine_stream& stream = it.streams[pick];
+    const attempt_id id = stream.what.attempt;
+    const bool fresh = stream.next < stream_rig::total;
+    const bool untouched = !stream.touched;
+    const int what = *rc::gen::weightedElement<int>(
+        {{12, 0}, {3, 1}, {2, 2}, {2, 3}, {2, 4}, {1, 5}, {1, 6}, {2, 7}, {1, 8}});
+    stream.touched = stream.touched || what < 5;
+    if (what == 0 && fresh) {
+      it.send(id, stream.next++);
+    } else if (what == 1) {
+      it.send(id, *rc::gen::inRange<std::uint64_t>(0, stream_rig::total)); // Doubled or early.
+    } else if (what == 2 && fresh) {
+      ++stream.next; // Lost.
+    } else if (what == 3 && !it.old.empty()) {
+      it.send(*rc::gen::elementOf(it.old), *rc::gen::inRange<std::uint64_t>(0, stream_rig::total));
+    } else if (what == 4 && !fresh) {
+      it.end(pick, {});
+    } else if (what == 5) {
+      it.break_off(pick, outcome::unknown);
+    } else if (what == 6 && untouched) {
+      it.break_off(pick, outcome::not_run);
+    } else if (what == 7) {
+      it.rig.pass(milliseconds{*rc::gen::element(100, 1000)});
+      it.collect();
+    } else if (what == 8) {
+      it.rig.feed(0, caller_gone{id.request});
+      it.collect();
+    }
+    RC_ASSERT(it.broken_promise() == "");
+  }
+  it.settle();
+  RC_ASSERT(it.broken_promise() == "");
+  RC_ASSERT(it.rig.table(0).live() == 0U);
+}
+
+} // namespace
+} // namespace nutmegspur::testing
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -54,7 +54,9 @@
     on_opened(*opened, out);
   } else if (const auto* chunk = std::get_if<attempt_chunk>(&ev)) {
     on_chunk(now, *chunk, out);
-    return; // A chunk frees no place: nothing to dispatch.
+    if (resuming_.empty()) {
+      return; // A chunk frees no place: nothing to dispatch.
+    }
   } else if (const auto* ended = std::get_if<attempt_ended>(&ev)) {
     on_ended(now, *ended, out);
   } else if (std::holds_alternative<tick>(ev)) {
@@ -68,6 +70,13 @@
 void
 request_table::on_arrived(const moment& now, const request_arrived& it, action_list& out) {
   const config_view config = needs_.config();
+  if (closed_) {
+    answer_error(it.request,
+                 {error_code::unavailable, step::admit, "", "this instance is stopping",
+                  outcome::not_run, retry_soon},
+                 log_event::request_refused, out);
+    return;
+  }
   if (!config) {
     answer_error(it.request,
                  {error_code::unavailable, step::authenticate, "", "no configuration is held yet",
@@ -167,12 +176,17 @@
 
 void
 request_table::on_verdict(const moment& now, const claim_verdict& verdict, action_list& out) {
-  const auto found = live_.find(verdict.request);
+  auto found = live_.find(verdict.request);
   if (found == live_.end() || found->second.at != phase::claiming) {
     return;
   }
+  found->second.claimed = verdict.decision == claim_decision::proceed;
+  end_withdrawn(now, out); // The key may have been withdrawn while the claim was written.
+  found = live_.find(verdict.request);
+  if (found == live_.end()) {
+    return;
+  }
   live_request& it = found->second;
-  it.claimed = verdict.decision == claim_decision::proceed;
   if (verdict.decision == claim_decision::refuse) {
     refuse(now, it, verdict.why, out);
     return;
--- a/src/libnutmegspur/settings_test.cpp
+++ b/src/libnutmegspur/settings_test.cpp
@@ -67,8 +67,7 @@
   EXPECT_FALSE(parse_with({"operator-port", "8080", "flag"}).has_value());
 }
 
-TEST(settings, values_go_to_the_members_of_their_rows)
-{
+TEST(settings, values_go_to_the_members_of_their_rows) {
   const auto parsed = parse_with({"peer-port", "9100", "flag"});
   ASSERT_TRUE(parsed.has_value());
   EXPECT_EQ(parsed->peer_port, 9100);
--- /dev/null
+++ b/src/libnutmegspur/shutdown_test.cpp
@@ -0,0 +1,128 @@
+// A graceful shutdown cuts nothing that is live.
+// labels: P13
+#include "testing/request_rig.h"
+
+#include <nutmegspur/shutdown.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace nutmegspur::testing {
+namespace {
+
+/// One instance with its shutdown.
+class stopping_rig {
+ public:
+  request_rig rig{1};
+  bool released = false;
+  std::size_t unreleased = 1;
+  bool ready = true;
+  bool stopped = false;
+
+  void step(const event& ev) {
+    action_list out;
+    stop_.step(rig.clock.now(), ev, out);
+    for (const auto& it : out) {
+      if (const auto* off = std::get_if<set_ready>(&it)) {
+        ready = off->ready;
+      }
+      stopped = stopped || std::holds_alternative<stop_now>(it);
+    }
+  }
+
+  void pass(duration span) {
+    rig.pass_slowly(span);
+    step(tick{});
+  }
+
+  [[nodiscard]] shutdown_phase at() const { return stop_.at(); }
+
+ private:
+  shutdown stop_{{},
+                 {[this] { return rig.table(0).live() + rig.claims(0).unfinished(); },
+                  [this] { rig.table(0).close(); },
+                  [this](const moment&, action_list&) { released = true; },
+                  [this] { return unreleased; }}};
+};
+
+TEST(shutdown, goes_through_its_phases_in_order) {
+  stopping_rig it;
+  it.rig.call_model(0);
+  it.step(stop_requested{});
+  EXPECT_FALSE(it.ready);
+  const auto late = it.rig.call_model(0);
+  EXPECT_FALSE(it.rig.view(late).refused.has_value()) << "the balancer's lag is served";
+  it.pass(seconds{2});
+  EXPECT_EQ(it.at(), shutdown_phase::draining);
+  const auto refused = it.rig.call_model(0);
+  EXPECT_EQ(it.rig.view(refused).refused->ran, outcome::not_run);
+  EXPECT_FALSE(it.released) << "duties are kept while work is live";
+  for (const auto& call : std::vector<open_call>{it.rig.open.begin(), it.rig.open.end()}) {
+    it.rig.feed(0, attempt_chunk{call.what.attempt, 0, 1, request_rig::token(0)});
+    it.rig.feed(0, attempt_ended{call.what.attempt, {}, {}, "stop", 1});
+  }
+  it.step(tick{});
+  EXPECT_TRUE(it.released);
+  EXPECT_FALSE(it.stopped) << "the release is waited for";
+  it.unreleased = 0;
+  it.step(tick{});
+  EXPECT_TRUE(it.stopped);
+}
+
+TEST(shutdown, waits_for_a_claim_to_be_recorded) {
+  stopping_rig it;
+  it.unreleased = 0;
+  it.rig.call_service(0, "pay", "k", "b1");
+  it.rig.pass(tick_period);
+  it.step(stop_requested{});
+  it.rig.store.fault_next(store_fault::down, {}, 3);
+  it.rig.answer_all_calls();
+  it.pass(seconds{2});
+  for (int i = 0; i < 100 && !it.stopped; ++i) {
+    it.pass(tick_period);
+  }
+  EXPECT_TRUE(it.stopped);
+  EXPECT_EQ(it.rig.claims(0).unfinished(), 0U);
+}
+
+TEST(shutdown, does_not_wait_for_ever) {
+  stopping_rig it;
+  it.rig.call_service(0, "pay", "", "b1");
+  it.step(stop_requested{});
+  for (int i = 0; i < 60 && !it.stopped; ++i) {
+    it.pass(seconds{1});
+  }
+  EXPECT_TRUE(it.stopped);
+}
+
+// Whenever the stop is asked for, whatever was live and can end within the limit ends whole.
+RC_GTEST_PROP(shutdown, cuts_nothing_that_is_live, ()) {
+  stopping_rig it;
+  it.unreleased = 0;
+  const int stop_at = *rc::gen::inRange(0, 20);
+  for (int i = 0; i < 200 && !it.stopped; ++i) {
+    if (i == stop_at) {
+      it.step(stop_requested{});
+    }
+    if (it.ready || i < stop_at + 10) {
+      const int n = *rc::gen::inRange(0, 3);
+      for (int k = 0; k < n; ++k) {
+        it.rig.call_model(0);
+      }
+    }
+    if (!it.rig.open.empty() && *rc::gen::inRange(0, 3) > 0) {
+      const open_call call = it.rig.open.front();
+      it.rig.open.pop_front();
+      it.rig.feed(0, attempt_chunk{call.what.attempt, 0, 1, request_rig::token(0)});
+      it.rig.feed(0, attempt_ended{call.what.attempt, {}, {}, "stop", 1});
+    }
+    it.pass(tick_period);
+  }
+  for (const auto& [handle, view] : it.rig.views()) {
+    RC_ASSERT(view.finals == 1);
+    RC_ASSERT(view.ended || view.refused->ran == outcome::not_run);
+  }
+}
+
+} // namespace
+} // namespace nutmegspur::testing
--- a/src/libnutmegspur/testing/request_rig.cpp
+++ b/src/libnutmegspur/testing/request_rig.cpp
@@ -20,8 +20,7 @@
   key_spec spec;
   spec.team = team_id{team};
   spec.secret_sha256 = request_rig::digest(name);
-  to.keys[name] = make(name, spec);
-  to.by_secret[spec.secret_sha256] = {key_id{name}, spec};
+  to.put(make(name, spec));
 }
 
 void
@@ -30,22 +29,22 @@
   spec.service = service_id{service};
   spec.repeatable = repeatable;
   spec.teams = {team_id{"a"}, team_id{"b"}};
-  to.routes[service] = make(service, spec);
+  to.put(make(service, spec));
 }
 
 config_snapshot
 sample_config() {
   config_snapshot it;
   it.at = revision{1};
-  it.teams["a"] = make("a", team_spec{});
-  it.teams["b"] = make("b", team_spec{});
+  it.put(make("a", team_spec{}));
+  it.put(make("b", team_spec{}));
   add_key(it, "key-a", "a");
   add_key(it, "key-b", "b");
-  it.models["m"] = make("m", model_spec{});
+  it.put(make("m", model_spec{}));
   offer_spec offer;
   offer.model = model_id{"m"};
   offer.teams = {team_id{"a"}};
-  it.offers["m"] = make("m", offer);
+  it.put(make("m-offer", offer));
   add_route(it, "pay", false);
   add_route(it, "read", true);
   return it;
@@ -97,24 +96,22 @@
   return text;
 }
 
-request_rig::instance::instance(request_rig& rig, std::size_t number)
+request_rig::entry_parts::entry_parts(request_rig& rig, std::size_t number)
     : claims(claim_options{instance_id{"i" + std::to_string(number)}, rig.processes_}),
       admission(std::move(*admission_registry::instance().make("first_come", {}))),
       routing(std::move(*routing_registry::instance().make("round_robin", {}))),
       upstreams(sample_upstreams()),
       table({instance_id{"i" + std::to_string(number)}, zone_id{"z"}, "r", rig.processes_},
-            {[&rig] { return rig.config_; },
-             upstreams,
-             *routing,
-             *admission,
-             claims,
+            {[&rig] { return rig.config_; }, upstreams, *routing, *admission, claims,
              [&rig](const moment&, const usage_line& line, action_list&) {
                rig.usage.push_back(line);
              },
              [&rig](const moment&) { return rig.config_age; }}) {}
 
 request_rig::request_rig(std::size_t instances)
-    : config_(std::make_shared<const config_snapshot>(sample_config())), instances_(instances) {
+    : config_(std::make_shared<const config_snapshot>(sample_config())), instances_(instances),
+      process_(instances) {
+  store.lost_after = seconds{1};
   for (std::size_t i = 0; i < instances; ++i) {
     restart(i);
   }
@@ -122,8 +119,8 @@
 
 void
 request_rig::restart(std::size_t instance_number) {
-  ++processes_;
-  instances_[instance_number] = std::make_unique<instance>(*this, instance_number);
+  process_[instance_number] = ++processes_;
+  instances_[instance_number] = std::make_unique<entry_parts>(*this, instance_number);
 }
 
 void
@@ -209,7 +206,7 @@
   if (const auto* call = std::get_if<call_platform>(&what)) {
     store.submit(clock.now(), "i" + std::to_string(from), *call);
   } else if (const auto* opened = std::get_if<open_attempt>(&what)) {
-    open.push_back({from, *opened});
+    open.push_back({from, process_[from], *opened});
   } else if (const auto* cancel = std::get_if<cancel_attempt>(&what)) {
     cancelled.push_back(cancel->attempt);
   } else if (const auto* start = std::get_if<start_answer>(&what)) {
@@ -260,11 +257,13 @@
   if (fate == call_fate::answered || fate == call_fate::lost_after_run) {
     ++runs[body];
   }
+  if (it.process != process_[it.instance]) {
+    return; // Its connection went with the process that opened it.
+  }
   if (fate == call_fate::answered) {
     feed(it.instance, attempt_opened{id, 200, {{"content-type", "text/plain"}}});
     const std::string answer = "done " + body;
-    feed(it.instance,
-         attempt_chunk{id, 0, static_cast<std::uint32_t>(answer.size()), answer});
+    feed(it.instance, attempt_chunk{id, 0, static_cast<std::uint32_t>(answer.size()), answer});
     feed(it.instance, attempt_ended{id, {}, {}, "", answer.size()});
     return;
   }
--- a/src/libnutmegspur/testing/request_rig.h
+++ b/src/libnutmegspur/testing/request_rig.h
@@ -27,13 +27,14 @@
   bool ended = false; ///< The answer was said to be whole.
   token_usage usage;
   std::optional<error> refused;
-  int finals = 0;       ///< Final answers; more than one is a fault.
+  int finals = 0;           ///< Final answers; more than one is a fault.
   bool after_final = false; ///< Something came after the final answer.
 };
 
 /// An attempt that an instance opened and that has not ended.
 struct open_call {
   std::size_t instance = 0;
+  std::uint64_t process = 0; ///< Which process of that instance.
   open_attempt what;
 };
 
@@ -118,8 +119,8 @@
   milliseconds config_age{0};
 
  private:
-  struct instance {
-    instance(request_rig& rig, std::size_t number);
+  struct entry_parts {
+    entry_parts(request_rig& rig, std::size_t number);
 
     claim_book claims;
     std::unique_ptr<admission_policy> admission;
@@ -132,7 +133,8 @@
   void see_final(const request_handle& of);
 
   config_view config_;
-  std::vector<std::unique_ptr<instance>> instances_;
+  std::vector<std::unique_ptr<entry_parts>> instances_;
+  std::vector<std::uint64_t> process_; ///< The number of each instance's last process.
   std::uint64_t processes_ = 0;
   std::uint64_t last_request_ = 0;
   std::map<request_handle, caller_view> views_;
