--- a/src/libnutmegspur/peer_test.cpp
+++ b/src/libnutmegspur/peer_test.cpp
@@ -66,7 +66,12 @@
   case 2:
     return config_heartbeat{{3}, {4}, milliseconds{*rc::gen::arbitrary<std::int32_t>()}, {2}};
   case 3:
-    return load_digest{some(any_load)};
+    return load_digest{
+        some(any_load),
+        {{upstream_id{small_text()},
+          {engine_role::decode, model_id{small_text()}, "v", {small_text(), "adapter"}},
+          true,
+          milliseconds{9}}}};
   case 4:
     return usage_part{
         instance_id{small_text()}, number, -5, {{team_id{small_text()}, "m", 1, number, 3}}};
