--- a/src/openai_http.caller/caller_parse.cpp
+++ b/src/openai_http.caller/caller_parse.cpp
@@ -99,7 +99,7 @@
         return field.name != "authorization" && field.value.find(key) != std::string::npos;
       });
   return in_header || raw.body.contains(needle) || raw.url.toEncoded().contains(needle) ||
-         raw.url.toString(QUrl::FullyDecoded).toUtf8().contains(needle);
+         QByteArray::fromPercentEncoding(raw.url.toEncoded()).contains(needle);
 }
 
 result<request_class>
--- a/src/openai_http.caller/caller_server.h
+++ b/src/openai_http.caller/caller_server.h
@@ -27,6 +27,9 @@
   result<void> listen_for_callers();
   void close_all();
 
+  /// The port that it listens on.
+  [[nodiscard]] std::uint16_t port() const { return listener_.serverPort(); }
+
   void on_ready(const set_ready& what) { ready_ = what; }
 
   void on_start(const start_answer& what);
--- a/src/openai_http.caller/guarded_listener.cpp
+++ b/src/openai_http.caller/guarded_listener.cpp
@@ -79,7 +79,9 @@
 guarded_listener::refuse(QTcpSocket* socket, const char* code, int status, const char* message) {
   QObject::disconnect(socket, &QTcpSocket::readyRead, nullptr, nullptr);
   QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket] { socket->readAll(); });
-  socket->rollbackTransaction();
+  if (socket->isTransactionStarted()) {
+    socket->rollbackTransaction();
+  }
   socket->readAll();
   const error why{from_name<error_code>(code).value_or(error_code::internal), step::caller_read, "",
                   message};
