--- a/src/openai_http.caller/caller_server.cpp
+++ b/src/openai_http.caller/caller_server.cpp
@@ -52,6 +52,7 @@
 caller_server::caller_server(const worker_context& context, event_sink sink)
     : context_(context), sink_(std::move(sink)),
       listener_(connection_limits{context.config.max_body_bytes + max_head_bytes}) {
+  listener_.set_id_source([this] { return public_id(request_id{++last_request_}); });
   listener_.set_on_closed([this](QTcpSocket* socket) { on_closed(socket); });
   QObject::connect(&retry_timer_, &QTimer::timeout, this, [this] { tell_again(); });
   retry_timer_.start(retry_period);
--- a/src/openai_http.caller/guarded_listener.cpp
+++ b/src/openai_http.caller/guarded_listener.cpp
@@ -62,7 +62,7 @@
   }
   it.unfinished_bytes += static_cast<std::uint64_t>(socket->bytesAvailable());
   if (it.unfinished_bytes > limits_.max_request_bytes) {
-    refuse(socket, "too_large", 413, "the request is too large");
+    refuse(socket, error_code::too_large, 413, "the request is too large");
   }
 }
 
@@ -76,16 +76,15 @@
 
 // Says why, then closes; what still comes in is thrown away, so that the answer can arrive.
 void
-guarded_listener::refuse(QTcpSocket* socket, const char* code, int status, const char* message) {
+guarded_listener::refuse(QTcpSocket* socket, error_code code, int status, const char* message) {
   QObject::disconnect(socket, &QTcpSocket::readyRead, nullptr, nullptr);
   QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket] { socket->readAll(); });
   if (socket->isTransactionStarted()) {
     socket->rollbackTransaction();
   }
   socket->readAll();
-  const error why{from_name<error_code>(code).value_or(error_code::internal), step::caller_read, "",
-                  message};
-  const QByteArray body = error_document(why, "");
+  const error why{code, step::caller_read, "", message};
+  const QByteArray body = error_document(why, next_id_ ? next_id_() : "");
   socket->write(response_head(status, {{"content-type", "application/json"},
                                        {"connection", "close"},
                                        {"content-length", std::to_string(body.size())}}) +
@@ -107,7 +106,7 @@
     }
   }
   for (QTcpSocket* socket : slow) {
-    refuse(socket, "deadline_exceeded", 408, "the request did not come in whole in time");
+    refuse(socket, error_code::deadline_exceeded, 408, "the request did not come in whole in time");
   }
   for (QTcpSocket* socket : idle) {
     socket->disconnectFromHost();
--- a/src/openai_http.caller/guarded_listener.h
+++ b/src/openai_http.caller/guarded_listener.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <nutmegspur/clock.h>
+#include <nutmegspur/error.h>
 
 #include <QtCore/QTimer>
 #include <QtNetwork/QTcpServer>
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <unordered_map>
 
 namespace nutmegspur::openai_http {
@@ -35,6 +37,9 @@
   /// Called when a connection was closed by either side.
   void set_on_closed(socket_call call) { on_closed_ = std::move(call); }
 
+  /// Gives each refused request the id that its caller sees.
+  void set_id_source(std::function<std::string()> source) { next_id_ = std::move(source); }
+
   /// The request on this connection has been read whole; its answer is being worked on.
   void request_begun(QTcpSocket* socket);
   /// The answer was written.
@@ -54,10 +59,11 @@
   void on_ready_read(QTcpSocket* socket);
   void on_disconnected(QTcpSocket* socket);
   void sweep();
-  static void refuse(QTcpSocket* socket, const char* code, int status, const char* message);
+  void refuse(QTcpSocket* socket, error_code code, int status, const char* message);
 
   connection_limits limits_;
   socket_call on_closed_;
+  std::function<std::string()> next_id_;
   std::unordered_map<QTcpSocket*, connection> connections_;
   QTimer sweep_timer_;
 };
