--- /dev/null
+++ b/src/one_shot_http/one_shot_call.cpp
@@ -0,0 +1,155 @@
+// One HTTP call on one fresh connection.
+#include "one_shot_call.h"
+
+#include <nutmegspur/mechanisms.h>
+
+#include <QtNetwork/QHostAddress>
+#include <QtNetwork/QNetworkProxy>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace nutmegspur {
+
+namespace {
+
+/// The kernel gives the connection up once bytes stay unacknowledged for `bound`, and closing it
+/// resets it and drops what was not sent.
+bool
+bound_delivery(qintptr descriptor, milliseconds bound) {
+  const auto fd = static_cast<int>(descriptor);
+  const auto timeout = static_cast<unsigned>(bound.count());
+  const linger reset{1, 0};
+  const int no_delay = 1;
+  return ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout) == 0 &&
+         ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset) == 0 &&
+         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof no_delay) == 0;
+}
+
+/// The value of a header line, in a head that was turned to lower case; empty if there is none.
+QByteArray
+header_value(const QByteArray& head, const QByteArray& name) {
+  const auto at = head.indexOf("\r\n" + name + ":");
+  if (at < 0) {
+    return {};
+  }
+  const auto from = at + 2 + name.size() + 1;
+  return head.mid(from, head.indexOf("\r\n", from) - from).trimmed();
+}
+
+} // namespace
+
+one_shot_call::one_shot_call(one_shot_request request, step at, done on_done)
+    : request_(std::move(request)), at_(at), on_done_(std::move(on_done)) {}
+
+one_shot_call::~one_shot_call() {
+  finished_ = true;
+  socket_.disconnect();
+  socket_.abort();
+}
+
+void
+one_shot_call::start() {
+  QObject::connect(&socket_, &QTcpSocket::connected, &socket_, [this] { on_connected(); });
+  QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { on_bytes(); });
+  QObject::connect(&socket_, &QTcpSocket::errorOccurred, &socket_, [this] { on_ended(); });
+  QObject::connect(&limit_, &QTimer::timeout, &socket_,
+                   [this] { give_up(error_code::deadline_exceeded, "no answer in time"); });
+  limit_.setSingleShot(true);
+  limit_.start(request_.bound);
+  socket_.setProxy(QNetworkProxy::NoProxy);
+  socket_.connectToHost(QHostAddress(QString::fromStdString(request_.address)), request_.port);
+}
+
+QByteArray
+one_shot_call::bytes_to_send() const {
+  QByteArray bytes = request_.method + " " + request_.path + " HTTP/1.1\r\n";
+  bytes += "Host: " + QByteArray::fromStdString(request_.address) + ":" +
+           QByteArray::number(request_.port) + "\r\n";
+  bytes += "Connection: close\r\n";
+  bytes += "Content-Length: " + QByteArray::number(request_.body.size()) + "\r\n";
+  bytes += request_.headers + "\r\n";
+  return bytes + request_.body;
+}
+
+void
+one_shot_call::on_connected() {
+  if (!bound_delivery(socket_.socketDescriptor(), request_.bound)) {
+    give_up(error_code::internal, "the connection's timeout cannot be set");
+    return;
+  }
+  const QByteArray bytes = bytes_to_send();
+  limit_.start(request_.bound);
+  // Nothing may come between this check and the write.
+  if (enabled(mechanism::lease_deadline_check) && boot_clock::now() > request_.not_after) {
+    give_up(error_code::lease_lost, "its time to be sent has passed");
+    return;
+  }
+  written_ = true;
+  socket_.write(bytes);
+  socket_.flush();
+}
+
+void
+one_shot_call::on_bytes() {
+  received_ += socket_.readAll();
+  if (received_.size() > max_answer) {
+    give_up(error_code::too_large, "the answer is too large");
+    return;
+  }
+  if (auto answer = parse(false)) {
+    finish(std::move(answer));
+  }
+}
+
+void
+one_shot_call::on_ended() {
+  received_ += socket_.readAll();
+  auto answer = parse(true);
+  if (!answer) {
+    answer.error().message = socket_.errorString().toStdString();
+  }
+  finish(std::move(answer));
+}
+
+void
+one_shot_call::give_up(error_code code, const std::string& why) {
+  const outcome ran = written_ ? outcome::unknown : outcome::not_run;
+  finish(fail({code, at_, request_.address, why, ran}));
+}
+
+void
+one_shot_call::finish(result<one_shot_answer> answer) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  limit_.stop();
+  socket_.abort();
+  on_done_(std::move(answer));
+}
+
+result<one_shot_answer>
+one_shot_call::parse(bool ended) const {
+  const outcome ran = written_ ? outcome::unknown : outcome::not_run;
+  const auto incomplete =
+      fail({error_code::unavailable, at_, request_.address, "no whole answer", ran});
+  const auto head_end = received_.indexOf("\r\n\r\n");
+  if (!received_.startsWith("HTTP/1.1 ") || head_end < 0) {
+    return incomplete;
+  }
+  constexpr qsizetype status_at = 9;
+  constexpr qsizetype status_digits = 3;
+  one_shot_answer answer;
+  answer.status = received_.mid(status_at, status_digits).toInt();
+  answer.body = received_.mid(head_end + 4);
+  const QByteArray length = header_value(received_.left(head_end + 2).toLower(), "content-length");
+  const bool whole = length.isEmpty() ? ended : answer.body.size() >= length.toLongLong();
+  if (!whole || answer.status == 0) {
+    return incomplete;
+  }
+  return answer;
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/one_shot_http/one_shot_call_test.cpp
@@ -0,0 +1,135 @@
+// A one-shot call against a server that answers, stays silent, hangs up or is not there.
+#include "one_shot_call.h"
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QEventLoop>
+#include <QtNetwork/QTcpServer>
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace nutmegspur {
+namespace {
+
+/// Qt needs an application for its event loop.
+QCoreApplication&
+application() {
+  static int argc = 1;
+  static char name[] = "test";
+  static char* argv[] = {name, nullptr};
+  static QCoreApplication app{argc, argv};
+  return app;
+}
+
+/// A server that counts connections and bytes and reacts to a whole request as it is told.
+struct peer_server {
+  QTcpServer server;
+  int connections = 0;
+  QByteArray received;
+  QByteArray answer; ///< Empty: nothing is sent.
+  bool hang_up = false;
+
+  peer_server() {
+    application();
+    server.listen(QHostAddress::LocalHost);
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [this] {
+      ++connections;
+      QTcpSocket* socket = server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+        received += socket->readAll();
+        if (!answer.isEmpty()) {
+          socket->write(answer);
+        }
+        if (hang_up) {
+          socket->close();
+        }
+      });
+    });
+  }
+
+  [[nodiscard]] one_shot_request request() const {
+    one_shot_request it;
+    it.address = "127.0.0.1";
+    it.port = server.serverPort();
+    it.path = "/engine/orders";
+    it.body = R"({"sequence":1})";
+    return it;
+  }
+};
+
+result<one_shot_answer>
+outcome_of(one_shot_request request) {
+  std::optional<result<one_shot_answer>> answer;
+  one_shot_call call{std::move(request), step::intent_send,
+                     [&](result<one_shot_answer> it) { answer = std::move(it); }};
+  call.start();
+  while (!answer) {
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+  }
+  return *answer;
+}
+
+TEST(one_shot_call, gives_the_answer_of_one_request) {
+  peer_server peer;
+  peer.answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}";
+  const auto answer = outcome_of(peer.request());
+  ASSERT_TRUE(answer.has_value()) << answer.error().message;
+  EXPECT_EQ(answer->status, 202);
+  EXPECT_EQ(answer->body, "{}");
+  EXPECT_EQ(peer.connections, 1);
+  EXPECT_EQ(peer.received.count("POST /engine/orders"), 1);
+}
+
+TEST(one_shot_call, writes_nothing_after_its_time) {
+  peer_server peer;
+  peer.answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+  auto request = peer.request();
+  request.not_after = boot_clock::now() - microseconds{1};
+  const auto answer = outcome_of(request);
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().code, error_code::lease_lost);
+  EXPECT_EQ(answer.error().ran, outcome::not_run);
+  EXPECT_TRUE(peer.received.isEmpty());
+}
+
+TEST(one_shot_call, is_not_sent_again_when_the_peer_hangs_up) {
+  peer_server peer;
+  peer.hang_up = true;
+  const auto answer = outcome_of(peer.request());
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().ran, outcome::unknown);
+  EXPECT_EQ(peer.connections, 1);
+  EXPECT_EQ(peer.received.count("POST"), 1);
+}
+
+TEST(one_shot_call, a_silent_peer_leaves_the_outcome_unknown) {
+  peer_server peer;
+  auto request = peer.request();
+  request.bound = milliseconds{100};
+  const auto answer = outcome_of(request);
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().code, error_code::deadline_exceeded);
+  EXPECT_EQ(answer.error().ran, outcome::unknown);
+}
+
+TEST(one_shot_call, a_refused_connection_has_not_run) {
+  peer_server peer;
+  const auto request = peer.request();
+  peer.server.close();
+  const auto answer = outcome_of(request);
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().ran, outcome::not_run);
+}
+
+TEST(one_shot_call, half_an_answer_is_no_answer) {
+  peer_server peer;
+  peer.answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 10\r\n\r\n{}";
+  peer.hang_up = true;
+  const auto answer = outcome_of(peer.request());
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().ran, outcome::unknown);
+}
+
+} // namespace
+} // namespace nutmegspur
