--- a/src/etcd_http.platform/etcd_http.cpp
+++ b/src/etcd_http.platform/etcd_http.cpp
@@ -16,6 +16,18 @@
   return {error_code::unavailable, step::platform_call, "platform", message, ran, seconds{1}};
 }
 
+/// Until when a call may be written, for those that need authority.
+std::optional<time_point>
+last_moment(const platform_request& request) {
+  if (const auto* order = std::get_if<upstream_order>(&request)) {
+    return order->not_after;
+  }
+  if (const auto* report = std::get_if<usage_report>(&request)) {
+    return report->not_after;
+  }
+  return std::nullopt;
+}
+
 std::shared_ptr<QNetworkAccessManager>
 new_manager() {
   return {new QNetworkAccessManager, [](QNetworkAccessManager* it) { it->deleteLater(); }};
@@ -49,6 +61,7 @@
 adapter::stop() {
   outbox_.set_sink(nullptr);
   watches_.clear();
+  bounded_calls_.clear();
   const auto calls = std::move(calls_);
   calls_.clear();
   for (const auto& [id, it] : calls) {
@@ -80,11 +93,14 @@
     return post(platform_reply{what.call, accepted_reply{}, boot_clock::now()});
   }
   const http_call call = encode(what.request);
-  if (calls_.size() >= max_calls) {
+  if (calls_.size() + bounded_calls_.size() >= max_calls) {
     error ec = lost("too many calls are under way", outcome::not_run);
     ec.code = error_code::overloaded;
     return reply(what.call, call.kind, boot_clock::now(), fail(ec));
   }
+  if (const auto not_after = last_moment(what.request)) {
+    return begin_bounded(what, call, *not_after);
+  }
   auto it = std::make_shared<pending_call>();
   it->what = what;
   it->kind = call.kind;
@@ -102,6 +118,33 @@
   it->limit.start(call_limit);
 }
 
+void
+adapter::begin_bounded(const call_platform& what, const http_call& call, time_point not_after) {
+  one_shot_request request;
+  request.address = context_.config.platform_address;
+  request.port = context_.config.platform_port;
+  request.method = call.method;
+  request.path = QByteArray(call.path);
+  request.headers = "Content-Type: " + QByteArray(call.content_type) + "\r\n";
+  if (!call.idempotency_key.isEmpty()) {
+    request.headers += "Idempotency-Key: " + call.idempotency_key + "\r\n";
+  }
+  request.body = call.body;
+  request.not_after = not_after;
+  request.bound = call_limit;
+  const time_point asked_at = boot_clock::now();
+  const auto on_done = [this, what, kind = call.kind,
+                        asked_at](const result<one_shot_answer>& answer) {
+    reply(what.call, kind, asked_at,
+          answer ? decode(what.request, answer->status, answer->body) : fail(answer.error()));
+    // The call is still on the stack.
+    QTimer::singleShot(0, scope_.get(), [this, id = what.call] { bounded_calls_.erase(id); });
+  };
+  auto& it = bounded_calls_[what.call];
+  it = std::make_unique<one_shot_call>(std::move(request), step::platform_call, on_done);
+  it->start();
+}
+
 void
 adapter::send(pending_call& it, const http_call& call) {
   QUrl url = base_;
--- a/src/etcd_http.platform/etcd_http.h
+++ b/src/etcd_http.platform/etcd_http.h
@@ -6,7 +6,9 @@
 /// taken for sending, and `not_run` before that.
 #pragma once
 
+#include "etcd_codec.h"
 #include "one_shot_body.h"
+#include "one_shot_call.h"
 #include "watch_stream.h"
 
 #include <nutmegspur/event_outbox.h>
@@ -51,6 +53,8 @@
   };
 
   void begin(const call_platform& what);
+  /// A call that needs authority: not written after `not_after`, and never delivered late.
+  void begin_bounded(const call_platform& what, const http_call& call, time_point not_after);
   void send(pending_call& it, const http_call& call);
   void finish(const std::shared_ptr<pending_call>& it);
   [[nodiscard]] result<platform_answer> answer_of(const pending_call& it) const;
@@ -72,6 +76,7 @@
   std::unique_ptr<QObject> scope_;
   std::shared_ptr<QNetworkAccessManager> manager_;
   std::map<call_id, std::shared_ptr<pending_call>> calls_;
+  std::map<call_id, std::unique_ptr<one_shot_call>> bounded_calls_;
   std::map<call_id, std::unique_ptr<watch_stream>> watches_;
   bool flushing_ = false; ///< A flush of the outbox is scheduled.
   bool reachable_ = true;
