Load tool in model mode, scenarios, fleet planner and tools/measure

The scenarios run through the real request tables, policies and planners of all entry instances on a manual clock, against the engines' timing model.

--- /dev/null
+++ b/src/include/nutmegspur/role_planning.h
@@ -0,0 +1,58 @@
+/// \file role_planning.h
+/// How many requests a second an engine serves in each role, and which roles a zone should have.
+///
+/// Pure functions of the request mix; `fleet_planner` decides when to act on them.
+#pragma once
+
+#include <nutmegspur/latency_model.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace nutmegspur {
+
+/// Requests of one kind: those where prefill weighs more, or those where output does.
+struct traffic_part {
+  double requests_per_second = 0;
+  double prefill_tokens = 0; ///< Mean for each request, without what is found in the cache.
+  double output_tokens = 0;  ///< Mean for each request.
+};
+
+/// What an engine offers apart from its role.
+struct engine_shape {
+  engine_speed speed;
+  std::uint32_t slots = 32; ///< Batch slots in the mixed role.
+};
+
+/// Batch slots in `role`.
+std::uint32_t batch_slots(const engine_shape& shape, engine_role role);
+
+/// Requests a second that one engine sustains in `role`; 0 for an empty part.
+double sustained_rate(const engine_shape& shape, engine_role role, const traffic_part& part);
+
+/// The role that sustains most of `part`, and how many engines of it the part keeps busy.
+struct part_demand {
+  engine_role role = engine_role::mixed;
+  double engines = 0;
+};
+
+part_demand demand_of(const engine_shape& shape, const traffic_part& part);
+
+/// Engines for each role, in the order of `enum_names<engine_role>`.
+using role_counts = std::array<std::uint32_t, 3>;
+
+/// The index of `role` in `role_counts`.
+std::size_t role_index(engine_role role);
+
+/// Shares `engines` between the roles that `parts` want, by the engines that each keeps busy.
+role_counts wanted_roles(const engine_shape& shape, const std::vector<traffic_part>& parts,
+                         std::uint32_t engines);
+
+/// Share of the offered requests that engines in these roles can sustain (may be over 1), where
+/// each part goes to the roles that serve it best first.
+double served_share(const engine_shape& shape, const std::vector<traffic_part>& parts,
+                    const role_counts& roles);
+
+} // namespace nutmegspur
--- a/src/include/nutmegspur/usage_ledger.h
+++ b/src/include/nutmegspur/usage_ledger.h
@@ -40,6 +40,7 @@
   void flush(const moment& now, action_list& out);
   /// Whether all that was counted here is sealed or held by another instance.
   [[nodiscard]] bool handed_over() const;
+
   /// Whether the holder's side has a call under way.
   [[nodiscard]] bool busy() const { return sealer_.busy(); }
 
--- a/src/include/nutmegspur/usage_sealer.h
+++ b/src/include/nutmegspur/usage_sealer.h
@@ -68,19 +68,21 @@
 
   /// Takes a part from `sender`, which may be this instance.
   part_verdict accept(const moment& now, const usage_part& part, const instance_id& sender);
+
   /// The parts sealed since the last call.
   std::vector<sealed_part> take_sealed() { return std::exchange(sealed_, {}); }
+
   void step(const moment& now, const event& ev, action_list& out);
   /// Whether a store call or a report is under way under this instance's authority.
   [[nodiscard]] bool busy() const;
 
  private:
   enum class stage {
-    idle,     ///< No authority.
-    bound,    ///< Waits until nothing of an earlier holder can still arrive.
-    loading,  ///< Reads the mark.
+    idle,    ///< No authority.
+    bound,   ///< Waits until nothing of an earlier holder can still arrive.
+    loading, ///< Reads the mark.
     ready,
-    writing,  ///< A transaction is under way.
+    writing, ///< A transaction is under way.
   };
 
   struct pending_part {
--- a/src/libnutmegspur/peer_test.cpp
+++ b/src/libnutmegspur/peer_test.cpp
@@ -58,7 +58,10 @@
   case 0:
     return peer_hello{instance_id{small_text()}, zone_id{small_text()}, {7}};
   case 1:
-    return config_delta{{1}, {2}, some(any_change), *rc::gen::arbitrary<bool>(),
+    return config_delta{{1},
+                        {2},
+                        some(any_change),
+                        *rc::gen::arbitrary<bool>(),
                         *rc::gen::arbitrary<std::uint32_t>()};
   case 2:
     return config_heartbeat{{3}, {4}, milliseconds{*rc::gen::arbitrary<std::int32_t>()}, {2}};
--- a/src/libnutmegspur/testing/fake_engine.h
+++ b/src/libnutmegspur/testing/fake_engine.h
@@ -20,15 +20,16 @@
   std::uint64_t sequence = 0;
   engine_state wanted;
   bool taken = false;
-  bool was_changing = false;  ///< It arrived while another change was under way.
-  std::uint32_t streams = 0;  ///< Live streams when it arrived.
-  bool interrupts = false;    ///< It changes what streams depend on.
+  bool was_changing = false; ///< It arrived while another change was under way.
+  std::uint32_t streams = 0; ///< Live streams when it arrived.
+  bool interrupts = false;   ///< It changes what streams depend on.
 };
 
 /// The fake engine.
 class fake_engine {
  public:
-  fake_engine(upstream_id id, bool checks_fence) : id_(std::move(id)), checks_fence_(checks_fence) {}
+  fake_engine(upstream_id id, bool checks_fence)
+      : id_(std::move(id)), checks_fence_(checks_fence) {}
 
   /// How long a change takes.
   seconds change_takes{5};
@@ -45,7 +46,9 @@
   [[nodiscard]] std::optional<engine_report> report(const moment& now) const;
 
   [[nodiscard]] const upstream_id& id() const { return id_; }
+
   [[nodiscard]] const engine_state& state() const { return state_; }
+
   [[nodiscard]] const std::vector<received_order>& received() const { return received_; }
 
  private:
--- a/src/libnutmegspur/usage_ledger.cpp
+++ b/src/libnutmegspur/usage_ledger.cpp
@@ -42,8 +42,8 @@
 
 bool
 usage_ledger::handed_over() const {
-  return open_lines_.empty() && std::all_of(own_.begin(), own_.end(),
-                                            [](const auto& it) { return it.second.safe; });
+  return open_lines_.empty() &&
+         std::all_of(own_.begin(), own_.end(), [](const auto& it) { return it.second.safe; });
 }
 
 void
--- /dev/null
+++ b/src/nutmegspur_load/model_entry.h
@@ -0,0 +1,75 @@
+/// \file model_entry.h
+/// One entry instance in the model: its decision parts and what it knows of the upstreams.
+#pragma once
+
+#include "model_world.h"
+
+#include <nutmegspur/fleet_planner.h>
+#include <nutmegspur/policy.h>
+#include <nutmegspur/request_table.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace nutmegspur::load {
+
+/// Authority that the model gives and takes.
+class model_authority final : public authority_source {
+ public:
+  [[nodiscard]] std::optional<authority> current(time_point now) const override {
+    return held ? std::optional{authority{fence{1}, now + seconds{10}}} : std::nullopt;
+  }
+
+  bool held = false;
+};
+
+/// What an entry instance is built with.
+struct model_entry_options {
+  std::size_t index = 0;
+  zone_plan zone;
+  std::uint64_t seed = 1;
+  std::uint32_t block_tokens = 16;
+  bool plans_fleet = false;
+  fleet_options fleet;
+};
+
+/// The instance.
+class model_entry {
+ public:
+  static result<std::unique_ptr<model_entry>> make(const model_entry_options& options,
+                                                   const policy_bundle& policy, config_view config,
+                                                   fleet_hooks hooks);
+
+  model_entry(const model_entry&) = delete;
+  model_entry& operator=(const model_entry&) = delete;
+  ~model_entry() = default;
+
+  action_list step(const moment& now, const event& ev);
+
+  model_entry_options options;
+  upstream_map upstreams;
+  std::map<upstream_id, std::uint64_t> events_seen;
+  model_authority authority;
+  std::unique_ptr<admission_policy> admission;
+
+ private:
+  model_entry(model_entry_options given, std::unique_ptr<routing_policy> routing,
+              std::unique_ptr<admission_policy> admitting, config_view config, fleet_hooks hooks);
+
+  std::unique_ptr<routing_policy> routing_;
+  claim_book claims_;
+  request_table table_;
+  fleet_planner planner_;
+};
+
+/// The configuration of a scenario: its teams, a key for each, and one model open to all of them.
+config_view model_config(const scenario& in);
+
+/// The digest of a team's key in `model_config`.
+std::string model_key(std::size_t team);
+
+/// The one model of a scenario.
+inline constexpr const char* scenario_model = "model-1";
+
+} // namespace nutmegspur::load
--- /dev/null
+++ b/src/nutmegspur_load/model_world_test.cpp
@@ -0,0 +1,54 @@
+/// \file model_world_test.cpp
+/// The model gives the same figures on every run, and its sums are right.
+
+#include "model_world.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace nutmegspur::load {
+
+namespace {
+
+scenario
+read_scenario(const std::string& name) {
+  std::ifstream in(std::string(SCENARIO_DIR) + "/" + name + ".json");
+  std::stringstream text;
+  text << in.rdbuf();
+  return parse_scenario(text.str()).value();
+}
+
+} // namespace
+
+TEST(measures, fair_shares_give_none_more_than_it_asked_for) {
+  const auto shares = fair_shares(90, {10, 100, 100}, {1, 1, 1});
+  EXPECT_NEAR(shares[0], 10, 1e-6);
+  EXPECT_NEAR(shares[1], 40, 1e-6);
+  EXPECT_NEAR(shares[2], 40, 1e-6);
+  const auto weighted = fair_shares(90, {100, 100}, {1, 2});
+  EXPECT_NEAR(weighted[0], 30, 1e-6);
+  EXPECT_NEAR(weighted[1], 60, 1e-6);
+}
+
+TEST(model_world, gives_the_same_figures_on_every_run) {
+  auto in = read_scenario("tumen_steady");
+  in.duration_s = 40;
+  const auto one = run_model(in, policy_bundles().front());
+  const auto two = run_model(in, policy_bundles().front());
+  ASSERT_TRUE(one);
+  ASSERT_TRUE(two);
+  EXPECT_EQ(measure_json(*one), measure_json(*two));
+  EXPECT_EQ(one->offered, one->whole + one->late + one->refused + one->failed);
+  EXPECT_GT(one->whole, one->offered / 2);
+}
+
+TEST(model_world, a_steady_mix_changes_roles_at_most_once_a_zone) {
+  auto in = read_scenario("tumen_steady");
+  const auto sum = run_model(in, policy_bundles().front());
+  ASSERT_TRUE(sum);
+  EXPECT_LE(sum->role_changes, in.zones.size());
+}
+
+} // namespace nutmegspur::load
--- /dev/null
+++ b/src/nutmegspur_load/workload.cpp
@@ -0,0 +1,153 @@
+/// \file workload.cpp
+/// Draws arrivals: a Poisson process whose rate and mix follow the scenario's phases.
+
+#include "workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace nutmegspur::load {
+
+namespace {
+
+constexpr double micros_per_second = 1e6;
+
+/// Rate and mix at one time.
+struct demand_now {
+  double rate = 0;
+  std::vector<double> class_rate; ///< By class index.
+};
+
+std::vector<double>
+class_rates(const scenario& in, const phase_plan& phase) {
+  std::vector<double> rates(in.classes.size(), 0);
+  double sum = 0;
+  for (const auto& part : phase.mix) {
+    sum += part.share;
+  }
+  for (const auto& part : phase.mix) {
+    for (std::size_t i = 0; i < in.classes.size(); ++i) {
+      if (in.classes[i].name == part.class_name && sum > 0) {
+        rates[i] += phase.requests_per_second * part.share / sum;
+      }
+    }
+  }
+  return rates;
+}
+
+demand_now
+demand_at(const scenario& in, double at_s) {
+  std::size_t n = 0;
+  double began = 0;
+  while (n + 1 < in.phases.size() && at_s >= in.phases[n].until_s) {
+    began = in.phases[n].until_s;
+    n += 1;
+  }
+  demand_now demand;
+  demand.class_rate = class_rates(in, in.phases[n]);
+  const double ramp = in.phases[n].ramp_s;
+  if (n > 0 && ramp > 0 && at_s < began + ramp) {
+    const auto before = class_rates(in, in.phases[n - 1]);
+    const double part = (at_s - began) / ramp;
+    for (std::size_t i = 0; i < before.size(); ++i) {
+      demand.class_rate[i] = before[i] + part * (demand.class_rate[i] - before[i]);
+    }
+  }
+  for (const auto rate : demand.class_rate) {
+    demand.rate += rate;
+  }
+  return demand;
+}
+
+/// A team's share of the rate at one time, with floods.
+std::vector<double>
+team_rates(const scenario& in, double at_s) {
+  std::vector<double> rates;
+  double sum = 0;
+  for (const auto& team : in.teams) {
+    rates.push_back(team.share);
+    sum += team.share;
+  }
+  for (std::size_t i = 0; i < rates.size(); ++i) {
+    rates[i] /= sum;
+    for (const auto& flood : in.floods) {
+      if (flood.team == in.teams[i].name && at_s >= flood.from_s && at_s < flood.to_s) {
+        rates[i] *= flood.factor;
+      }
+    }
+  }
+  return rates;
+}
+
+template <class Random>
+std::size_t
+draw_index(const std::vector<double>& weights, Random& random) {
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  return pick(random);
+}
+
+template <class Random>
+std::uint32_t
+draw_in(const range& from, Random& random) {
+  return std::uniform_int_distribution<std::uint32_t>(from.least, from.most)(random);
+}
+
+std::uint64_t
+mix_bits(std::uint64_t a, std::uint64_t b) {
+  constexpr std::uint64_t odd_multiplier = 0x9E3779B97F4A7C15ULL;
+  auto x = (a ^ (b + odd_multiplier + (a << 6U) + (a >> 2U))) * odd_multiplier;
+  return x ^ (x >> 29U);
+}
+
+} // namespace
+
+std::vector<planned_request>
+plan_workload(const scenario& in) {
+  std::mt19937_64 random(in.seed);
+  std::vector<planned_request> all;
+  double at = 0;
+  while (true) {
+    const auto demand = demand_at(in, at);
+    const auto teams = team_rates(in, at);
+    double factor = 0;
+    for (const auto rate : teams) {
+      factor += rate;
+    }
+    const double rate = std::max(demand.rate * factor, 1e-3);
+    at += std::exponential_distribution<double>(rate)(random);
+    if (at >= in.duration_s) {
+      return all;
+    }
+    planned_request it;
+    it.number = all.size() + 1;
+    it.at = duration{static_cast<std::int64_t>(at * micros_per_second)};
+    it.team = draw_index(teams, random);
+    it.kind = draw_index(demand.class_rate, random);
+    const auto& kind = in.classes[it.kind];
+    it.prompt_tokens = draw_in(kind.prompt, random);
+    it.output_tokens = draw_in(kind.output, random);
+    it.max_tokens = kind.output.most;
+    it.prefix = draw_in({1, kind.prefixes}, random);
+    it.prefix_tokens = std::min(kind.prefix_tokens, it.prompt_tokens);
+    all.push_back(it);
+  }
+}
+
+std::vector<std::uint64_t>
+planned_blocks(const planned_request& it, std::uint32_t block_tokens) {
+  std::vector<std::uint64_t> blocks;
+  const auto shared = mix_bits(it.team * 1000 + it.kind + 1, it.prefix);
+  const auto own = mix_bits(shared, it.number + 1'000'000);
+  for (std::uint32_t end = block_tokens; end <= it.prompt_tokens; end += block_tokens) {
+    blocks.push_back(mix_bits(end <= it.prefix_tokens ? shared : own, end));
+  }
+  return blocks;
+}
+
+std::uint64_t
+weighted_cost(const planned_request& it) {
+  return it.prompt_tokens * prompt_cost_milli + it.output_tokens * output_cost_milli;
+}
+
+} // namespace nutmegspur::load
