--- a/src/include/nutmegspur/claims.h
+++ b/src/include/nutmegspur/claims.h
@@ -116,7 +116,7 @@
   void judge(const moment& now, entry& it, const kv_pair& pair, action_list& out);
   void on_tick(const moment& now, action_list& out);
   void give_up(const moment& now, entry& it, action_list& out);
-  void decide(const moment& now, entry& it, claim_verdict verdict, action_list& out);
+  void decide(const moment& now, entry& it, const claim_verdict& verdict, action_list& out);
   void end_with(const moment& now, entry& it, claim_record record, action_list& out);
 
   claim_options options_;
--- a/src/include/nutmegspur/peer.h
+++ b/src/include/nutmegspur/peer.h
@@ -63,9 +63,18 @@
   milliseconds age{0};
 };
 
-/// What an instance read of its share of the zone's upstreams.
+/// What an engine is, as one instance read it; sent when it changes.
+struct engine_state_entry {
+  upstream_id upstream;
+  engine_state state;
+  bool changing = false;
+  milliseconds age{0};
+};
+
+/// What an instance read of its share of the zone's upstreams, or heard of others'.
 struct load_digest {
   std::vector<load_digest_entry> entries;
+  std::vector<engine_state_entry> states;
 };
 
 /// Service given to a team since the last digest, in weighted tokens (thousandths).
@@ -84,6 +93,8 @@
 struct upstream_notice {
   upstream_id upstream;
   bool leaving = true;
+  bool acknowledges = false; ///< Answers the receiver's own notice; it says nothing new.
+  std::uint64_t number = 0;  ///< Of the sender's notice; an acknowledgement repeats it.
 };
 
 /// A part of usage for the zone's usage duty; resent until acknowledged.
--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -133,7 +133,7 @@
   void finish_whole(const moment& now, live_request& it, const attempt_ended& ev, action_list& out);
   /// The one final answer that is an error. `it` is gone afterwards, unless it is a call that must
   /// not be repeated and may be running: that goes on without its caller.
-  void refuse(const moment& now, live_request& it, error why, action_list& out);
+  void refuse(const moment& now, live_request& it, const error& why, action_list& out);
   /// Ends the request without another answer.
   void drop(const moment& now, live_request& it, outcome ran, action_list& out);
   /// Takes `it` out of all indexes, counts its usage, and settles its team's charge.
--- a/src/libnutmegspur/claims.cpp
+++ b/src/libnutmegspur/claims.cpp
@@ -259,12 +259,12 @@
                           outcome::unknown);
     verdict.why.retry_after = milliseconds{1000};
   }
-  decide(now, it, std::move(verdict), out);
+  decide(now, it, verdict, out);
 }
 
 // The listener may end the claim at once: `it` must not be used afterwards.
 void
-claim_book::decide(const moment& now, entry& it, claim_verdict verdict, action_list& out) {
+claim_book::decide(const moment& now, entry& it, const claim_verdict& verdict, action_list& out) {
   it.decided = true;
   if (verdict.decision != claim_decision::proceed) {
     calls_.erase(it.call);
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -356,7 +356,7 @@
 }
 
 void
-request_table::refuse(const moment& now, live_request& it, error why, action_list& out) {
+request_table::refuse(const moment& now, live_request& it, const error& why, action_list& out) {
   if (!it.caller_left) {
     const bool tried = it.attempts > 0;
     answer_error(it.what.request, why,
