--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -34,6 +34,10 @@
 constexpr double region_round_trip_seconds = 0.024;
 /// Share of the delay done to sequences already decoding that counts against a placement.
 constexpr double disturbance_weight = 0.1;
+/// Weight of own work in progress against reports.
+constexpr double own_weight = 0.5;
+/// Bound on how many times its own work an upstream is taken to hold.
+constexpr double most_all_for_own = 16;
 /// Candidates within this factor of the best are equal, and one of them is drawn.
 constexpr double near_best = 1.05;
 
@@ -67,6 +71,7 @@
 
   std::optional<placement> choose(const route_query& query, const upstream_map& upstreams,
                                   const moment& now) override {
+    measure_own_share(upstreams);
     std::vector<scored> found;
     for (const auto& [id, it] : upstreams) {
       if (!can_serve(it, query, now.boot) || it.own_in_flight >= options_.max_own_in_flight) {
@@ -107,10 +112,7 @@
       return std::nullopt;
     }
     const auto& call = *query.inference;
-    engine_backlog backlog{it.load.waiting_tokens, it.load.running + it.load.waiting + placed};
-    for (const auto& work : memory.recent) {
-      backlog.prefill_tokens += work.prefill_tokens;
-    }
+    const auto backlog = backlog_of(memory, it);
     const auto context = call.prompt_tokens + query.resume_from;
     const auto cached = std::min(context, cached_blocks(memory, it, call) * options_.block_tokens);
     const auto left = call.max_tokens - std::min(call.max_tokens, query.resume_from);
@@ -123,6 +125,35 @@
     return scored{id, seconds, expected.first_token_seconds, size.prefill_tokens};
   }
 
+  /// How many times its own work an upstream holds, on average: what others place is not seen at
+  /// once, but they place by the same rules.
+  void measure_own_share(const upstream_map& upstreams) {
+    double all = 0;
+    double own = 0;
+    for (const auto& [id, it] : upstreams) {
+      all += it.load.running + it.load.waiting;
+      own += it.own_in_flight;
+    }
+    all_for_own_ = own > 0 ? std::clamp(all / own, 1.0, most_all_for_own) : 1.0;
+  }
+
+  /// Blends the lagged report, corrected by what was placed since, with own work in progress, which
+  /// has no lag and so does not send all instances to the same engine at once.
+  [[nodiscard]] engine_backlog backlog_of(const upstream_memory& memory,
+                                          const upstream_state& it) const {
+    double reported_tokens = it.load.waiting_tokens;
+    for (const auto& work : memory.recent) {
+      reported_tokens += work.prefill_tokens;
+    }
+    const double reported_running =
+        it.load.running + it.load.waiting + static_cast<double>(memory.recent.size());
+    const double tokens = own_weight * all_for_own_ * it.own_prompt_tokens +
+                          (1 - own_weight) * reported_tokens;
+    const double running =
+        own_weight * all_for_own_ * it.own_in_flight + (1 - own_weight) * reported_running;
+    return {static_cast<std::uint64_t>(tokens), static_cast<std::uint32_t>(running)};
+  }
+
   static double region_price(const upstream_state& it, const route_query& query,
                              std::uint32_t context, std::uint32_t left) {
     if (it.listed.region == query.region) {
@@ -196,6 +227,7 @@
   routing_options options_;
   engine_speed speed_;
   std::mt19937_64 random_;
+  double all_for_own_ = 1;
   std::map<upstream_id, upstream_memory> memory_;
 };
 
