--- a/src/include/nutmegspur/policy.h
+++ b/src/include/nutmegspur/policy.h
@@ -48,6 +48,13 @@
   /// Empty if no upstream can take it now.
   virtual std::optional<placement> choose(const route_query& query, const upstream_map& upstreams,
                                           const moment& now) = 0;
+
+  /// Expected time from placement to the last token at the best upstream that serves the query,
+  /// whether or not it has room now. Zero where the policy cannot tell.
+  virtual milliseconds expect(const route_query& /*query*/, const upstream_map& /*upstreams*/,
+                              const moment& /*now*/) {
+    return milliseconds{0};
+  }
 };
 
 /// What every routing policy is built with.
--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -115,6 +115,7 @@
   void place_next(const moment& now, live_request& it, const placement& where, action_list& out);
   [[nodiscard]] bool anyone_serves(const live_request& it, const moment& now) const;
   [[nodiscard]] route_query query_for(const live_request& it) const;
+  [[nodiscard]] milliseconds expected_service(const request_arrived& it, const moment& now) const;
   [[nodiscard]] capacity_estimate capacity(const moment& now) const;
 
   // Attempts (request_attempts.cpp)
--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t base_queue_limit = 2;
 /// Further sequences in the queue limit: one for so many batch slots.
 constexpr std::uint32_t slots_per_queued = 8;
+/// Prompt tokens that may wait in an engine before it takes no more.
+constexpr std::uint64_t most_prefill_backlog = 8192;
 /// How far over the last seen batch an engine may be filled before a report tells more.
 constexpr std::uint32_t batch_headroom = 8;
 /// How long own placements count as cached where no cache event tells.
@@ -61,6 +63,7 @@
   upstream_id upstream;
   double seconds = 0;
   double first_token_seconds = 0;
+  double total_seconds = 0;
   std::uint32_t prefill_tokens = 0;
 };
 
@@ -77,7 +80,7 @@
       if (!can_serve(it, query, now.boot) || it.own_in_flight >= options_.max_own_in_flight) {
         continue;
       }
-      auto score = query.inference != nullptr ? score_engine(id, it, query, now)
+      auto score = query.inference != nullptr ? score_if_room(id, it, query, now)
                                               : score_service(id, it, query);
       if (score) {
         found.push_back(std::move(*score));
@@ -95,22 +98,50 @@
                      milliseconds{static_cast<std::int64_t>(best.first_token_seconds * millis)}};
   }
 
+  milliseconds expect(const route_query& query, const upstream_map& upstreams,
+                      const moment& now) override {
+    double best = 0;
+    if (query.inference == nullptr) {
+      return milliseconds{0};
+    }
+    measure_own_share(upstreams);
+    for (const auto& [id, it] : upstreams) {
+      if (can_serve(it, query, now.boot)) {
+        auto& memory = memory_[id];
+        refresh(memory, it, now);
+        const auto score = score_engine(id, memory, it, query);
+        best = best == 0 ? score.total_seconds : std::min(best, score.total_seconds);
+      }
+    }
+    constexpr double millis = 1000;
+    return milliseconds{static_cast<std::int64_t>(best * millis)};
+  }
+
  private:
   static std::optional<scored> score_service(const upstream_id& id, const upstream_state& it,
                                              const route_query& query) {
     const double away = it.listed.region == query.region ? 0.0 : region_round_trip_seconds;
     constexpr double seconds_per_call = 0.01;
-    return scored{id, away + seconds_per_call * it.own_in_flight};
+    scored score;
+    score.upstream = id;
+    score.seconds = away + seconds_per_call * it.own_in_flight;
+    return score;
   }
 
-  std::optional<scored> score_engine(const upstream_id& id, const upstream_state& it,
-                                     const route_query& query, const moment& now) {
+  std::optional<scored> score_if_room(const upstream_id& id, const upstream_state& it,
+                                      const route_query& query, const moment& now) {
     auto& memory = memory_[id];
     refresh(memory, it, now);
     const auto placed = static_cast<std::uint32_t>(memory.recent.size());
-    if (queue_is_full(memory, it, placed)) {
+    if (queue_is_full(memory, it, placed) ||
+        backlog_of(memory, it).prefill_tokens > most_prefill_backlog) {
       return std::nullopt;
     }
+    return score_engine(id, memory, it, query);
+  }
+
+  scored score_engine(const upstream_id& id, const upstream_memory& memory,
+                      const upstream_state& it, const route_query& query) const {
     const auto& call = *query.inference;
     const auto backlog = backlog_of(memory, it);
     const auto context = call.prompt_tokens + query.resume_from;
@@ -122,7 +153,8 @@
                              speed_.prefill_tokens_per_second;
     const double seconds = expected.total_seconds + disturbance_weight * disturbed +
                            region_price(it, query, context, left);
-    return scored{id, seconds, expected.first_token_seconds, size.prefill_tokens};
+    return {id, seconds, expected.first_token_seconds, expected.total_seconds,
+            size.prefill_tokens};
   }
 
   /// How many times its own work an upstream holds, on average: what others place is not seen at
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -96,7 +96,8 @@
     return;
   }
   const waiting_request waiting{it.request, granted->team, granted->limits.weight, it.priority,
-                                now.boot,   it.deadline,   granted->cost_milli};
+                                now.boot,   it.deadline,   granted->cost_milli,
+                                expected_service(it, now)};
   if (auto offered = needs_.admission.offer(waiting, capacity(now), now); !offered) {
     answer_error(it.request, offered.error(), log_event::request_refused, out);
     return;
@@ -342,6 +343,20 @@
   return query;
 }
 
+milliseconds
+request_table::expected_service(const request_arrived& it, const moment& now) const {
+  route_query query;
+  query.request = it.request;
+  query.inference = std::get_if<inference_call>(&it.call);
+  query.zone = options_.zone;
+  query.region = options_.region;
+  query.deadline = it.deadline;
+  if (query.inference == nullptr) {
+    return milliseconds{0};
+  }
+  return needs_.routing.expect(query, needs_.upstreams, now);
+}
+
 capacity_estimate
 request_table::capacity(const moment& now) const {
   capacity_estimate estimate;
