--- a/src/include/nutmegspur/latency_model.h
+++ b/src/include/nutmegspur/latency_model.h
@@ -37,6 +37,9 @@
 /// Most prompt tokens that an engine of this role prefills in one step.
 std::uint32_t prefill_chunk_tokens(engine_role role);
 
+/// Time of a step that decodes `running` sequences and prefills nothing, in seconds.
+double step_seconds(const engine_speed& speed, std::uint32_t running);
+
 /// The estimate for a request behind `backlog`.
 latency_estimate estimate_latency(const engine_speed& speed, engine_role role,
                                   const engine_backlog& backlog, const request_size& size);
--- a/src/include/nutmegspur/policy.h
+++ b/src/include/nutmegspur/policy.h
@@ -37,6 +37,13 @@
   milliseconds expected_first_token{0};
 };
 
+/// Progress of one stream, as its caller's instance saw it.
+struct stream_progress {
+  upstream_id upstream;
+  duration span{0};         ///< Since the stream's last chunk.
+  std::uint32_t tokens = 0; ///< Output tokens that came in that time.
+};
+
 /// Chooses among the upstreams that serve the query's model or service and take work.
 class routing_policy {
  public:
@@ -55,6 +62,9 @@
                               const moment& /*now*/) {
     return milliseconds{0};
   }
+
+  /// Hears how fast streams go on.
+  virtual void observe(const stream_progress& /*progress*/) {}
 };
 
 /// What every routing policy is built with.
--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -88,6 +88,7 @@
     bool may_have_run = false;
     std::uint32_t attempts = 0;
     bool attempt_open = false;
+    time_point last_chunk;   ///< Of the open attempt.
     bool prefilling = false; ///< The open attempt has given no output yet.
     upstream_id upstream;    ///< Of the last attempt.
     std::vector<upstream_id> tried;
@@ -123,6 +124,7 @@
   void on_opened(const attempt_opened& ev, action_list& out);
   void on_chunk(const moment& now, const attempt_chunk& ev, action_list& out);
   void on_ended(const moment& now, const attempt_ended& ev, action_list& out);
+  void note_progress(const moment& now, live_request& it, std::uint32_t tokens);
   void deliver(live_request& it, std::uint32_t tokens, const std::string& text, action_list& out);
   void start(live_request& it, int status, std::vector<header_field> headers, action_list& out);
   void deliver_early(live_request& it, action_list& out);
--- a/src/libnutmegspur/latency_model.cpp
+++ b/src/libnutmegspur/latency_model.cpp
@@ -21,11 +21,16 @@
   return 512;
 }
 
+double
+step_seconds(const engine_speed& speed, std::uint32_t running) {
+  return speed.step_seconds * (1.0 + speed.batch_penalty * running);
+}
+
 latency_estimate
 estimate_latency(const engine_speed& speed, engine_role role, const engine_backlog& backlog,
                  const request_size& size) {
   const double chunk = prefill_chunk_tokens(role);
-  const double step = speed.step_seconds * (1.0 + speed.batch_penalty * backlog.running);
+  const double step = step_seconds(speed, backlog.running);
   const auto before = static_cast<double>(backlog.prefill_tokens);
   const double prefill = before + size.prefill_tokens;
   const double prefill_steps = std::max(1.0, std::ceil(prefill / chunk));
--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -9,6 +9,7 @@
 #include <nutmegspur/policy.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <random>
@@ -36,6 +37,8 @@
 constexpr double region_round_trip_seconds = 0.024;
 /// Share of the delay done to sequences already decoding that counts against a placement.
 constexpr double disturbance_weight = 0.1;
+/// Tokens over which the time between tokens is averaged.
+constexpr double token_memory = 200;
 /// Weight of own work in progress against reports.
 constexpr double own_weight = 0.5;
 /// Bound on how many times its own work an upstream is taken to hold.
@@ -56,6 +59,7 @@
   std::uint32_t batch_seen = 0; ///< Greatest batch that it reported without a queue behind it.
   bool batch_full = false;      ///< `batch_seen` is the batch's limit.
   engine_role role = engine_role::mixed;
+  double token_seconds = 0; ///< Time between tokens of own streams there, fading; 0: not seen.
 };
 
 /// A candidate and what it would cost.
@@ -117,6 +121,17 @@
     return milliseconds{static_cast<std::int64_t>(best * millis)};
   }
 
+  void observe(const stream_progress& progress) override {
+    if (progress.tokens == 0) {
+      return;
+    }
+    constexpr double micros = 1e6;
+    auto& seen = memory_[progress.upstream].token_seconds;
+    const double span = static_cast<double>(progress.span.count()) / micros / progress.tokens;
+    const double keep = std::exp(-static_cast<double>(progress.tokens) / token_memory);
+    seen = seen == 0 ? span : keep * seen + (1 - keep) * span;
+  }
+
  private:
   static std::optional<scored> score_service(const upstream_id& id, const upstream_state& it,
                                              const route_query& query) {
@@ -137,7 +152,11 @@
         backlog_of(memory, it).prefill_tokens > most_prefill_backlog) {
       return std::nullopt;
     }
-    return score_engine(id, memory, it, query);
+    constexpr double micros = 1e6;
+    auto score = score_engine(id, memory, it, query);
+    const auto span = duration{static_cast<std::int64_t>(score.total_seconds * micros)};
+    // Work that would end too late only slows down what is still in time.
+    return now.boot + span > query.deadline ? std::nullopt : std::optional{std::move(score)};
   }
 
   scored score_engine(const upstream_id& id, const upstream_memory& memory,
@@ -153,7 +172,9 @@
                              speed_.prefill_tokens_per_second;
     const double seconds = expected.total_seconds + disturbance_weight * disturbed +
                            region_price(it, query, context, left);
-    return {id, seconds, expected.first_token_seconds, expected.total_seconds,
+    const double slower =
+        std::max(0.0, memory.token_seconds - step_seconds(speed_, backlog.running)) * left;
+    return {id, seconds, expected.first_token_seconds, expected.total_seconds + slower,
             size.prefill_tokens};
   }
 
--- a/src/libnutmegspur/request_attempts.cpp
+++ b/src/libnutmegspur/request_attempts.cpp
@@ -168,6 +168,7 @@
   if (it == nullptr) {
     return;
   }
+  note_progress(now, *it, ev.tokens);
   end_prefill(*it);
   if (!enabled(mechanism::chunk_offset_check) || ev.offset == it->delivered) {
     deliver(*it, ev.tokens, ev.text, out);
@@ -189,6 +190,15 @@
   retry_or_fail(now, *it, why, out);
 }
 
+void
+request_table::note_progress(const moment& now, live_request& it, std::uint32_t tokens) {
+  const bool inference = std::holds_alternative<inference_call>(it.what.call);
+  if (inference && !it.prefilling) {
+    needs_.routing.observe({it.upstream, now.boot - it.last_chunk, tokens});
+  }
+  it.last_chunk = now.boot;
+}
+
 void
 request_table::deliver(live_request& it, std::uint32_t tokens, const std::string& text,
                        action_list& out) {
--- a/src/libnutmegspur/routing_test.cpp
+++ b/src/libnutmegspur/routing_test.cpp
@@ -38,6 +38,7 @@
   route_query it;
   it.inference = &call;
   it.region = "bern";
+  it.deadline = manual_clock{}.now().boot + seconds{1000};
   return it;
 }
 
--- a/src/nutmegspur_load/measures.cpp
+++ b/src/nutmegspur_load/measures.cpp
@@ -75,6 +75,9 @@
   measures sum;
   sum.scenario = in_.name;
   sum.offered = requests_.size();
+  for (const auto& it : in_.classes) {
+    sum.classes.push_back({it.name});
+  }
   std::vector<double> first;
   std::vector<double> between;
   std::vector<double> asked(in_.teams.size(), 0);
@@ -83,6 +86,11 @@
     const auto& record = records_[i];
     const auto cost = static_cast<double>(weighted_cost(requests_[i])) / milli;
     asked[requests_[i].team] += cost;
+    auto& kind = sum.classes[requests_[i].kind];
+    kind.offered += 1;
+    kind.whole += record.end == request_end::whole ? 1 : 0;
+    kind.late += record.end == request_end::late ? 1 : 0;
+    kind.refused += record.end == request_end::refused ? 1 : 0;
     sum.late += record.end == request_end::late ? 1 : 0;
     sum.refused += record.end == request_end::refused ? 1 : 0;
     sum.failed += record.end == request_end::failed ? 1 : 0;
@@ -173,6 +181,14 @@
                              {"delivered", team.delivered_cost},
                              {"fair", team.fair_cost}});
   }
+  QJsonArray classes;
+  for (const auto& kind : it.classes) {
+    classes.append(QJsonObject{{"class", QString::fromStdString(kind.name)},
+                               {"offered", static_cast<qint64>(kind.offered)},
+                               {"whole", static_cast<qint64>(kind.whole)},
+                               {"late", static_cast<qint64>(kind.late)},
+                               {"refused", static_cast<qint64>(kind.refused)}});
+  }
   const QJsonObject all{{"scenario", QString::fromStdString(it.scenario)},
                         {"policy", QString::fromStdString(it.policy)},
                         {"offered", static_cast<qint64>(it.offered)},
@@ -189,7 +205,8 @@
                         {"region_bytes", it.region_bytes},
                         {"first_token_s", to_object(it.first_token)},
                         {"between_tokens_s", to_object(it.between_tokens)},
-                        {"teams", teams}};
+                        {"teams", teams},
+                        {"classes", classes}};
   return QJsonDocument(all).toJson(QJsonDocument::Compact).toStdString();
 }
 
--- a/src/nutmegspur_load/measures.h
+++ b/src/nutmegspur_load/measures.h
@@ -37,6 +37,15 @@
   double fair_cost = 0;      ///< Its fair share of all that was delivered.
 };
 
+/// One class's requests.
+struct class_measure {
+  std::string name;
+  std::uint64_t offered = 0;
+  std::uint64_t whole = 0;
+  std::uint64_t late = 0;
+  std::uint64_t refused = 0;
+};
+
 /// The figures of a run.
 struct measures {
   std::string scenario;
@@ -56,6 +65,7 @@
   percentiles first_token;
   percentiles between_tokens;
   std::vector<team_measure> teams;
+  std::vector<class_measure> classes;
 };
 
 /// Collects the ends of requests.
