--- a/src/include/nutmegspur/policy.h
+++ b/src/include/nutmegspur/policy.h
@@ -37,6 +37,13 @@
   milliseconds expected_first_token{0};
 };
 
+/// Progress of one stream, as its caller's instance saw it.
+struct stream_progress {
+  upstream_id upstream;
+  duration span{0};         ///< Since the stream's last chunk.
+  std::uint32_t tokens = 0; ///< Output tokens that came in that time.
+};
+
 /// Chooses among the upstreams that serve the query's model or service and take work.
 class routing_policy {
  public:
@@ -48,6 +55,16 @@
   /// Empty if no upstream can take it now.
   virtual std::optional<placement> choose(const route_query& query, const upstream_map& upstreams,
                                           const moment& now) = 0;
+
+  /// Expected time from placement to the last token at the best upstream that serves the query,
+  /// whether or not it has room now. Zero where the policy cannot tell.
+  virtual milliseconds expect(const route_query& /*query*/, const upstream_map& /*upstreams*/,
+                              const moment& /*now*/) {
+    return milliseconds{0};
+  }
+
+  /// Hears how fast streams go on.
+  virtual void observe(const stream_progress& /*progress*/) {}
 };
 
 /// What every routing policy is built with.
