--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -57,6 +57,9 @@
 
   void step(const moment& now, const event& ev, action_list& out);
 
+  /// From now on new requests are refused as `not_run`; those that are live go on.
+  void close() { closed_ = true; }
+
   /// Requests without a final answer, and calls that go on after their caller left.
   [[nodiscard]] std::size_t live() const { return live_.size(); }
 
@@ -88,6 +91,7 @@
     bool may_have_run = false;
     std::uint32_t attempts = 0;
     bool attempt_open = false;
+    time_point last_chunk;   ///< Of the open attempt.
     bool prefilling = false; ///< The open attempt has given no output yet.
     upstream_id upstream;    ///< Of the last attempt.
     std::vector<upstream_id> tried;
@@ -115,6 +119,7 @@
   void place_next(const moment& now, live_request& it, const placement& where, action_list& out);
   [[nodiscard]] bool anyone_serves(const live_request& it, const moment& now) const;
   [[nodiscard]] route_query query_for(const live_request& it) const;
+  [[nodiscard]] milliseconds expected_service(const request_arrived& it, const moment& now) const;
   [[nodiscard]] capacity_estimate capacity(const moment& now) const;
 
   // Attempts (request_attempts.cpp)
@@ -122,6 +127,7 @@
   void on_opened(const attempt_opened& ev, action_list& out);
   void on_chunk(const moment& now, const attempt_chunk& ev, action_list& out);
   void on_ended(const moment& now, const attempt_ended& ev, action_list& out);
+  void note_progress(const moment& now, live_request& it, std::uint32_t tokens);
   void deliver(live_request& it, std::uint32_t tokens, const std::string& text, action_list& out);
   void start(live_request& it, int status, std::vector<header_field> headers, action_list& out);
   void deliver_early(live_request& it, action_list& out);
@@ -151,6 +157,7 @@
   request_needs needs_;
   retry_budget budget_;
   config_view seen_config_;
+  bool closed_ = false;
   live_map live_;
   // Invariant: a row for each live request that came with a key, under the digest of its secret.
   std::unordered_map<std::string, std::set<request_id>> by_key_;
