Configuration under faults: cluster harness, fault matrix, properties

Each view is compared with the store's history at the revision that the replica claims to hold. The fake store's watches can give signs of progress.

--- /dev/null
+++ b/src/libnutmegspur/config_cluster_test.cpp
@@ -0,0 +1,366 @@
+// Properties of the configuration over several replicas, under random operators and faults.
+// labels: P14 P06
+#include "testing/config_cluster.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace nutmegspur::testing {
+namespace {
+
+constexpr const char* secret_digest =
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+
+resource
+team(const std::string& name, std::uint32_t weight) {
+  return {name, {}, team_spec{.weight = weight}};
+}
+
+resource
+key(bool withdrawn) {
+  return {"k", {}, key_spec{team_id{"thun"}, key_role::caller, secret_digest, withdrawn}};
+}
+
+void
+begin(config_cluster& in) {
+  in.store.put(in.clock.now(), "cfg/team/thun", spec_json(team("thun", 1).spec));
+  in.store.put(in.clock.now(), "cfg/key/k", spec_json(key(false).spec));
+  for (const std::string zone : {"b", "z"}) {
+    in.start(zone + "1", zone, true);
+    in.start(zone + "2", zone, true);
+    in.start(zone + "3", zone, false);
+  }
+  in.run(seconds{3});
+}
+
+/// A random thing that operators or faults do.
+struct deed {
+  std::uint8_t kind = 0;
+  std::uint8_t who = 0;
+  std::uint8_t amount = 0;
+};
+
+struct written {
+  std::string through;
+  std::uint64_t id = 0;
+  resource what;
+};
+
+const std::vector<std::string> members{"b1", "b2", "b3", "z1", "z2", "z3"};
+
+void
+do_one(config_cluster& in, const deed& it, std::vector<written>& writes) {
+  const std::string who = members[it.who % members.size()];
+  const auto put = [&](const resource& what) { writes.push_back({who, in.put(who, what), what}); };
+  switch (it.kind % 12) {
+  case 0:
+  case 1:
+    return put(team("thun", 1 + it.amount));
+  case 2:
+    return put(team("tumen", 1 + it.amount));
+  case 3:
+    return put(key(it.amount % 4 == 0));
+  case 4:
+    return in.store.fault_next(store_fault::lost_after_effect, {}, it.amount % 4);
+  case 5:
+    return in.store.fault_next(store_fault::stale_read, {}, it.amount % 6);
+  case 6:
+    return in.store.silence_watches(who);
+  case 7:
+    return in.store.end_watches(in.clock.now(), who);
+  case 8:
+    return in.store.set_fault(it.amount % 2 == 0 ? store_fault::down : store_fault::none);
+  case 9:
+    return in.store.fault_next(store_fault::slow, {}, it.amount % 4);
+  case 10:
+    in.network = [n = it.amount](const std::string&, const std::string& to) {
+      return peer_fate{static_cast<int>(n % 3), milliseconds{1 + 37 * (to.back() - '0') * (n % 9)}};
+    };
+    return;
+  default:
+    return in.run(milliseconds{20 * it.amount});
+  }
+}
+
+void
+mend(config_cluster& in) {
+  in.store.set_fault(store_fault::none);
+  in.network = [](const std::string&, const std::string&) { return peer_fate{}; };
+  in.run(seconds{20});
+}
+
+/// What the store held at `at` under `key_name`.
+std::optional<resource_spec>
+stored_at(config_cluster& in, revision at, const resource& like) {
+  const std::string name = config_key(kind_of(like.spec), like.name);
+  const auto reply = in.store.answer_now(in.clock.now(), "", {{}, kv_range{name, "", 1, at}});
+  const auto& pairs = std::get<kv_range_reply>(*reply.answer).pairs;
+  if (pairs.empty()) {
+    return std::nullopt;
+  }
+  return *parse_spec(kind_of(like.spec), pairs.front().value);
+}
+
+RC_GTEST_PROP(config_cluster, never_reverts_never_partial_never_loses,
+              (const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>& raw)) {
+  config_cluster in(1);
+  begin(in);
+  std::vector<written> writes;
+  for (const auto& [kind, who, amount] : raw) {
+    do_one(in, {kind, who, amount}, writes);
+  }
+  mend(in);
+  RC_ASSERT(in.broken() == "");
+  RC_ASSERT(in.behind(in.store.current()).empty());
+  for (const auto& it : writes) {
+    const resource_answer* answer = in.answer(it.through, it.id);
+    RC_ASSERT(answer != nullptr);
+    if (answer->json) {
+      RC_ASSERT(stored_at(in, answer->at, it.what) == it.what.spec);
+    }
+  }
+  bool withdrawn = false;
+  for (std::int64_t at = 2; at <= in.store.current().value; ++at) {
+    const auto spec = stored_at(in, revision{at}, key(false));
+    RC_ASSERT(!withdrawn || spec == key(true).spec);
+    withdrawn = spec == key(true).spec;
+  }
+}
+
+TEST(config_cluster, a_silent_watch_is_replaced_before_it_is_given_up) {
+  config_cluster in(1);
+  begin(in);
+  for (const auto& it : members) {
+    in.store.silence_watches(it);
+  }
+  const revision at =
+      in.store.put(in.clock.now(), "cfg/team/thun", spec_json(team("thun", 5).spec));
+  EXPECT_TRUE(in.run_until([&] { return in.behind(at).empty(); }, seconds{4}));
+  EXPECT_EQ(in.broken(), "");
+}
+
+TEST(config_cluster, an_instance_starts_from_a_peer_while_the_store_is_out) {
+  config_cluster in(1);
+  begin(in);
+  in.store.set_fault(store_fault::down);
+  in.start("new", "b", false);
+  EXPECT_FALSE(in.at("new").replica->ready());
+  EXPECT_TRUE(in.run_until([&] { return in.at("new").replica->ready(); }, seconds{3}));
+  EXPECT_NE(in.at("new").replica->view()->team(team_id{"thun"}), nullptr);
+}
+
+TEST(config_cluster, without_store_and_peers_an_instance_is_not_ready) {
+  config_cluster in(1);
+  in.store.set_fault(store_fault::down);
+  in.start("b1", "b", true);
+  in.run(seconds{30});
+  EXPECT_FALSE(in.at("b1").replica->ready());
+}
+
+TEST(config_cluster, compaction_leads_to_a_whole_reading) {
+  config_cluster in(1);
+  begin(in);
+  for (const auto& it : members) {
+    in.store.end_watches(in.clock.now(), it);
+  }
+  in.store.set_fault(store_fault::down);
+  in.run(seconds{2});
+  in.store.put(in.clock.now(), "cfg/key/k", std::nullopt);
+  in.store.put(in.clock.now(), "cfg/team/thun", spec_json(team("thun", 5).spec));
+  in.store.compact(in.store.current());
+  in.store.set_fault(store_fault::none);
+  EXPECT_TRUE(in.run_until([&] { return in.behind(in.store.current()).empty(); }, seconds{8}));
+  for (const auto& it : members) {
+    EXPECT_EQ(in.at(it).replica->view()->key(secret_digest), nullptr) << it;
+    EXPECT_TRUE(in.at(it).withdrawn.contains("k")) << it;
+  }
+}
+
+TEST(config_cluster, a_value_that_cannot_be_read_keeps_the_old_one_and_stops_nothing) {
+  config_cluster in(1);
+  begin(in);
+  in.store.put(in.clock.now(), "cfg/team/tumen", spec_json(team("tumen", 2).spec));
+  in.run(seconds{1});
+  const auto view_of = [&](const std::string& it) { return in.at(it).replica->view(); };
+  // The check against the store's history cannot hold for a value that is skipped.
+  kv_txn txn{{},
+             {{"cfg/team/tumen", "{\"weight\":0}", {}}, {"cfg/team/thun", "{\"weight\":9}", {}}}};
+  in.store.answer_now(in.clock.now(), "", {{}, txn});
+  in.store.compact(revision{in.store.current().value + 1});
+  EXPECT_TRUE(in.run_until([&] { return in.behind(in.store.current()).empty(); }, seconds{4}));
+  for (const auto& it : members) {
+    EXPECT_EQ(view_of(it)->team(team_id{"tumen"})->weight, 2U);
+    EXPECT_EQ(view_of(it)->team(team_id{"thun"})->weight, 9U);
+    EXPECT_EQ(in.at(it).replica->counts().changes_refused, 1U);
+  }
+}
+
+TEST(config_cluster, members_hear_from_relays_and_keep_no_watch) {
+  config_cluster in(1);
+  begin(in);
+  in.run(seconds{5});
+  const std::uint64_t before = in.store.calls(platform_request{watch_start{}}.index());
+  in.run(seconds{60});
+  EXPECT_EQ(in.store.calls(platform_request{watch_start{}}.index()), before);
+  EXPECT_EQ(in.store.calls(platform_request{kv_range{}}.index()), members.size());
+}
+
+// -----------------------------------------------------------------------------------------------
+// The operators' API
+
+const resource_answer*
+ask(config_cluster& in, const std::string& through, std::uint64_t id) {
+  in.run_until([&] { return in.answer(through, id) != nullptr; }, seconds{12});
+  return in.answer(through, id);
+}
+
+const resource_answer*
+ask(config_cluster& in, resource_request what) {
+  return ask(in, "b3", in.request("b3", std::move(what)));
+}
+
+TEST(resource_api, of_racing_conditional_writes_one_wins) {
+  config_cluster in(1);
+  begin(in);
+  const revision at = in.store.get("cfg/team/thun")->modified;
+  const auto first = in.put("b3", team("thun", 5), at);
+  const auto second = in.put("z3", team("thun", 6), at);
+  ASSERT_TRUE(ask(in, "b3", first)->json.has_value());
+  const auto* lost = ask(in, "z3", second);
+  ASSERT_FALSE(lost->json.has_value());
+  EXPECT_EQ(lost->json.error().code, error_code::conflict);
+  EXPECT_NE(lost->json.error().message.find(
+                "revision " + std::to_string(in.store.get("cfg/team/thun")->modified.value)),
+            std::string::npos)
+      << lost->json.error().message;
+}
+
+TEST(resource_api, with_the_store_out_of_reach_a_write_is_refused_at_once) {
+  config_cluster in(1);
+  begin(in);
+  in.store.set_fault(store_fault::down);
+  const auto id = in.put("b3", team("thun", 5));
+  in.run(milliseconds{100});
+  const auto* answer = in.answer("b3", id);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->json.error().code, error_code::unavailable);
+  EXPECT_EQ(answer->json.error().ran, outcome::not_run);
+  EXPECT_TRUE(answer->json.error().retry_after.has_value());
+}
+
+TEST(resource_api, a_lost_answer_is_resolved_by_reading_back) {
+  config_cluster in(1);
+  begin(in);
+  in.store.fault_next(store_fault::lost_after_effect);
+  EXPECT_TRUE(ask(in, "b3", in.put("b3", team("thun", 5)))->json.has_value());
+  in.store.fault_next(store_fault::lost_before_effect);
+  EXPECT_TRUE(ask(in, "b3", in.put("b3", team("thun", 6)))->json.has_value());
+  EXPECT_EQ(in.store.get("cfg/team/thun")->value, spec_json(team("thun", 6).spec));
+}
+
+TEST(resource_api, what_others_refer_to_cannot_be_deleted) {
+  config_cluster in(1);
+  begin(in);
+  resource_request what;
+  what.verb = resource_verb::remove;
+  what.kind = resource_kind::team;
+  what.name = "thun";
+  const auto* answer = ask(in, what);
+  ASSERT_FALSE(answer->json.has_value());
+  EXPECT_NE(answer->json.error().message.find("key 'k'"), std::string::npos);
+  ASSERT_TRUE(ask(in, "b3", in.put("b3", key(true)))->json.has_value());
+  EXPECT_TRUE(ask(in, what)->json.has_value());
+}
+
+TEST(resource_api, a_team_cannot_go_while_a_key_of_it_is_issued) {
+  config_cluster in(1);
+  begin(in);
+  in.store.put(in.clock.now(), "cfg/team/tumen", spec_json(team("tumen", 1).spec));
+  in.run(seconds{3});
+  resource_request remove;
+  remove.verb = resource_verb::remove;
+  remove.kind = resource_kind::team;
+  remove.name = "tumen";
+  const resource fresh{
+      "n", {}, key_spec{team_id{"tumen"}, key_role::caller, std::string(64, 'b'), false}};
+  const auto issued = in.put("z3", fresh);
+  const auto removed = in.request("b3", remove);
+  const bool has_key = ask(in, "z3", issued)->json.has_value();
+  const bool gone = ask(in, "b3", removed)->json.has_value();
+  EXPECT_NE(has_key, gone);
+  EXPECT_EQ(in.store.get("cfg/team/tumen").has_value(), has_key);
+}
+
+TEST(resource_api, a_key_stays_withdrawn_and_what_it_is) {
+  config_cluster in(1);
+  begin(in);
+  ASSERT_TRUE(ask(in, "b3", in.put("b3", key(true)))->json.has_value());
+  EXPECT_FALSE(ask(in, "z3", in.put("z3", key(false)))->json.has_value());
+  resource other = key(true);
+  std::get<key_spec>(other.spec).secret_sha256 = std::string(64, 'c');
+  EXPECT_FALSE(ask(in, "b3", in.put("b3", other))->json.has_value());
+  resource copy = key(false);
+  copy.name = "copy";
+  EXPECT_FALSE(ask(in, "b3", in.put("b3", copy))->json.has_value());
+  resource_request remove;
+  remove.verb = resource_verb::remove;
+  remove.kind = resource_kind::key;
+  remove.name = "k";
+  EXPECT_FALSE(ask(in, remove)->json.has_value());
+}
+
+TEST(resource_api, a_list_is_changed_all_or_nothing) {
+  config_cluster in(1);
+  begin(in);
+  resource_request what;
+  what.verb = resource_verb::put;
+  what.resources = {team("a", 1), {"o", {}, offer_spec{.model = model_id{"none"}}}};
+  const auto* answer = ask(in, what);
+  ASSERT_FALSE(answer->json.has_value());
+  EXPECT_NE(answer->json.error().message.find("model 'none'"), std::string::npos);
+  EXPECT_FALSE(in.store.get("cfg/team/a").has_value());
+}
+
+TEST(resource_api, only_operators_may) {
+  config_cluster in(1);
+  begin(in);
+  resource_request what;
+  what.verb = resource_verb::list;
+  what.request = request_id{77};
+  action_list out;
+  const auto code_for = [&](const std::string& digest) {
+    what.secret_sha256 = digest;
+    out.clear();
+    in.at("b3").api->step(in.clock.now(), what, out);
+    const auto& json = std::get<resource_answer>(out.front()).json;
+    return json ? std::optional<error_code>{} : std::optional{json.error().code};
+  };
+  EXPECT_EQ(code_for(""), error_code::unauthenticated);
+  EXPECT_EQ(code_for("x"), error_code::unauthenticated);
+  EXPECT_EQ(code_for(secret_digest), error_code::permission_denied);
+  EXPECT_EQ(code_for(operator_digest()), std::nullopt);
+  const resource root{"root", {}, key_spec{{}, key_role::operators, std::string(64, 'd'), false}};
+  ASSERT_TRUE(ask(in, "b3", in.put("b3", root))->json.has_value());
+  EXPECT_EQ(code_for(operator_digest()), error_code::unauthenticated);
+  EXPECT_EQ(code_for(std::string(64, 'd')), std::nullopt);
+}
+
+TEST(resource_api, a_watch_tells_what_is_and_what_changes) {
+  config_cluster in(1);
+  begin(in);
+  resource_request what;
+  what.verb = resource_verb::watch;
+  what.kind = resource_kind::team;
+  const auto id = in.request("b3", what);
+  ASSERT_NE(in.answer("b3", id), nullptr);
+  EXPECT_NE(in.answer("b3", id)->json->find("\"thun\""), std::string::npos);
+  EXPECT_FALSE(in.answer("b3", id)->last);
+  in.put("z3", team("tumen", 4));
+  in.run(seconds{1});
+  EXPECT_NE(in.answer("b3", id)->json->find("\"tumen\""), std::string::npos);
+  in.run(seconds{6});
+  EXPECT_NE(in.answer("b3", id)->json->find("progress"), std::string::npos);
+}
+
+} // namespace
+} // namespace nutmegspur::testing
--- a/src/libnutmegspur/testing/fake_store.cpp
+++ b/src/libnutmegspur/testing/fake_store.cpp
@@ -159,14 +159,15 @@
       out.push_back({it.client, platform_reply{it.call.call, *it.answer, it.asked_at}});
     }
   }
-  deliver_watches(out);
+  deliver_watches(now, out);
   return out;
 }
 
 void
-fake_store::deliver_watches(std::vector<delivery>& out) {
+fake_store::deliver_watches(const moment& now, std::vector<delivery>& out) {
   for (auto& it : watches_) {
-    if (it.silent || it.next > revision_) {
+    const bool progress = progress_every.count() > 0 && now.boot - it.told_at >= progress_every;
+    if (it.silent || (it.next > revision_ && !progress)) {
       continue;
     }
     watch_batch batch{it.id, {}, revision{revision_}};
@@ -176,7 +177,8 @@
       }
     }
     it.next = revision_ + 1;
-    if (!batch.changes.empty()) {
+    if (!batch.changes.empty() || progress) {
+      it.told_at = now.boot;
       out.push_back({it.client, std::move(batch)});
     }
   }
--- a/src/libnutmegspur/testing/fake_store.h
+++ b/src/libnutmegspur/testing/fake_store.h
@@ -63,6 +63,8 @@
   seconds delivery_bound{5};
   /// How many revisions back a stale read looks.
   std::int64_t stale_by = 3;
+  /// How often a watch without changes gives a sign of progress; zero never.
+  seconds progress_every{0};
 
   /// Every call of every client has this fault from now on.
   void set_fault(store_fault fault);
@@ -123,6 +125,7 @@
     std::string to;
     std::int64_t next = 0; ///< First revision not yet delivered.
     bool silent = false;
+    time_point told_at{}; ///< When it last said something.
   };
 
   struct armed_fault {
@@ -149,7 +152,7 @@
   void detach(const std::string& key);
   [[nodiscard]] std::map<std::string, kv_pair> state_at(std::int64_t at) const;
   void push(const moment& now, duration delay, pending it);
-  void deliver_watches(std::vector<delivery>& out);
+  void deliver_watches(const moment& now, std::vector<delivery>& out);
 
   result<platform_answer> run(const moment& now, const std::string& client, const call_platform& c,
                               const kv_range& range, bool stale);
