fleet_planner: a role sustains only what keeps the time between tokens within deadlines

Before, the planner valued prefill engines by throughput alone, and requests decoded there missed their deadlines.

--- a/src/include/nutmegspur/fleet_planner.h
+++ b/src/include/nutmegspur/fleet_planner.h
@@ -27,9 +27,9 @@
   /// Engine time that a role change costs, with its drain.
   seconds change_cost{12};
   /// A change must repay its cost within this.
-  seconds horizon{60};
+  seconds horizon{120};
   /// A change must raise the share served by at least this, relative to now.
-  double hysteresis = 0.10;
+  double hysteresis = 0.04;
   /// Least time between two changes in the zone.
   seconds change_spacing{30};
   /// Most changes under way in the zone at once.
@@ -86,6 +86,7 @@
     double requests = 0;
     double prefill_tokens = 0;
     double output_tokens = 0;
+    double allowed_seconds = 0; ///< Until their deadlines.
   };
 
   struct role_change {
@@ -93,7 +94,7 @@
     engine_role to = engine_role::mixed;
   };
 
-  void on_arrived(const request_arrived& it);
+  void on_arrived(const moment& now, const request_arrived& it);
   void on_ended(const attempt_ended& it);
   void fade(const moment& now);
   void plan_roles(const moment& now, action_list& out);
--- a/src/include/nutmegspur/role_planning.h
+++ b/src/include/nutmegspur/role_planning.h
@@ -18,6 +18,8 @@
   double requests_per_second = 0;
   double prefill_tokens = 0; ///< Mean for each request, without what is found in the cache.
   double output_tokens = 0;  ///< Mean for each request.
+  /// Longest time between tokens with which the requests make their deadlines; 0: no limit.
+  double most_token_seconds = 0;
 };
 
 /// What an engine offers apart from its role.
--- a/src/libnutmegspur/fleet_planner.cpp
+++ b/src/libnutmegspur/fleet_planner.cpp
@@ -13,6 +13,8 @@
 constexpr double micros_per_second = 1e6;
 /// A request is heavy in prefill if it has more prompt tokens for each output token than this.
 constexpr double heavy_prefill_ratio = 16;
+/// Share of the time until a deadline that decoding may take.
+constexpr double decode_share = 0.8;
 constexpr double cached_memory = 0.95;
 constexpr std::uint32_t percent = 100;
 
@@ -38,7 +40,7 @@
 fleet_planner::step(const moment& now, const event& ev, action_list& out) {
   if (const auto* arrived = std::get_if<request_arrived>(&ev)) {
     fade(now);
-    on_arrived(*arrived);
+    on_arrived(now, *arrived);
   } else if (const auto* ended = std::get_if<attempt_ended>(&ev)) {
     on_ended(*ended);
   } else if (std::holds_alternative<tick>(ev) && now.boot >= next_plan_) {
@@ -56,7 +58,7 @@
 }
 
 void
-fleet_planner::on_arrived(const request_arrived& it) {
+fleet_planner::on_arrived(const moment& now, const request_arrived& it) {
   const auto* call = std::get_if<inference_call>(&it.call);
   if (call == nullptr) {
     return;
@@ -66,6 +68,7 @@
   sums.requests += 1;
   sums.prefill_tokens += call->prompt_tokens;
   sums.output_tokens += output;
+  sums.allowed_seconds += std::max(0.0, seconds_of(it.deadline - now.boot));
 }
 
 void
@@ -90,6 +93,7 @@
     it->requests *= factor;
     it->prefill_tokens *= factor;
     it->output_tokens *= factor;
+    it->allowed_seconds *= factor;
   }
 }
 
@@ -104,6 +108,7 @@
       part.requests_per_second = instances * it->requests / memory;
       part.prefill_tokens = (1 - cached_share_) * it->prefill_tokens / it->requests;
       part.output_tokens = it->output_tokens / it->requests;
+      part.most_token_seconds = decode_share * it->allowed_seconds / it->output_tokens;
     }
     parts.push_back(part);
   }
--- a/src/libnutmegspur/role_planning.cpp
+++ b/src/libnutmegspur/role_planning.cpp
@@ -46,22 +46,22 @@
   if (part.requests_per_second <= 0 || part.output_tokens <= 0) {
     return 0;
   }
+  // Each step decodes `batch` sequences and prefills what the finished ones make room for.
   const auto& speed = shape.speed;
-  const double slots = batch_slots(shape, role);
-  const double chunk = prefill_chunk_tokens(role);
-  const auto step_of = [&](double batch) {
-    return speed.step_seconds * (1.0 + speed.batch_penalty * batch);
-  };
-  const double prefill_in_step = slots * part.prefill_tokens / part.output_tokens;
-  if (prefill_in_step <= chunk) {
-    // The batch is full and each step prefills what its finished sequences make room for.
-    const double step = step_of(slots) + prefill_in_step / speed.prefill_tokens_per_second;
-    return slots / (part.output_tokens * step);
+  const double prefill_each = part.prefill_tokens / part.output_tokens;
+  double batch = batch_slots(shape, role);
+  if (prefill_each > 0) {
+    batch = std::min(batch, prefill_chunk_tokens(role) / prefill_each);
+  }
+  const double each_seconds = speed.step_seconds * speed.batch_penalty +
+                              prefill_each / speed.prefill_tokens_per_second;
+  if (part.most_token_seconds > 0) {
+    batch = std::min(batch, (part.most_token_seconds - speed.step_seconds) / each_seconds);
+  }
+  if (batch <= 0) {
+    return 0;
   }
-  // Prefill is the limit: the batch holds what the chunks let through.
-  const double batch = chunk * part.output_tokens / part.prefill_tokens;
-  const double step = step_of(batch) + chunk / speed.prefill_tokens_per_second;
-  return chunk / (part.prefill_tokens * step);
+  return batch / (part.output_tokens * (speed.step_seconds + batch * each_seconds));
 }
 
 part_demand
@@ -131,6 +131,9 @@
       double unserved = share;
       for (const auto role : order) {
         const double need = busy_engines(shape, role, part);
+        if (need <= 0) {
+          continue;
+        }
         const double part_served = std::min(unserved, left[role_index(role)] / need);
         left[role_index(role)] -= part_served * need;
         unserved -= part_served;
