--- a/src/include/nutmegspur/claims.h
+++ b/src/include/nutmegspur/claims.h
@@ -51,7 +51,7 @@
 /// Settings of a claim book.
 struct claim_options {
   instance_id instance;
-  std::uint64_t seed = 1;        ///< Tells this instance's writer tokens from those of others.
+  std::uint64_t seed = 1; ///< Tells this instance's writer tokens from those of others.
   milliseconds retry_pause{100}; ///< Between two tries of the same store operation.
   /// A claim that has not been decided by then is refused as `not_run`.
   milliseconds decision_limit{2000};
@@ -90,12 +90,12 @@
   struct entry {
     claim_request what;
     std::string key;
-    claim_record record; ///< As we wrote it, or are writing it.
-    revision modified;   ///< Condition of the next write; zero: absent.
+    claim_record record;  ///< As we wrote it, or are writing it.
+    revision modified;    ///< Condition of the next write; zero: absent.
     phase at = phase::writing;
-    std::uint64_t call = 0;      ///< The store operation under way, 0 if none.
-    time_point started;          ///< When this phase began; limits count from here.
-    time_point next_try;         ///< When `call` is 0.
+    std::uint64_t call = 0;    ///< The store operation under way, 0 if none.
+    time_point started;        ///< When this phase began; limits count from here.
+    time_point next_try;       ///< When `call` is 0.
     bool may_be_written = false; ///< A claim write's answer was lost: it may stand in the store.
     bool taken = false;          ///< A claim write found the key taken.
     bool decided = false;        ///< The verdict was given, or nobody waits for one.
--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -56,7 +56,6 @@
   ~request_table() = default;
 
   void step(const moment& now, const event& ev, action_list& out);
-
   /// Requests without a final answer, and calls that go on after their caller left.
   [[nodiscard]] std::size_t live() const { return live_.size(); }
 
@@ -94,7 +93,7 @@
     std::uint64_t delivered = 0; ///< Output tokens (bytes, for a service) given to the caller.
     // Invariant: every key is greater than `delivered`; at most `max_early_chunks`.
     std::map<std::uint64_t, early_chunk> early;
-    token_usage usage;    ///< As engines reported.
+    token_usage usage; ///< As engines reported.
     claim_outcome answer; ///< What is recorded for a claimed call.
   };
 
@@ -118,7 +117,8 @@
   [[nodiscard]] capacity_estimate capacity(const moment& now) const;
 
   // Attempts (request_attempts.cpp)
-  void begin_attempt(const moment& now, live_request& it, const placement& where, action_list& out);
+  void begin_attempt(const moment& now, live_request& it, const placement& where,
+                     action_list& out);
   void on_opened(const attempt_opened& ev, action_list& out);
   void on_chunk(const moment& now, const attempt_chunk& ev, action_list& out);
   void on_ended(const moment& now, const attempt_ended& ev, action_list& out);
@@ -130,7 +130,8 @@
   /// The open attempt's prompt is no longer waiting at its upstream.
   void end_prefill(live_request& it);
   void retry_or_fail(const moment& now, live_request& it, const error& why, action_list& out);
-  void finish_whole(const moment& now, live_request& it, const attempt_ended& ev, action_list& out);
+  void finish_whole(const moment& now, live_request& it, const attempt_ended& ev,
+                    action_list& out);
   /// The one final answer that is an error. `it` is gone afterwards, unless it is a call that must
   /// not be repeated and may be running: that goes on without its caller.
   void refuse(const moment& now, live_request& it, error why, action_list& out);
--- a/src/include/nutmegspur/retry_budget.h
+++ b/src/include/nutmegspur/retry_budget.h
@@ -40,8 +40,8 @@
     if (last_.time_since_epoch().count() != 0) {
       const std::int64_t passed = std::max<std::int64_t>((now.boot - last_).count(), 0);
       const std::int64_t capped = std::min(passed, most_milli * micros_per_second);
-      saved_milli_ =
-          std::min(saved_milli_ + capped * floor_milli_per_second / micros_per_second, most_milli);
+      saved_milli_ = std::min(saved_milli_ + capped * floor_milli_per_second / micros_per_second,
+                              most_milli);
     }
     last_ = now.boot;
   }
--- a/src/include/nutmegspur/usage_ledger.h
+++ b/src/include/nutmegspur/usage_ledger.h
@@ -38,7 +38,7 @@
   void count(const moment& now, const usage_line& line, action_list& out);
   /// Closes the open part at once, for a graceful stop.
   void flush(const moment& now, action_list& out);
-  /// Whether all that was counted here is sealed or held by another instance.
+  /// Whether all that was counted or is kept here is sealed or held by another instance.
   [[nodiscard]] bool handed_over() const;
 
   /// Whether the holder's side has a call under way.
@@ -58,12 +58,15 @@
   struct copied_part {
     usage_part part;
     time_point next_send;
+    duration backoff{0};
+    bool safe = false; ///< Another instance holds it too; only asked for while stopping.
   };
 
   void on_tick(const moment& now, action_list& out);
   void on_part(const moment& now, const instance_id& from, const usage_part& part,
                action_list& out);
   void on_ack(const usage_part_ack& ack, action_list& out);
+  void on_stop(const moment& now, action_list& out);
   void close_part(const moment& now, action_list& out);
   void send_own(const moment& now, own_part& it, action_list& out);
   void send_copy_on(const moment& now, copied_part& it, action_list& out);
@@ -78,6 +81,7 @@
   std::uint64_t last_sequence_ = 0;
   std::map<std::uint64_t, own_part> own_;
   std::map<usage_part_key, copied_part> copies_;
+  bool stopping_ = false;
 };
 
 } // namespace nutmegspur
--- a/src/libnutmegspur/claims.cpp
+++ b/src/libnutmegspur/claims.cpp
@@ -1,7 +1,8 @@
 // Claims of calls that may not be repeated: written before the send, ended after it.
+#include <nutmegspur/claims.h>
+
 #include "request_rules.h"
 
-#include <nutmegspur/claims.h>
 #include <nutmegspur/event_log.h>
 
 namespace nutmegspur {
@@ -9,12 +10,8 @@
 
 error
 store_out(outcome ran) {
-  return {error_code::unavailable,
-          step::claim_write,
-          "platform",
-          "the key-value service cannot take the claim now",
-          ran,
-          milliseconds{1000}};
+  return {error_code::unavailable, step::claim_write, "platform",
+          "the key-value service cannot take the claim now", ran, milliseconds{1000}};
 }
 
 error
@@ -234,14 +231,14 @@
   claim_verdict verdict{it.what.request, claim_decision::refuse, {}, {}};
   auto record = parse_claim(pair.value);
   if (!record) {
-    verdict.why =
-        refusal(error_code::internal, "the stored claim cannot be read", outcome::unknown);
+    verdict.why = refusal(error_code::internal, "the stored claim cannot be read",
+                          outcome::unknown);
   } else if (record->request_sha256 != it.record.request_sha256) {
-    verdict.why = refusal(error_code::conflict, "the idempotency key was used for another request",
-                          outcome::not_run);
-    out.emplace_back(write_log{
-        static_cast<std::uint16_t>(log_event::claim_conflict),
-        {{"team", it.what.team.value}, {"request", std::to_string(it.what.request.value)}}});
+    verdict.why = refusal(error_code::conflict,
+                          "the idempotency key was used for another request", outcome::not_run);
+    out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::claim_conflict),
+                               {{"team", it.what.team.value},
+                                {"request", std::to_string(it.what.request.value)}}});
   } else if (record->phase == claim_phase::claimed && record->writer == it.record.writer) {
     hold(now, it, pair.modified, out);
     return;
--- a/src/libnutmegspur/request_attempts.cpp
+++ b/src/libnutmegspur/request_attempts.cpp
@@ -1,9 +1,10 @@
 // Attempts of requests at upstreams: chunks in order, resumption and the outcome.
+#include <nutmegspur/request_table.h>
+
 #include "request_rules.h"
 
 #include <nutmegspur/event_log.h>
 #include <nutmegspur/mechanisms.h>
-#include <nutmegspur/request_table.h>
 
 #include <algorithm>
 
@@ -90,10 +91,10 @@
   resuming_.erase(it.what.request);
   const auto found = needs_.upstreams.find(where.upstream);
   if (found == needs_.upstreams.end()) {
-    retry_or_fail(
-        now, it,
-        {error_code::unavailable, step::route, where.upstream.value, "the upstream is not listed"},
-        out);
+    retry_or_fail(now, it,
+                  {error_code::unavailable, step::route, where.upstream.value,
+                   "the upstream is not listed"},
+                  out);
     return;
   }
   ++it.attempts;
@@ -281,7 +282,8 @@
 request_table::mark_suspect(const moment& now, const upstream_id& upstream, const error& why,
                             action_list& out) {
   const auto found = needs_.upstreams.find(upstream);
-  if (found == needs_.upstreams.end() || is_final(why.code) || why.code == error_code::overloaded) {
+  if (found == needs_.upstreams.end() || is_final(why.code) ||
+      why.code == error_code::overloaded) {
     return;
   }
   found->second.suspect = true;
--- a/src/libnutmegspur/request_rules.cpp
+++ b/src/libnutmegspur/request_rules.cpp
@@ -178,8 +178,9 @@
 
 std::string
 sha256_hex(const std::string& text) {
-  const QByteArray digest = QCryptographicHash::hash(
-      QByteArrayView{text.data(), static_cast<qsizetype>(text.size())}, QCryptographicHash::Sha256);
+  const QByteArray digest =
+      QCryptographicHash::hash(QByteArrayView{text.data(), static_cast<qsizetype>(text.size())},
+                               QCryptographicHash::Sha256);
   return digest.toHex().toStdString();
 }
 
@@ -201,8 +202,7 @@
   std::vector<header_field> headers;
   if (service != nullptr) {
     for (const auto& field : service->headers) {
-      if (is_listed(service_request_headers, field.name) ||
-          !enabled(mechanism::header_allow_list)) {
+      if (is_listed(service_request_headers, field.name) || !enabled(mechanism::header_allow_list)) {
         headers.push_back(field);
       }
     }
@@ -215,8 +215,8 @@
       headers.push_back({"x-resume-from", std::to_string(facts.resume_from)});
     }
   }
-  headers.push_back(
-      {"x-request-id", facts.instance.value + "-" + std::to_string(facts.attempt.request.value)});
+  headers.push_back({"x-request-id",
+                     facts.instance.value + "-" + std::to_string(facts.attempt.request.value)});
   headers.push_back({"x-attempt", std::to_string(facts.attempt.number)});
   return headers;
 }
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -1,10 +1,11 @@
 // Arrival, admission, placement and the ends of requests that come from outside an attempt.
+#include <nutmegspur/request_table.h>
+
 #include "request_rules.h"
 
 #include <nutmegspur/event_log.h>
 #include <nutmegspur/mechanisms.h>
 #include <nutmegspur/prefix.h>
-#include <nutmegspur/request_table.h>
 
 #include <QtCore/QJsonArray>
 #include <QtCore/QJsonDocument>
@@ -95,8 +96,8 @@
                  log_event::request_refused, out);
     return;
   }
-  const waiting_request waiting{it.request, granted->team, granted->limits.weight, it.priority,
-                                now.boot,   it.deadline,   granted->cost_milli};
+  const waiting_request waiting{it.request,  granted->team, granted->limits.weight, it.priority,
+                                now.boot,    it.deadline,   granted->cost_milli};
   if (auto offered = needs_.admission.offer(waiting, capacity(now), now); !offered) {
     answer_error(it.request, offered.error(), log_event::request_refused, out);
     return;
@@ -179,11 +180,11 @@
   }
   if (verdict.decision == claim_decision::replay) {
     const claim_record& record = verdict.record;
-    out.emplace_back(
-        start_answer{verdict.request,
-                     record.status,
-                     {{"content-type", record.content_type}, {"idempotency-replayed", "true"}},
-                     it.team});
+    out.emplace_back(start_answer{verdict.request,
+                                  record.status,
+                                  {{"content-type", record.content_type},
+                                   {"idempotency-replayed", "true"}},
+                                  it.team});
     if (!record.body.empty()) {
       out.emplace_back(send_chunk{verdict.request, record.body});
     }
@@ -254,9 +255,9 @@
   for (const request_id request : late) {
     live_request& it = live_.at(request);
     refuse(now, it,
-           {error_code::deadline_exceeded,
-            it.at == phase::queued ? step::admit : step::attempt_stream, it.upstream.value,
-            "the deadline has passed", ran_so_far(it), retry_soon},
+           {error_code::deadline_exceeded, it.at == phase::queued ? step::admit : step::attempt_stream,
+            it.upstream.value, "the deadline has passed",
+            ran_so_far(it), retry_soon},
            out);
   }
 }
@@ -292,7 +293,8 @@
   needs_.admission.remove(it.what.request, true);
   in_flight_cost_milli_ += it.cost_milli;
   const auto* service = std::get_if<service_call>(&it.what.call);
-  const bool has_claim = !it.repeatable && service != nullptr && !service->idempotency_key.empty();
+  const bool has_claim =
+      !it.repeatable && service != nullptr && !service->idempotency_key.empty();
   if (!has_claim || !enabled(mechanism::claim_before_send)) {
     begin_attempt(now, it, where, out);
     return;
@@ -321,8 +323,9 @@
 bool
 request_table::anyone_serves(const live_request& it, const moment& now) const {
   const route_query query = query_for(it);
-  return std::any_of(needs_.upstreams.begin(), needs_.upstreams.end(),
-                     [&](const auto& row) { return can_serve(row.second, query, now.boot); });
+  return std::any_of(needs_.upstreams.begin(), needs_.upstreams.end(), [&](const auto& row) {
+    return can_serve(row.second, query, now.boot);
+  });
 }
 
 route_query
--- a/src/libnutmegspur/usage_ledger.cpp
+++ b/src/libnutmegspur/usage_ledger.cpp
@@ -42,8 +42,9 @@
 
 bool
 usage_ledger::handed_over() const {
-  return open_lines_.empty() &&
-         std::all_of(own_.begin(), own_.end(), [](const auto& it) { return it.second.safe; });
+  const auto is_safe = [](const auto& it) { return it.second.safe; };
+  return open_lines_.empty() && std::all_of(own_.begin(), own_.end(), is_safe) &&
+         std::all_of(copies_.begin(), copies_.end(), is_safe);
 }
 
 void
@@ -55,7 +56,15 @@
     return;
   }
   if (std::holds_alternative<stop_requested>(ev)) {
-    flush(now, out);
+    on_stop(now, out);
+    return;
+  }
+  if (const auto* lost = std::get_if<peer_disconnected>(&ev)) {
+    for (auto& [key, it] : copies_) {
+      if (key.first == lost->peer) {
+        it.next_send = now.boot; // Its source may be gone for good.
+      }
+    }
     return;
   }
   const auto* received = std::get_if<peer_received>(&ev);
@@ -137,19 +146,32 @@
   }
 }
 
+void
+usage_ledger::on_stop(const moment& now, action_list& out) {
+  stopping_ = true;
+  flush(now, out);
+  for (auto& [key, it] : copies_) {
+    it.next_send = now.boot;
+    it.backoff = duration{0};
+  }
+}
+
 void
 usage_ledger::send_copy_on(const moment& now, copied_part& it, action_list& out) {
-  it.next_send = now.boot + longest_resend;
+  it.backoff = std::clamp<duration>(it.backoff * 2, config_.resend_after, longest_resend);
+  it.next_send = now.boot + it.backoff;
   const auto holder = hooks_.holder ? hooks_.holder() : std::nullopt;
-  if (holder == config_.self) {
-    if (sealer_.accept(now, it.part, config_.self) == part_verdict::sealed) {
-      copies_.erase({it.part.source, it.part.sequence});
-    }
-    return;
+  const auto peer = stopping_ && hooks_.copy_peer ? hooks_.copy_peer() : std::nullopt;
+  if (is_other(peer, config_.self) && peer != holder) {
+    out.emplace_back(send_peer{*peer, it.part});
   }
   if (is_other(holder, config_.self)) {
     out.emplace_back(send_peer{*holder, it.part});
   }
+  if (holder == config_.self &&
+      sealer_.accept(now, it.part, config_.self) == part_verdict::sealed) {
+    copies_.erase({it.part.source, it.part.sequence});
+  }
 }
 
 void
@@ -157,9 +179,8 @@
                       action_list& out) {
   if (part.source == config_.self) {
     // A copy came home. What is no longer kept here was sealed.
-    if (part.sequence <= last_sequence_ && own_.count(part.sequence) == 0) {
-      out.emplace_back(send_peer{from, usage_part_ack{part.source, part.sequence, true}});
-    }
+    const bool sealed = own_.count(part.sequence) == 0;
+    out.emplace_back(send_peer{from, usage_part_ack{part.source, part.sequence, sealed}});
     return;
   }
   const part_verdict verdict = sealer_.accept(now, part, from);
@@ -172,15 +193,21 @@
   if (copies_.size() >= max_copies && copies_.count(key) == 0) {
     return;
   }
-  copies_.try_emplace(key, copied_part{part, now.boot + config_.copy_patience});
+  const duration patience = stopping_ ? duration{0} : config_.copy_patience;
+  copies_.try_emplace(key, copied_part{part, now.boot + patience});
   out.emplace_back(send_peer{from, usage_part_ack{part.source, part.sequence, false}});
 }
 
 void
 usage_ledger::on_ack(const usage_part_ack& ack, action_list& out) {
   if (ack.source != config_.self) {
+    const auto copy = copies_.find({ack.source, ack.sequence});
+    if (copy == copies_.end()) {
+      return;
+    }
+    copy->second.safe = true;
     if (ack.sealed) {
-      copies_.erase({ack.source, ack.sequence});
+      copies_.erase(copy);
     }
     return;
   }
