--- a/src/libnutmegspur/membership.cpp
+++ b/src/libnutmegspur/membership.cpp
@@ -247,7 +247,9 @@
   } else if (const auto* loads = std::get_if<load_digest>(&from.message)) {
     tracker_.on_digest(from.peer, *loads, now);
   } else if (const auto* notice = std::get_if<upstream_notice>(&from.message)) {
-    if (tracker_.on_notice(*notice, out)) {
+    // Numbered ones are of a planned change and are not passed on.
+    const bool of_change = notice->number != 0 || notice->acknowledges;
+    if (!of_change && tracker_.on_notice(*notice, out)) {
       spread(*notice, from.peer, out);
     }
   }
