--- a/src/etcd_http.platform/etcd_codec.cpp
+++ b/src/etcd_http.platform/etcd_codec.cpp
@@ -17,6 +17,8 @@
 
 template <class... F> struct overloaded : F... { using F::operator()...; };
 
+template <class... F> overloaded(F...) -> overloaded<F...>;
+
 QString
 base64(std::string_view bytes) {
   return QString::fromLatin1(
--- a/src/etcd_http.platform/etcd_http.cpp
+++ b/src/etcd_http.platform/etcd_http.cpp
@@ -153,8 +153,7 @@
   if (it->body) {
     it->body.release()->deleteLater();
   }
-  const auto keep = it;
-  QTimer::singleShot(0, scope_.get(), [keep] {});
+  QTimer::singleShot(0, scope_.get(), [keep = it] {});
 }
 
 void
--- a/src/etcd_http.platform/etcd_http_test.cpp
+++ b/src/etcd_http.platform/etcd_http_test.cpp
@@ -4,6 +4,7 @@
 
 #include <QtCore/QCoreApplication>
 #include <QtCore/QElapsedTimer>
+#include <QtNetwork/QTcpServer>
 
 #include <gtest/gtest.h>
 
@@ -40,8 +41,10 @@
   QString match; ///< Only paths that start with this are hit.
   std::map<QString, int> calls;
   std::vector<standin::reply_channel> unanswered;
-  standin::standin_server server{[this](const standin::standin_request& it,
-                                        standin::reply_channel reply) { serve(it, reply); }};
+  standin::standin_server server{
+      [this](const standin::standin_request& it, standin::reply_channel reply) {
+        serve(it, std::move(reply));
+      }};
   std::uint16_t port = 0;
 
   fake_platform() { port = server.listen(QHostAddress::LocalHost); }
@@ -49,14 +52,14 @@
   void serve(const standin::standin_request& request, standin::reply_channel reply) {
     calls[request.path] += 1;
     if (how == conduct::normal || !request.path.startsWith(match)) {
-      service.serve(request, reply);
+      service.serve(request, std::move(reply));
     } else if (how == conduct::lose_answers) {
       service.serve(request, {});
       reply.reset();
     } else if (how == conduct::failing) {
       reply.send(503, QJsonObject{{"message", "etcdserver: request timed out"}});
     } else {
-      unanswered.push_back(reply);
+      unanswered.push_back(std::move(reply));
     }
   }
 
--- a/src/include/nutmegspur/member_ring.h
+++ b/src/include/nutmegspur/member_ring.h
@@ -26,7 +26,7 @@
 
 /// `candidates` with the greatest weight for `key` first.
 std::vector<instance_id> rendezvous_order(std::string_view key,
-                                          std::vector<instance_id> candidates);
+                                          const std::vector<instance_id>& candidates);
 
 /// The first `count` of that order, without sorting the rest.
 std::vector<instance_id>
--- a/src/include/nutmegspur/membership.h
+++ b/src/include/nutmegspur/membership.h
@@ -51,6 +51,7 @@
 
   membership(const membership&) = delete;
   membership& operator=(const membership&) = delete;
+  ~membership() = default;
 
   void step(const moment& now, const event& ev, action_list& out);
 
--- a/src/libnutmegspur/member_ring.cpp
+++ b/src/libnutmegspur/member_ring.cpp
@@ -54,7 +54,7 @@
 }
 
 std::vector<instance_id>
-rendezvous_order(std::string_view key, std::vector<instance_id> candidates) {
+rendezvous_order(std::string_view key, const std::vector<instance_id>& candidates) {
   return rendezvous_top(key, candidates, candidates.size());
 }
 
--- a/src/libnutmegspur/member_table.cpp
+++ b/src/libnutmegspur/member_table.cpp
@@ -47,7 +47,7 @@
         alive.push_back(id);
       }
     }
-    it->second = rendezvous_order(zone.value, std::move(alive));
+    it->second = rendezvous_order(zone.value, alive);
   }
   return it->second;
 }
--- a/src/libnutmegspur/membership_test.cpp
+++ b/src/libnutmegspur/membership_test.cpp
@@ -69,6 +69,7 @@
       *rc::gen::unique<std::vector<std::string>>(rc::gen::nonEmpty(rc::gen::string<std::string>()));
   RC_PRE(!names.empty());
   std::vector<instance_id> all;
+  all.reserve(names.size());
   for (const auto& it : names) {
     all.emplace_back(it);
   }
--- a/src/libnutmegspur/testing/member_cluster.h
+++ b/src/libnutmegspur/testing/member_cluster.h
@@ -44,7 +44,7 @@
       [](const auto&, const auto&) { return true; };
 
   instance_id add(const std::string& zone, const std::string& name) {
-    const instance_id id{name};
+    instance_id id{name};
     cluster_instance& it = instances[id];
     it.listed = {name, instance_kind::entry, zone_id{zone}, "r", "127.0.0.1", next_port_++, "",
                  false};
--- a/src/nutmegspur_standin/kv_store.cpp
+++ b/src/nutmegspur_standin/kv_store.cpp
@@ -214,6 +214,7 @@
   const std::set<QByteArray> keys = std::move(it->second.keys);
   leases_.erase(it);
   std::vector<kv_operation> deletions;
+  deletions.reserve(keys.size());
   for (const auto& key : keys) {
     deletions.push_back({key, {}, std::nullopt, 0});
   }
