--- a/src/include/nutmegspur/membership.h
+++ b/src/include/nutmegspur/membership.h
@@ -117,6 +117,7 @@
   [[nodiscard]] std::optional<instance_id> feed() const;
   [[nodiscard]] member_digest digest_of(std::vector<member_entry> entries,
                                         const instance_id& to) const;
+  void send_whole(const instance_id& to, action_list& out) const;
   void note_change(const instance_id& id, const instance_id& from);
 
   membership_options options_;
--- a/src/libnutmegspur/membership.cpp
+++ b/src/libnutmegspur/membership.cpp
@@ -243,7 +243,7 @@
   } else if (const auto* update = std::get_if<listed_update>(&from.message)) {
     on_update(now, from.peer, *update, out);
   } else if (std::holds_alternative<listed_pull>(from.message)) {
-    out.push_back(send_peer{from.peer, view_.whole()});
+    send_whole(from.peer, out);
   } else if (const auto* loads = std::get_if<load_digest>(&from.message)) {
     tracker_.on_digest(from.peer, *loads, now);
   } else if (const auto* notice = std::get_if<upstream_notice>(&from.message)) {
@@ -277,7 +277,7 @@
   it.feeds_from_us = digest.feed;
   if (begins) {
     if (digest.view != view_.hash()) {
-      out.push_back(send_peer{from, view_.whole()});
+      send_whole(from, out);
     }
     out.push_back(send_peer{from, tracker_.whole(options_.zone, now)});
   }
@@ -288,6 +288,14 @@
   }
 }
 
+void
+membership::send_whole(const instance_id& to, action_list& out) const {
+  // An instance that has no list yet must not empty another's.
+  if (!view_.all().empty()) {
+    out.push_back(send_peer{to, view_.whole()});
+  }
+}
+
 void
 membership::note_change(const instance_id& id, const instance_id& from) {
   changes_[id] = from;
--- a/src/libnutmegspur/membership_test.cpp
+++ b/src/libnutmegspur/membership_test.cpp
@@ -260,6 +260,26 @@
   EXPECT_EQ(cluster.instances.at(id).part->upstreams().size(), 2U);
 }
 
+TEST(membership, a_feed_without_a_list_empties_no_others) {
+  settled_cluster cluster(1, 3);
+  cluster.list_is_down = true;
+  // The relays start again with nothing held, while the third still has the list.
+  cluster.start(cluster.relay("z0", 0));
+  cluster.start(cluster.relay("z0", 1));
+  std::size_t least = 2;
+  cluster.run_until(
+      [&] {
+        std::size_t most = 0;
+        for (const auto& [id, it] : cluster.instances) {
+          most = std::max(most, it.part->upstreams().size());
+        }
+        least = std::min(least, most);
+        return false;
+      },
+      seconds{20});
+  EXPECT_EQ(least, 2U);
+}
+
 // Any instances die, pause or come back, in any order: once it is quiet, rings agree again and a
 // sign still spreads.
 RC_GTEST_PROP(membership, rings_agree_after_any_faults, ()) {
--- /dev/null
+++ b/src/nutmegspur_bench/node_cluster.cpp
@@ -0,0 +1,143 @@
+// Whole decision cores before one fake platform.
+#include "node_cluster.h"
+
+#include <variant>
+
+namespace nutmegspur::bench {
+
+node_cluster::node_cluster(int zones, int instances_of_zone, int engines_of_zone) {
+  std::vector<listed_instance> list;
+  std::uint16_t port = 0;
+  for (int zone = 0; zone < zones; ++zone) {
+    const zone_id zone_name{"zone-" + std::to_string(zone)};
+    for (int n = 0; n < instances_of_zone; ++n) {
+      const instance_id id{"entry-" + std::to_string(zone) + "-" + std::to_string(n)};
+      instance& it = nodes_[id];
+      it.config.instance = id;
+      it.config.zone = zone_name;
+      it.config.peer_port = ++port;
+      it.config.peer_secret = "a secret shared by all peers";
+      zones_[id] = zone_name;
+      list.push_back(
+          {id.value, instance_kind::entry, zone_name, "r", "127.0.0.1", port, "", false});
+    }
+    for (int n = 0; n < engines_of_zone; ++n) {
+      list.push_back({"engine-" + std::to_string(zone) + "-" + std::to_string(n),
+                      instance_kind::engine, zone_name, "r", "127.0.0.1", ++port, "", false});
+    }
+  }
+  store.set_instances(list);
+  for (int n = 0; n < 8; ++n) {
+    store.put(clock.now(), "cfg/team/team-" + std::to_string(n), R"({"weight":1})");
+  }
+  restart_all();
+}
+
+void
+node_cluster::start(instance& it) {
+  it.core = std::move(*node::make(it.config, ++processes_));
+  it.dials.clear();
+}
+
+void
+node_cluster::restart_all() {
+  links_.clear();
+  in_flight_.clear();
+  watches_.clear();
+  for (auto& [id, it] : nodes_) {
+    store.end_watches(clock.now(), id.value);
+    store.forget(id.value);
+    start(it);
+  }
+}
+
+void
+node_cluster::run(duration span) {
+  for (duration passed{0}; passed < span; passed += round_length) {
+    round();
+  }
+}
+
+std::vector<std::uint64_t>
+node_cluster::calls() const {
+  std::vector<std::uint64_t> counts;
+  for (std::size_t n = 0; n < std::variant_size_v<platform_request>; ++n) {
+    counts.push_back(store.calls(n));
+  }
+  return counts;
+}
+
+void
+node_cluster::round() {
+  clock.advance(round_length);
+  update_links();
+  const auto arriving = std::exchange(in_flight_, {});
+  for (const auto& [to, ev] : arriving) {
+    if (links_.contains({to, ev.peer})) {
+      feed(nodes_.at(to), ev);
+    }
+  }
+  for (const auto& it : store.take_due(clock.now())) {
+    if (const auto* ended = std::get_if<watch_ended>(&it.what)) {
+      watches_.erase({instance_id{it.client}, ended->watch});
+    }
+    feed(nodes_.at(instance_id{it.client}), it.what);
+  }
+  for (auto& [id, it] : nodes_) {
+    feed(it, tick{});
+  }
+}
+
+void
+node_cluster::feed(instance& to, const event& ev) {
+  for (auto& what : to.core->step(clock.now(), ev)) {
+    carry_out(to, what);
+  }
+}
+
+void
+node_cluster::carry_out(instance& from, action& what) {
+  const instance_id& id = from.config.instance;
+  if (auto* message = std::get_if<send_peer>(&what)) {
+    ++messages;
+    in_flight_.emplace_back(message->peer, peer_received{id, std::move(message->message)});
+  } else if (const auto* peers = std::get_if<set_peers>(&what)) {
+    from.dials.clear();
+    for (const auto& it : peers->targets) {
+      from.dials.push_back(it.peer);
+    }
+  } else if (const auto* call = std::get_if<call_platform>(&what)) {
+    if (std::holds_alternative<watch_start>(call->request)) {
+      watches_.insert({id, call->call});
+    } else if (const auto* stop = std::get_if<watch_stop>(&call->request)) {
+      watches_.erase({id, stop->watch});
+    }
+    store.submit(clock.now(), id.value, *call);
+  }
+}
+
+void
+node_cluster::update_links() {
+  std::set<link> now;
+  for (const auto& [id, it] : nodes_) {
+    for (const auto& to : it.dials) {
+      if (nodes_.contains(to)) {
+        now.insert({id, to});
+        now.insert({to, id});
+      }
+    }
+  }
+  const auto before = std::exchange(links_, now);
+  for (const auto& it : before) {
+    if (!now.contains(it)) {
+      feed(nodes_.at(it.first), peer_disconnected{it.second});
+    }
+  }
+  for (const auto& it : now) {
+    if (!before.contains(it)) {
+      feed(nodes_.at(it.first), peer_connected{it.second, zones_.at(it.second)});
+    }
+  }
+}
+
+} // namespace nutmegspur::bench
--- /dev/null
+++ b/src/nutmegspur_bench/node_cluster.h
@@ -0,0 +1,65 @@
+/// \file node_cluster.h
+/// Whole decision cores of many instances before one fake platform, on a manual clock.
+#pragma once
+
+#include "testing/fake_store.h"
+
+#include <nutmegspur/node.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegspur::bench {
+
+/// The cluster. Messages between instances and platform answers take one round.
+class node_cluster {
+ public:
+  static constexpr milliseconds round_length{100};
+
+  node_cluster(int zones, int instances_of_zone, int engines_of_zone);
+
+  /// Replaces every instance by a new process at the same moment.
+  void restart_all();
+  void run(duration span);
+
+  /// Calls so far, by the kind of request (index in `platform_request`).
+  [[nodiscard]] std::vector<std::uint64_t> calls() const;
+
+  /// Watches that stand now.
+  [[nodiscard]] std::size_t watches() const { return watches_.size(); }
+
+  [[nodiscard]] std::size_t size() const { return nodes_.size(); }
+
+  manual_clock clock;
+  testing::fake_store store;
+  std::uint64_t messages = 0;
+
+ private:
+  struct instance {
+    settings config;
+    std::unique_ptr<node> core;
+    std::vector<instance_id> dials;
+  };
+
+  using link = std::pair<instance_id, instance_id>;
+
+  void round();
+  void feed(instance& to, const event& ev);
+  void carry_out(instance& from, action& what);
+  void update_links();
+  void start(instance& it);
+
+  std::map<instance_id, instance> nodes_;
+  std::map<instance_id, zone_id> zones_;
+  std::set<link> links_;
+  std::deque<std::pair<instance_id, peer_received>> in_flight_;
+  std::set<std::pair<instance_id, call_id>> watches_;
+  std::uint64_t processes_ = 0;
+};
+
+} // namespace nutmegspur::bench
--- /dev/null
+++ b/src/nutmegspur_bench/slopes_calls.cpp
@@ -0,0 +1,118 @@
+// Calls of the platform by kind: steady, while all restart, and just after an outage.
+#include "node_cluster.h"
+#include "slope.h"
+#include "slopes.h"
+
+#include <array>
+#include <cstdio>
+
+namespace nutmegspur::bench {
+
+namespace {
+
+constexpr seconds settle_span{30};
+constexpr seconds steady_span{60};
+constexpr seconds burst_span{10};
+constexpr seconds outage_span{60};
+
+constexpr std::array kind_names{"range",          "txn",         "lease_grant", "lease_keep_alive",
+                                "lease_revoke",   "watch_start", "watch_stop",  "list_instances",
+                                "upstream_order", "usage_report"};
+static_assert(kind_names.size() == std::variant_size_v<platform_request>);
+
+using call_counts = std::vector<std::uint64_t>;
+
+call_counts
+difference(const call_counts& after, const call_counts& before) {
+  call_counts result_counts;
+  for (std::size_t n = 0; n < after.size(); ++n) {
+    result_counts.push_back(after[n] - before[n]);
+  }
+  return result_counts;
+}
+
+double
+total(const call_counts& counts, seconds span) {
+  double sum = 0;
+  for (const auto it : counts) {
+    sum += static_cast<double>(it);
+  }
+  return sum / static_cast<double>(span.count());
+}
+
+void
+print_counts(const char* phase, std::size_t nodes, std::size_t watches, const call_counts& counts,
+             seconds span) {
+  std::printf("calls %s, %zu nodes: %.2f/s, %zu watches stand;", phase, nodes, total(counts, span),
+              watches);
+  for (std::size_t n = 0; n < counts.size(); ++n) {
+    if (counts[n] != 0) {
+      std::printf(" %s %.3f/s", kind_names[n],
+                  static_cast<double>(counts[n]) / static_cast<double>(span.count()));
+    }
+  }
+  std::printf("\n");
+  std::fflush(stdout);
+}
+
+struct call_rates {
+  double steady = 0;
+  double restart = 0;
+  double outage = 0;
+  double watches = 0;
+  double cpu_micros = 0; ///< Of one node in a steady second, the fake platform included.
+};
+
+call_rates
+run_nodes(int zones, int instances_of_zone, int engines_of_zone) {
+  node_cluster cluster(zones, instances_of_zone, engines_of_zone);
+  call_rates rates;
+  const auto phase = [&](const char* name, seconds span) {
+    const auto before = cluster.calls();
+    cluster.run(span);
+    const auto counts = difference(cluster.calls(), before);
+    print_counts(name, cluster.size(), cluster.watches(), counts, span);
+    return total(counts, span);
+  };
+  cluster.run(settle_span);
+  const double cpu_before = cpu_seconds();
+  rates.steady = phase("steady", steady_span);
+  rates.cpu_micros = 1e6 * (cpu_seconds() - cpu_before) / static_cast<double>(steady_span.count()) /
+                     static_cast<double>(cluster.size());
+  rates.watches = static_cast<double>(cluster.watches());
+  cluster.restart_all();
+  rates.restart = phase("all restart", burst_span);
+  cluster.run(settle_span);
+  cluster.store.set_fault(testing::store_fault::down);
+  phase("in an outage", outage_span);
+  cluster.store.set_fault(testing::store_fault::none);
+  rates.outage = phase("after an outage", burst_span);
+  return rates;
+}
+
+} // namespace
+
+void
+measure_calls() {
+  std::vector<point> steady;
+  std::vector<point> restart;
+  std::vector<point> outage;
+  std::vector<point> watches;
+  std::vector<point> cpu;
+  for (const int instances : {2, 4, 8, 16, 32}) {
+    const call_rates rates = run_nodes(5, instances, 2);
+    const double x = 5.0 * instances;
+    steady.push_back({x, rates.steady});
+    restart.push_back({x, rates.restart});
+    outage.push_back({x, rates.outage});
+    watches.push_back({x, rates.watches});
+    cpu.push_back({x, rates.cpu_micros});
+  }
+  print_slope("platform calls steady", "1/s", "nodes in 5 zones", steady);
+  print_slope("platform calls, all restart", "1/s over 10 s", "nodes in 5 zones", restart);
+  print_slope("platform calls after an outage", "1/s over 10 s", "nodes in 5 zones", outage);
+  print_slope("watches that stand", "watches", "nodes in 5 zones", watches);
+  print_slope("node idle", "us/s a node", "nodes in 5 zones", cpu);
+}
+
+} // namespace nutmegspur::bench
--- /dev/null
+++ b/src/nutmegspur_bench/slopes_membership.cpp
@@ -0,0 +1,119 @@
+// Membership: bytes, messages, processor time and state as instances and engines grow.
+#include "slope.h"
+#include "slopes.h"
+#include "testing/member_cluster.h"
+
+#include <algorithm>
+
+namespace nutmegspur::bench {
+
+namespace {
+
+using nutmegspur::testing::member_cluster;
+
+constexpr seconds settle_span{10};
+constexpr seconds measured_span{20};
+
+struct cluster_cost {
+  double state_bytes = 0;   ///< Of one instance.
+  double bytes_mean = 0;    ///< Sent and received by an instance in a second.
+  double bytes_most = 0;    ///< Sent by the busiest instance in a second.
+  double messages_mean = 0; ///< Sent by an instance in a second.
+  double cpu_micros = 0;    ///< Of an instance in a second.
+};
+
+void
+feed_reports(member_cluster& cluster, std::uint32_t number) {
+  for (auto& [id, it] : cluster.instances) {
+    const auto reads = it.reads;
+    for (const auto& upstream : reads) {
+      const engine_load load{number % 64, number % 7, number * 13 % 9000, number * 31 % 9999,
+                             10'000};
+      const engine_state state{
+          engine_role::mixed, model_id{"model-large"}, "2026-11", {"term-summary"}};
+      cluster.feed(id, engine_report{upstream, {1}, 1, false, state, load, cluster.clock.now()});
+    }
+  }
+}
+
+cluster_cost
+run_zone(int peers, int engines) {
+  const double heap_before = heap_bytes();
+  member_cluster cluster;
+  for (int n = 0; n < peers; ++n) {
+    cluster.add("zone-1", "entry-zone-1-" + std::to_string(n));
+  }
+  for (int n = 0; n < engines; ++n) {
+    cluster.add_engine("zone-1", "engine-zone-1-" + std::to_string(n));
+  }
+  const auto second = [&](std::uint32_t number) {
+    feed_reports(cluster, number);
+    cluster.run(seconds{1});
+  };
+  std::uint32_t number = 0;
+  for (; number < settle_span.count(); ++number) {
+    second(number);
+  }
+  for (auto& [id, it] : cluster.instances) {
+    it.messages_sent = it.bytes_sent = 0;
+  }
+  const double cpu_before = cpu_seconds();
+  for (int n = 0; n < measured_span.count(); ++n) {
+    second(++number);
+  }
+  const double cpu = cpu_seconds() - cpu_before;
+  cluster_cost cost;
+  cost.state_bytes = (heap_bytes() - heap_before) / peers;
+  // The same again with counted bytes: encoding costs time of its own.
+  cluster.measure = true;
+  for (int n = 0; n < measured_span.count(); ++n) {
+    second(++number);
+  }
+  const double span = static_cast<double>(measured_span.count());
+  for (const auto& [id, it] : cluster.instances) {
+    const double sent = static_cast<double>(it.bytes_sent) / span;
+    cost.bytes_mean += 2 * sent / peers;
+    cost.bytes_most = std::max(cost.bytes_most, sent);
+    cost.messages_mean += static_cast<double>(it.messages_sent) / span / peers;
+  }
+  cost.cpu_micros = cpu * 1e6 / span / peers;
+  return cost;
+}
+
+void
+print_costs(const std::string& size, const std::vector<std::pair<double, cluster_cost>>& costs) {
+  const auto column = [&](const std::string& what, const std::string& unit, auto value) {
+    std::vector<point> points;
+    for (const auto& [x, cost] : costs) {
+      points.push_back({x, value(cost)});
+    }
+    print_slope("membership " + what, unit, size, points);
+  };
+  column("state", "bytes an instance", [](const auto& it) { return it.state_bytes; });
+  column("sent and received", "bytes/s an instance", [](const auto& it) { return it.bytes_mean; });
+  column("sent by the busiest", "bytes/s", [](const auto& it) { return it.bytes_most; });
+  column("messages sent", "1/s an instance", [](const auto& it) { return it.messages_mean; });
+  column("processor", "us/s an instance", [](const auto& it) { return it.cpu_micros; });
+}
+
+} // namespace
+
+void
+measure_peers() {
+  std::vector<std::pair<double, cluster_cost>> costs;
+  for (const int peers : {5, 10, 20, 40, 80}) {
+    costs.emplace_back(peers, run_zone(peers, 2));
+  }
+  print_costs("instances of a zone (2 engines)", costs);
+}
+
+void
+measure_upstreams() {
+  std::vector<std::pair<double, cluster_cost>> costs;
+  for (const int engines : {8, 16, 32, 64, 128}) {
+    costs.emplace_back(engines, run_zone(24, engines));
+  }
+  print_costs("engines of a zone (24 instances)", costs);
+}
+
+} // namespace nutmegspur::bench
--- /dev/null
+++ b/src/nutmegspur_bench/slopes_streams.cpp
@@ -0,0 +1,62 @@
+// The request table as live streams grow.
+#include "slope.h"
+#include "slopes.h"
+#include "testing/request_rig.h"
+
+namespace nutmegspur::bench {
+
+namespace {
+
+constexpr int chunks_of_stream = 20;
+
+using nutmegspur::testing::request_rig;
+
+struct stream_cost {
+  double state_bytes = 0;
+  double open_micros = 0;
+  double chunk_micros = 0;
+};
+
+stream_cost
+run_streams(int streams) {
+  const double heap_before = heap_bytes();
+  request_rig rig(1);
+  const double opened_at = cpu_seconds();
+  for (int n = 0; n < streams; ++n) {
+    rig.call_model(0, "key-a", chunks_of_stream);
+  }
+  stream_cost cost;
+  cost.open_micros = 1e6 * (cpu_seconds() - opened_at) / streams;
+  cost.state_bytes = heap_bytes() - heap_before;
+  const double chunks_at = cpu_seconds();
+  const auto open = rig.open;
+  for (std::uint64_t n = 0; n < chunks_of_stream; ++n) {
+    for (const auto& it : open) {
+      rig.feed(0, attempt_chunk{it.what.attempt, n, 1, request_rig::token(n)});
+    }
+  }
+  cost.chunk_micros =
+      1e6 * (cpu_seconds() - chunks_at) / (static_cast<double>(open.size()) * chunks_of_stream);
+  return cost;
+}
+
+} // namespace
+
+void
+measure_streams() {
+  std::vector<point> state;
+  std::vector<point> open;
+  std::vector<point> chunk;
+  for (const int streams : {32, 64, 128, 256, 512}) {
+    const stream_cost cost = run_streams(streams);
+    const auto x = static_cast<double>(streams);
+    state.push_back({x, cost.state_bytes});
+    open.push_back({x, cost.open_micros});
+    chunk.push_back({x, cost.chunk_micros});
+  }
+  print_slope("streams state", "bytes, the rig's records included", "live streams", state);
+  print_slope("request admitted and placed", "us", "live streams", open);
+  print_slope("chunk passed on", "us", "live streams", chunk);
+}
+
+} // namespace nutmegspur::bench
