--- a/src/nutmegspur_bench/node_cluster.cpp
+++ b/src/nutmegspur_bench/node_cluster.cpp
@@ -78,16 +78,39 @@
     }
   }
   for (const auto& it : store.take_due(clock.now())) {
-    if (const auto* ended = std::get_if<watch_ended>(&it.what)) {
-      watches_.erase({instance_id{it.client}, ended->watch});
-    }
+    note_watch_end(instance_id{it.client}, it.what);
     feed(nodes_.at(instance_id{it.client}), it.what);
   }
+  show_progress();
   for (auto& [id, it] : nodes_) {
     feed(it, tick{});
   }
 }
 
+void
+node_cluster::note_watch_end(const instance_id& id, const event& what) {
+  if (const auto* ended = std::get_if<watch_ended>(&what)) {
+    watches_.erase({id, ended->watch});
+  }
+  const auto* reply = std::get_if<platform_reply>(&what);
+  if (reply != nullptr && !reply->answer) {
+    watches_.erase({id, reply->call});
+  }
+}
+
+// The store shows each watch a sign of progress every second.
+void
+node_cluster::show_progress() {
+  if (store_is_down || clock.now().boot - last_progress_ < progress_period) {
+    return;
+  }
+  last_progress_ = clock.now().boot;
+  const auto standing = watches_;
+  for (const auto& [id, call] : standing) {
+    feed(nodes_.at(id), watch_batch{call, {}, store.current()});
+  }
+}
+
 void
 node_cluster::feed(instance& to, const event& ev) {
   for (auto& what : to.core->step(clock.now(), ev)) {
--- a/src/nutmegspur_bench/node_cluster.h
+++ b/src/nutmegspur_bench/node_cluster.h
@@ -20,6 +20,7 @@
 class node_cluster {
  public:
   static constexpr milliseconds round_length{100};
+  static constexpr milliseconds progress_period{1'000};
 
   node_cluster(int zones, int instances_of_zone, int engines_of_zone);
 
@@ -37,6 +38,7 @@
 
   manual_clock clock;
   testing::fake_store store;
+  bool store_is_down = false; ///< Watches show no progress.
   std::uint64_t messages = 0;
 
  private:
@@ -53,12 +55,15 @@
   void carry_out(instance& from, action& what);
   void update_links();
   void start(instance& it);
+  void note_watch_end(const instance_id& id, const event& what);
+  void show_progress();
 
   std::map<instance_id, instance> nodes_;
   std::map<instance_id, zone_id> zones_;
   std::set<link> links_;
   std::deque<std::pair<instance_id, peer_received>> in_flight_;
   std::set<std::pair<instance_id, call_id>> watches_;
+  time_point last_progress_{};
   std::uint64_t processes_ = 0;
 };
 
--- a/src/nutmegspur_bench/slopes_calls.cpp
+++ b/src/nutmegspur_bench/slopes_calls.cpp
@@ -84,8 +84,10 @@
   rates.restart = phase("all restart", burst_span);
   cluster.run(settle_span);
   cluster.store.set_fault(testing::store_fault::down);
+  cluster.store_is_down = true;
   phase("in an outage", outage_span);
   cluster.store.set_fault(testing::store_fault::none);
+  cluster.store_is_down = false;
   rates.outage = phase("after an outage", burst_span);
   return rates;
 }
