Node: orders wired in, engine control worker started; usage parts reach the holder through a peer

A peer that knows the holder passes a source's part on, and passes the holder's acknowledgement back. The reports of engines with an open order are read by the holder, whoever reads them for the zone.

--- a/src/include/nutmegspur/drain_notices.h
+++ b/src/include/nutmegspur/drain_notices.h
@@ -40,6 +40,8 @@
   void begin(const moment& now, const upstream_id& id, action_list& out);
   /// Ends it, if it was begun.
   void end(const upstream_id& id, action_list& out);
+  /// Whether this instance must give the upstream no new work.
+  [[nodiscard]] bool marked(const upstream_id& id) const;
   /// Whether every peer has acknowledged a notice that was sent within `fresh_for`.
   [[nodiscard]] bool all_heard(time_point now, const upstream_id& id) const;
   void step(const moment& now, const event& ev, action_list& out);
--- a/src/include/nutmegspur/order_keeper.h
+++ b/src/include/nutmegspur/order_keeper.h
@@ -67,6 +67,10 @@
 
   /// Whether a change of this upstream is under way.
   [[nodiscard]] bool changing(const upstream_id& upstream) const;
+
+  /// Whether this instance must give the upstream no new work, by its own or another's change.
+  [[nodiscard]] bool marked(const upstream_id& upstream) const { return notices_.marked(upstream); }
+
   /// The upstreams with a change under way; their reports must be read by this instance.
   [[nodiscard]] std::vector<upstream_id> watched() const;
   /// Whether an order may be on its way, so that the lease should not be given up.
--- a/src/include/nutmegspur/usage_ledger.h
+++ b/src/include/nutmegspur/usage_ledger.h
@@ -65,7 +65,7 @@
   void on_tick(const moment& now, action_list& out);
   void on_part(const moment& now, const instance_id& from, const usage_part& part,
                action_list& out);
-  void on_ack(const usage_part_ack& ack, action_list& out);
+  void on_ack(const instance_id& from, const usage_part_ack& ack, action_list& out);
   void on_stop(const moment& now, action_list& out);
   void close_part(const moment& now, action_list& out);
   void send_own(const moment& now, own_part& it, action_list& out);
--- a/src/libnutmegspur/daemon.cpp
+++ b/src/libnutmegspur/daemon.cpp
@@ -203,9 +203,6 @@
 daemon_process::start(std::function<void()> on_stopped) {
   impl_->on_stopped = std::move(on_stopped);
   for (const auto& row : enum_names<worker_kind>::table) {
-    if (row.value == worker_kind::engine_control) {
-      continue;
-    }
     impl_->workers.push_back(std::make_unique<pvt::worker_thread>(
         row.value, plugin_name(row.value, impl_->config), impl_->context));
     auto started = impl_->workers.back()->start([this] { impl_->notify(); });
--- a/src/libnutmegspur/drain_notices.cpp
+++ b/src/libnutmegspur/drain_notices.cpp
@@ -35,11 +35,17 @@
     return;
   }
   update(id);
+  ++last_notice_;
   for (const auto& peer : peers()) {
-    out.emplace_back(send_peer{peer, upstream_notice{id, false, false, 0}});
+    out.emplace_back(send_peer{peer, upstream_notice{id, false, false, last_notice_}});
   }
 }
 
+bool
+drain_notices::marked(const upstream_id& id) const {
+  return own_.count(id) != 0 || marks_.count(id) != 0;
+}
+
 bool
 drain_notices::all_heard(time_point now, const upstream_id& id) const {
   const auto found = own_.find(id);
@@ -136,7 +142,7 @@
 void
 drain_notices::update(const upstream_id& id) {
   if (hooks_.mark_changing) {
-    hooks_.mark_changing(id, own_.count(id) != 0 || marks_.count(id) != 0);
+    hooks_.mark_changing(id, marked(id));
   }
 }
 
--- a/src/libnutmegspur/node.cpp
+++ b/src/libnutmegspur/node.cpp
@@ -3,12 +3,15 @@
 #include <nutmegspur/event_log.h>
 #include <nutmegspur/membership.h>
 #include <nutmegspur/node.h>
+#include <nutmegspur/order_keeper.h>
 #include <nutmegspur/policy.h>
 #include <nutmegspur/request_table.h>
 #include <nutmegspur/resource_api.h>
 #include <nutmegspur/usage_ledger.h>
 #include <nutmegspur/zone_lease.h>
 
+#include <algorithm>
+
 namespace nutmegspur {
 
 /// The parts, in the order in which they see an event: what others read comes first.
@@ -19,11 +22,15 @@
   config_replica replica;
   membership members;
   zone_lease lease;
+  order_keeper orders;
   usage_ledger usage;
   claim_book claims;
   request_table requests;
   resource_api resources;
   std::optional<bool> said_ready;
+  /// The upstreams whose reports are read here: for the zone, and for the open orders.
+  std::vector<set_polled_upstreams::target> read_for_zone;
+  std::vector<upstream_id> read_for_orders;
 
   parts(const settings& given, std::uint64_t seed, std::unique_ptr<routing_policy> routing_made,
         std::unique_ptr<admission_policy> admission_made);
@@ -35,6 +42,8 @@
   [[nodiscard]] std::optional<instance_id> usage_copy_peer() const;
   [[nodiscard]] milliseconds config_age(const moment& now) const;
   request_needs needs_of_requests();
+  order_hooks hooks_of_orders();
+  void add_watched(action_list& out);
 };
 
 node::parts::parts(const settings& given, std::uint64_t seed,
@@ -44,10 +53,12 @@
       replica({given.instance, given.zone},
               {[this] { return members.is_relay(); }, [this] { return members.neighbours(); }}),
       members({given.instance, given.zone, given.bind_address, given.peer_port},
-              {[this](const upstream_id& id) { return replica.view()->drained(id); }, {}}),
+              {[this](const upstream_id& id) { return replica.view()->drained(id); },
+               [this](const upstream_id& id) { return orders.marked(id); }}),
       lease({given.instance, given.zone, given.lease_ttl},
             {[this] { return static_cast<unsigned>(members.rank().value_or(~0U)); },
-             [this] { return usage.busy(); }}),
+             [this] { return usage.busy() || orders.busy(); }}),
+      orders({given.instance, given.zone}, hooks_of_orders(), lease),
       usage({.self = given.instance, .zone = given.zone, .window = given.usage_window},
             {[this] { return usage_holder(); }, [this] { return usage_copy_peer(); }}, lease),
       claims({.instance = given.instance, .seed = seed}),
@@ -57,34 +68,87 @@
                 .seed = seed,
                 .cache_salt_secret = given.peer_secret},
                needs_of_requests()),
-      resources({given.instance, given.zone, given.bootstrap_operator_key_sha256}, replica)
-{
-}
+      resources({given.instance, given.zone, given.bootstrap_operator_key_sha256}, replica) {}
 
 request_needs
-node::parts::needs_of_requests()
-{
+node::parts::needs_of_requests() {
   return {.config = [this] { return replica.view(); },
           .upstreams = members.upstreams(),
           .routing = *routing,
           .admission = *admission,
           .claims = claims,
-          .count_usage =
-              [this](const moment& now, const usage_line& line, action_list& out) {
-                usage.count(now, line, out);
-              },
+          .count_usage = [this](const moment& now, const usage_line& line,
+                                action_list& out) { usage.count(now, line, out); },
           .config_age = [this](const moment& now) { return config_age(now); }};
 }
 
+order_hooks
+node::parts::hooks_of_orders() {
+  order_hooks hooks;
+  hooks.address = [this](const upstream_id& id) -> std::optional<engine_address> {
+    const auto& all = members.upstreams();
+    const auto it = all.find(id);
+    if (it == all.end()) {
+      return std::nullopt;
+    }
+    return engine_address{it->second.listed.address, it->second.listed.port};
+  };
+  hooks.has_streams = [this](const upstream_id& id) {
+    const auto& all = members.upstreams();
+    const auto it = all.find(id);
+    return it != all.end() && it->second.own_in_flight > 0;
+  };
+  // All of the zone's instances, also those without a connection: an unheard one stops the change.
+  hooks.drain.peers = [this] {
+    std::vector<instance_id> peers;
+    for (const auto& [id, it] : members.members().all()) {
+      if (it.entry.zone == config.zone && id != config.instance && members.alive(id)) {
+        peers.push_back(id);
+      }
+    }
+    return peers;
+  };
+  return hooks;
+}
+
+/// The reports of engines with an open order are read here, whoever reads them for the zone.
+void
+node::parts::add_watched(action_list& out) {
+  set_polled_upstreams all;
+  bool news = false;
+  std::erase_if(out, [&](const action& it) {
+    const auto* polled = std::get_if<set_polled_upstreams>(&it);
+    if (polled != nullptr) {
+      read_for_zone = polled->targets;
+      news = true;
+    }
+    return polled != nullptr;
+  });
+  auto watched = orders.watched();
+  news = news || watched != read_for_orders;
+  if (!news) {
+    return;
+  }
+  read_for_orders = std::move(watched);
+  all.targets = read_for_zone;
+  for (const auto& id : read_for_orders) {
+    const auto known = members.upstreams().find(id);
+    const bool listed = std::any_of(all.targets.begin(), all.targets.end(),
+                                    [&](const auto& it) { return it.upstream == id; });
+    if (!listed && known != members.upstreams().end()) {
+      all.targets.push_back({id, known->second.listed.address, known->second.listed.port});
+    }
+  }
+  out.emplace_back(std::move(all));
+}
+
 milliseconds
-node::parts::config_age(const moment& now) const
-{
+node::parts::config_age(const moment& now) const {
   return std::chrono::duration_cast<milliseconds>(now.boot - replica.last_news());
 }
 
 std::vector<instance_id>
-node::parts::zone_peers() const
-{
+node::parts::zone_peers() const {
   std::vector<instance_id> peers;
   for (const auto& it : members.neighbours()) {
     const member* known = members.members().find(it);
@@ -96,8 +160,7 @@
 }
 
 std::optional<instance_id>
-node::parts::usage_holder() const
-{
+node::parts::usage_holder() const {
   if (lease.seen_holder()) {
     return lease.seen_holder();
   }
@@ -106,8 +169,7 @@
 }
 
 std::optional<instance_id>
-node::parts::usage_copy_peer() const
-{
+node::parts::usage_copy_peer() const {
   const auto holder = usage_holder();
   for (const auto& it : zone_peers()) {
     if (it != holder) {
@@ -118,8 +180,7 @@
 }
 
 void
-node::parts::say_ready(action_list& out)
-{
+node::parts::say_ready(action_list& out) {
   const bool ready = replica.ready();
   if (said_ready == ready) {
     return;
@@ -132,16 +193,17 @@
 }
 
 action_list
-node::parts::step(const moment& now, const event& ev)
-{
+node::parts::step(const moment& now, const event& ev) {
   action_list out;
   replica.step(now, ev, out);
   members.step(now, ev, out);
   lease.step(now, ev, out);
+  orders.step(now, ev, out);
   usage.step(now, ev, out);
   claims.step(now, ev, out);
   requests.step(now, ev, out);
   resources.step(now, ev, out);
+  add_watched(out);
   say_ready(out);
   return out;
 }
@@ -151,8 +213,7 @@
 node::~node() = default;
 
 result<std::unique_ptr<node>>
-node::make(const settings& config, std::uint64_t seed)
-{
+node::make(const settings& config, std::uint64_t seed) {
   routing_options routing_with;
   routing_with.seed = seed;
   auto routing = routing_registry::instance().make(config.routing_policy, routing_with);
@@ -165,14 +226,12 @@
   if (!admission) {
     return fail(admission.error());
   }
-  auto all =
-      std::make_unique<parts>(config, seed, std::move(*routing), std::move(*admission));
+  auto all = std::make_unique<parts>(config, seed, std::move(*routing), std::move(*admission));
   return std::unique_ptr<node>{new node{std::move(all)}};
 }
 
 action_list
-node::step(const moment& now, const event& ev)
-{
+node::step(const moment& now, const event& ev) {
   return parts_->step(now, ev);
 }
 
--- a/src/libnutmegspur/usage_ledger.cpp
+++ b/src/libnutmegspur/usage_ledger.cpp
@@ -75,7 +75,7 @@
     on_part(now, received->peer, *part, out);
   }
   if (const auto* ack = std::get_if<usage_part_ack>(&received->message)) {
-    on_ack(*ack, out);
+    on_ack(received->peer, *ack, out);
   }
 }
 
@@ -196,11 +196,22 @@
   const duration patience = stopping_ ? duration{0} : config_.copy_patience;
   copies_.try_emplace(key, copied_part{part, now.boot + patience});
   out.emplace_back(send_peer{from, usage_part_ack{part.source, part.sequence, false}});
+  // A source that does not know the holder sends to a peer that does. Only the source's own send
+  // is passed on, so two that take each other for the holder do not pass it to and fro.
+  const auto holder = hooks_.holder ? hooks_.holder() : std::nullopt;
+  if (verdict == part_verdict::refused && from == part.source && is_other(holder, config_.self) &&
+      holder != from) {
+    out.emplace_back(send_peer{*holder, part});
+  }
 }
 
 void
-usage_ledger::on_ack(const usage_part_ack& ack, action_list& out) {
+usage_ledger::on_ack(const instance_id& from, const usage_part_ack& ack, action_list& out) {
   if (ack.source != config_.self) {
+    if (ack.sealed && from != ack.source) {
+      // The holder answers who sent it the part, which may not be who counted it.
+      out.emplace_back(send_peer{ack.source, ack});
+    }
     const auto copy = copies_.find({ack.source, ack.sequence});
     if (copy == copies_.end()) {
       return;
