--- a/src/include/nutmegspur/membership.h
+++ b/src/include/nutmegspur/membership.h
@@ -69,6 +69,8 @@
   /// The connected instances of the own zone, and a relay's connected relays of other zones: whom
   /// this instance passes news to.
   [[nodiscard]] std::vector<instance_id> neighbours() const;
+  /// The parent that this instance takes its news from; empty for the first of the zone.
+  [[nodiscard]] std::optional<instance_id> feed() const;
   /// Whether other instances take their news from this one.
   [[nodiscard]] bool feeds_others() const;
 
@@ -114,7 +116,6 @@
   [[nodiscard]] std::vector<instance_id> wanted(time_point now) const;
   [[nodiscard]] std::vector<instance_id> expected() const;
   void add_probe(std::vector<instance_id>& wanted, time_point now) const;
-  [[nodiscard]] std::optional<instance_id> feed() const;
   [[nodiscard]] member_digest digest_of(std::vector<member_entry> entries,
                                         const instance_id& to) const;
   void send_whole(const instance_id& to, action_list& out) const;
--- a/src/include/nutmegspur/peer.h
+++ b/src/include/nutmegspur/peer.h
@@ -87,6 +87,7 @@
 struct fairness_digest {
   std::uint64_t sequence = 0;
   std::vector<team_service_entry> entries;
+  bool upward = false; ///< From a child to its parent in the zone's tree.
 };
 
 /// An upstream is leaving or back.
--- a/src/libnutmegspur/node.cpp
+++ b/src/libnutmegspur/node.cpp
@@ -1,12 +1,15 @@
 // Composition of the decision core's parts for one instance.
 #include <nutmegspur/config_replica.h>
 #include <nutmegspur/event_log.h>
+#include <nutmegspur/fairness_exchange.h>
+#include <nutmegspur/fleet_planner.h>
 #include <nutmegspur/membership.h>
 #include <nutmegspur/node.h>
 #include <nutmegspur/order_keeper.h>
 #include <nutmegspur/policy.h>
 #include <nutmegspur/request_table.h>
 #include <nutmegspur/resource_api.h>
+#include <nutmegspur/shutdown.h>
 #include <nutmegspur/usage_ledger.h>
 #include <nutmegspur/zone_lease.h>
 
@@ -14,6 +17,14 @@
 
 namespace nutmegspur {
 
+namespace {
+
+/// A shutdown's last wait, beyond a usage window, for its usage to be sealed and its lease given
+/// up.
+constexpr seconds usage_release_margin{20};
+
+} // namespace
+
 /// The parts, in the order in which they see an event: what others read comes first.
 struct node::parts {
   settings config;
@@ -26,7 +37,10 @@
   usage_ledger usage;
   claim_book claims;
   request_table requests;
+  fairness_exchange fairness;
+  fleet_planner fleet;
   resource_api resources;
+  shutdown ending;
   std::optional<bool> said_ready;
   /// The upstreams whose reports are read here: for the zone, and for the open orders.
   std::vector<set_polled_upstreams::target> read_for_zone;
@@ -43,6 +57,11 @@
   [[nodiscard]] milliseconds config_age(const moment& now) const;
   request_needs needs_of_requests();
   order_hooks hooks_of_orders();
+  fleet_hooks hooks_of_fleet();
+  shutdown_needs needs_of_shutdown();
+  [[nodiscard]] std::size_t unreleased() const;
+  [[nodiscard]] bool alone_in_zone() const;
+  [[nodiscard]] std::vector<instance_id> other_zone_members() const;
   void add_watched(action_list& out);
 };
 
@@ -57,7 +76,10 @@
                [this](const upstream_id& id) { return orders.marked(id); }}),
       lease({given.instance, given.zone, given.lease_ttl},
             {[this] { return static_cast<unsigned>(members.rank().value_or(~0U)); },
-             [this] { return usage.busy() || orders.busy(); }}),
+             [this] {
+               // Alone in its zone, an instance keeps the lease until its usage is sealed.
+               return usage.busy() || orders.busy() || (alone_in_zone() && !usage.handed_over());
+             }}),
       orders({given.instance, given.zone}, hooks_of_orders(), lease),
       usage({.self = given.instance, .zone = given.zone, .window = given.usage_window},
             {[this] { return usage_holder(); }, [this] { return usage_copy_peer(); }}, lease),
@@ -68,7 +90,13 @@
                 .seed = seed,
                 .cache_salt_secret = given.peer_secret},
                needs_of_requests()),
-      resources({given.instance, given.zone, given.bootstrap_operator_key_sha256}, replica) {}
+      fairness({[this] { return members.feed(); }}, *admission),
+      fleet({.zone = given.zone}, hooks_of_fleet(), members.upstreams(), lease),
+      resources({given.instance, given.zone, given.bootstrap_operator_key_sha256}, replica),
+      ending({.balancer_lag = given.balancer_lag,
+              .drain_limit = given.drain_limit,
+              .release_limit = given.usage_window + usage_release_margin},
+             needs_of_shutdown()) {}
 
 request_needs
 node::parts::needs_of_requests() {
@@ -98,19 +126,54 @@
     const auto it = all.find(id);
     return it != all.end() && it->second.own_in_flight > 0;
   };
-  // All of the zone's instances, also those without a connection: an unheard one stops the change.
-  hooks.drain.peers = [this] {
-    std::vector<instance_id> peers;
-    for (const auto& [id, it] : members.members().all()) {
-      if (it.entry.zone == config.zone && id != config.instance && members.alive(id)) {
-        peers.push_back(id);
-      }
-    }
-    return peers;
-  };
+  // Also those without a connection: an unheard one stops the change.
+  hooks.drain.peers = [this] { return other_zone_members(); };
   return hooks;
 }
 
+fleet_hooks
+node::parts::hooks_of_fleet() {
+  return {
+      .want = [this](const moment& now, const upstream_id& id, const engine_state& wanted,
+                     action_list& out) { orders.want(now, id, wanted, out); },
+      .want_upstreams = [this](const moment& now, const std::string& kind, std::uint32_t wanted,
+                               action_list& out) { orders.want_upstreams(now, kind, wanted, out); },
+      .instances = [this] { return static_cast<std::uint32_t>(other_zone_members().size() + 1); }};
+}
+
+shutdown_needs
+node::parts::needs_of_shutdown() {
+  return {.live_work = [this] { return requests.live() + claims.unfinished(); },
+          .close = [this] { requests.close(); },
+          .release = [this](const moment& now, action_list& out) { usage.flush(now, out); },
+          .unreleased = [this] { return unreleased(); }};
+}
+
+std::size_t
+node::parts::unreleased() const {
+  std::size_t n = 0;
+  n += lease.released() ? 0 : 1;
+  n += usage.handed_over() ? 0 : 1;
+  return n;
+}
+
+/// The zone's other instances that are counted on.
+std::vector<instance_id>
+node::parts::other_zone_members() const {
+  std::vector<instance_id> others;
+  for (const auto& [id, it] : members.members().all()) {
+    if (it.entry.zone == config.zone && id != config.instance && members.alive(id)) {
+      others.push_back(id);
+    }
+  }
+  return others;
+}
+
+bool
+node::parts::alone_in_zone() const {
+  return other_zone_members().empty();
+}
+
 /// The reports of engines with an open order are read here, whoever reads them for the zone.
 void
 node::parts::add_watched(action_list& out) {
@@ -181,6 +244,9 @@
 
 void
 node::parts::say_ready(action_list& out) {
+  if (ending.at() != shutdown_phase::serving) {
+    return;
+  }
   const bool ready = replica.ready();
   if (said_ready == ready) {
     return;
@@ -202,9 +268,12 @@
   usage.step(now, ev, out);
   claims.step(now, ev, out);
   requests.step(now, ev, out);
+  fairness.step(now, ev, out);
+  fleet.step(now, ev, out);
   resources.step(now, ev, out);
   add_watched(out);
   say_ready(out);
+  ending.step(now, ev, out);
   return out;
 }
 
--- a/src/libnutmegspur/peer.cpp
+++ b/src/libnutmegspur/peer.cpp
@@ -35,7 +35,7 @@
   } else if constexpr (std::is_same_v<type, load_digest>) {
     return std::tie(it.entries, it.states);
   } else if constexpr (std::is_same_v<type, fairness_digest>) {
-    return std::tie(it.sequence, it.entries);
+    return std::tie(it.sequence, it.entries, it.upward);
   } else if constexpr (std::is_same_v<type, upstream_notice>) {
     return std::tie(it.upstream, it.leaving, it.acknowledges, it.number);
   } else if constexpr (std::is_same_v<type, usage_part>) {
