--- a/testsuite/lib/streaming.py
+++ b/testsuite/lib/streaming.py
@@ -20,11 +20,13 @@
 class Stream:
     """One streamed chat request."""
 
-    def __init__(self, port, key, model, text, max_tokens):
+    def __init__(self, port, key, model, text, max_tokens, deadline_ms=30_000):
         self.connection = http.client.HTTPConnection(processes.LOOPBACK, port, timeout=60)
         self.connection.request("POST", CHAT, json.dumps(chat_body(model, text, max_tokens)),
-                                {"Content-Type": "application/json", **bearer(key)})
+                                {"Content-Type": "application/json", "x-deadline-ms": str(deadline_ms), **bearer(key)})
         self.reply = self.connection.getresponse()
+        if self.reply.status != 200:
+            raise processes.Failure(f"status {self.reply.status}: {self.reply.read().decode()}")
         self.text = ""
         self.error = None
         self.finish_reason = None
