--- a/src/include/nutmegspur/config_replica.h
+++ b/src/include/nutmegspur/config_replica.h
@@ -54,6 +54,7 @@
 
   config_replica(const config_replica&) = delete;
   config_replica& operator=(const config_replica&) = delete;
+  ~config_replica() = default;
 
   void step(const moment& now, const event& ev, action_list& out);
 
@@ -63,8 +64,9 @@
   /// The store's revision up to which every change is in force here; for `peer_hello`.
   [[nodiscard]] revision at() const { return state_.at(); }
 
-  /// Whether a whole configuration is held that has every change heard of.
-  [[nodiscard]] bool ready() const;
+  /// Whether callers may be served. It becomes true with a whole configuration that has every
+  /// change heard of, and false again once one heard of is still missing after `lag_limit`.
+  [[nodiscard]] bool ready() const { return ready_; }
 
   /// When the configuration held was last known to be the store's, on the boot clock; the zero
   /// time if never.
@@ -83,7 +85,7 @@
  private:
   void on_tick(const moment& now, action_list& out);
   void on_reply(const moment& now, const platform_reply& reply, action_list& out);
-  void on_reading(const moment& now, config_reader::reading whole, action_list& out);
+  void on_reading(const moment& now, const config_reader::reading& whole, action_list& out);
   void on_batch(const moment& now, const watch_batch& batch, action_list& out);
   void on_ended(const moment& now, const watch_ended& ended, action_list& out);
   void on_peer(const moment& now, const peer_received& from, action_list& out);
@@ -105,6 +107,8 @@
   void send_heartbeats(const moment& now, action_list& out);
   void heard_from_store(const moment& now);
   void warn_if_stale(const moment& now, action_list& out);
+  void update_ready(const moment& now);
+  [[nodiscard]] bool holds_all_heard_of() const;
   [[nodiscard]] bool feeds(const moment& now) const;
   [[nodiscard]] bool orphaned(const moment& now) const;
 
@@ -122,6 +126,8 @@
   time_point peer_news_; ///< The part of `last_news_` that came through peers.
   time_point last_heartbeats_;
   time_point read_failed_at_;
+  time_point held_all_at_; ///< When it last held every change heard of.
+  bool ready_ = false;
   bool read_failed_ = false;  ///< The last reading failed.
   bool reread_ = false;       ///< History is gone: a whole reading is needed.
   bool stale_warned_ = false; ///< Since the last news.
--- a/src/include/nutmegspur/resource_api.h
+++ b/src/include/nutmegspur/resource_api.h
@@ -37,6 +37,7 @@
 
   resource_api(const resource_api&) = delete;
   resource_api& operator=(const resource_api&) = delete;
+  ~resource_api() = default;
 
   void step(const moment& now, const event& ev, action_list& out);
 
--- a/src/libnutmegspur/config_cluster_test.cpp
+++ b/src/libnutmegspur/config_cluster_test.cpp
@@ -50,7 +50,7 @@
 
 void
 do_one(config_cluster& in, const deed& it, std::vector<written>& writes) {
-  const std::string who = members[it.who % members.size()];
+  const std::string& who = members[it.who % members.size()];
   const auto put = [&](const resource& what) { writes.push_back({who, in.put(who, what), what}); };
   switch (it.kind % 12) {
   case 0:
@@ -157,6 +157,66 @@
   EXPECT_FALSE(in.at("b1").replica->ready());
 }
 
+TEST(config_cluster, readiness_outlasts_a_short_lag_only) {
+  config_cluster in(1);
+  begin(in);
+  config_replica& it = *in.at("b3").replica;
+  ASSERT_TRUE(it.ready());
+  // A relay tells of a change, and then nobody hands it over.
+  action_list ignored;
+  const revision ahead{in.store.current().value + 50};
+  const config_heartbeat told{ahead, ahead, milliseconds{0}, {1}};
+  it.step(in.clock.now(), peer_received{instance_id{"b1"}, told}, ignored);
+  EXPECT_TRUE(it.ready());
+  in.run(milliseconds{3900});
+  EXPECT_TRUE(it.ready());
+  in.run(milliseconds{300});
+  EXPECT_FALSE(it.ready());
+  for (int n = 0; n < 50; ++n) {
+    in.store.put(in.clock.now(), "cfg/team/thun", spec_json(team("thun", 3).spec));
+  }
+  EXPECT_TRUE(in.run_until([&] { return it.ready(); }, seconds{4}));
+}
+
+TEST(config_cluster, a_zone_whose_relays_lost_the_store_still_hears_in_time) {
+  config_cluster in(1);
+  begin(in);
+  for (const std::string it : {"b1", "b2"}) {
+    in.store.silence_watches(it);
+    in.store.set_client_fault(it, store_fault::lost_before_effect);
+    for (const std::string other : {"z1", "z2"}) {
+      in.cut(it, other);
+    }
+  }
+  for (std::uint32_t n = 0; n < 20; ++n) {
+    const auto at =
+        in.store.put(in.clock.now(), "cfg/team/thun", spec_json(team("thun", n + 5).spec));
+    EXPECT_TRUE(in.run_until([&] { return in.behind(at).empty(); }, seconds{4})) << n;
+    in.run(milliseconds{700});
+  }
+  EXPECT_EQ(in.broken(), "");
+}
+
+TEST(config_cluster, a_fresh_relay_does_not_vouch_for_a_deletion_that_it_has_not_seen) {
+  config_cluster in(1);
+  begin(in);
+  in.store.put(in.clock.now(), "cfg/team/tumen", spec_json(team("tumen", 2).spec));
+  in.run(seconds{1});
+  in.network = [](const std::string&, const std::string& to) {
+    return peer_fate{to == "b3" ? 0 : 1};
+  };
+  const revision deleted = in.store.put(in.clock.now(), "cfg/team/tumen", std::nullopt);
+  in.run(milliseconds{200});
+  in.kill("b1");
+  in.kill("b2");
+  ASSERT_LT(in.at("b3").replica->at(), deleted);
+  in.start("b4", "b", true);
+  in.network = [](const std::string&, const std::string&) { return peer_fate{}; };
+  EXPECT_TRUE(in.run_until([&] { return in.behind(deleted).empty(); }, seconds{4}));
+  EXPECT_EQ(in.at("b3").replica->view()->team(team_id{"tumen"}), nullptr);
+  EXPECT_EQ(in.broken(), "");
+}
+
 TEST(config_cluster, compaction_leads_to_a_whole_reading) {
   config_cluster in(1);
   begin(in);
--- a/src/libnutmegspur/config_replica.cpp
+++ b/src/libnutmegspur/config_replica.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds relay_longest_wait{800};
 constexpr seconds member_longest_wait{3};
 constexpr seconds stale_warning{30};
+// A change heard of is in force within this time, or the instance is not fit to serve.
+constexpr seconds lag_limit{4};
 
 double
 spread_of(const instance_id& id) {
@@ -41,10 +43,20 @@
       watcher_(numbers_, {spread_of(options_.instance)}) {}
 
 bool
-config_replica::ready() const {
+config_replica::holds_all_heard_of() const {
   return state_.whole() && state_.at() >= peers_.highest();
 }
 
+void
+config_replica::update_ready(const moment& now) {
+  if (holds_all_heard_of()) {
+    held_all_at_ = now.boot;
+    ready_ = true;
+  } else if (now.boot - held_all_at_ > lag_limit) {
+    ready_ = false;
+  }
+}
+
 void
 config_replica::step(const moment& now, const event& ev, action_list& out) {
   withdrawn_.clear();
@@ -67,6 +79,7 @@
   } else if (const auto* received = std::get_if<peer_received>(&ev)) {
     on_peer(now, *received, out);
   }
+  update_ready(now);
 }
 
 // -----------------------------------------------------------------------------------------------
@@ -117,7 +130,7 @@
 config_replica::pull_if_behind(const moment& now, action_list& out) {
   const bool needs_whole = !state_.whole() || reread_;
   const bool store_had_its_turn = read_failed_ || now.boot - started_ >= store_head_start;
-  if (needs_whole ? !store_had_its_turn : ready()) {
+  if (needs_whole ? !store_had_its_turn : holds_all_heard_of()) {
     return;
   }
   const auto peer = peers_.next_to_ask(hooks_.sources(), state_.at(), now.boot - pull_retry);
@@ -164,12 +177,13 @@
     ++counts_.failed_readings;
     pull_if_behind(now, out);
   } else if (*whole) {
-    on_reading(now, std::move(**whole), out);
+    on_reading(now, **whole, out);
   }
 }
 
 void
-config_replica::on_reading(const moment& now, config_reader::reading whole, action_list& out) {
+config_replica::on_reading(const moment& now, const config_reader::reading& whole,
+                           action_list& out) {
   read_failed_ = false;
   const bool stale = state_.whole() && whole.at < state_.at();
   if (stale && enabled(mechanism::revision_only_grows)) {
--- a/src/libnutmegspur/fault_matrix_config_test.cpp
+++ b/src/libnutmegspur/fault_matrix_config_test.cpp
@@ -118,7 +118,8 @@
 
 /// What happens to messages from or to `target`, beside `rest`.
 rule
-hit(const std::string& target, bool both_ways, std::function<peer_fate()> fate, rule rest) {
+hit(const std::string& target, bool both_ways, const std::function<peer_fate()>& fate,
+    const rule& rest) {
   return [=](const std::string& from, const std::string& to) {
     return from == target || (both_ways && to == target) ? fate() : rest(from, to);
   };
@@ -325,6 +326,8 @@
 void
 run::ask_all() {
   ask("b3", team(7));
+  in_.run(milliseconds{100});
+  ask("z2", team(6));
   if (has(config_fault::operators_racing)) {
     const revision at = in_.store.get(config_key(resource_kind::team, "thun"))->modified;
     ask("z3", team(8), at);
--- a/src/libnutmegspur/resource_api.cpp
+++ b/src/libnutmegspur/resource_api.cpp
@@ -36,6 +36,7 @@
     return {*kind};
   }
   std::vector<resource_kind> all;
+  all.reserve(enum_names<resource_kind>::table.size());
   for (const auto& row : enum_names<resource_kind>::table) {
     all.push_back(row.value);
   }
@@ -206,8 +207,14 @@
   json.insert(QLatin1String("revision"), static_cast<qint64>(replica_.at().value));
   const auto age = std::chrono::duration_cast<milliseconds>(now.boot - replica_.last_news());
   json.insert(QLatin1String("news_age_ms"), static_cast<qint64>(age.count()));
-  json.insert(QLatin1String("refused_changes"),
-              static_cast<qint64>(replica_.counts().changes_refused));
+  const config_counts& counts = replica_.counts();
+  const auto put = [&](const char* name, std::uint64_t n) {
+    json.insert(QLatin1String(name), static_cast<qint64>(n));
+  };
+  put("changes_applied", counts.changes_applied);
+  put("changes_refused", counts.changes_refused);
+  put("whole_readings", counts.whole_readings);
+  put("stale_reads", counts.stale_reads);
   QJsonObject held;
   for (const resource_kind kind : kinds_of({})) {
     held.insert(to_qt(to_name(kind)), static_cast<qint64>(replica_.view()->all_of(kind).size()));
--- a/src/libnutmegspur/resource_rules.cpp
+++ b/src/libnutmegspur/resource_rules.cpp
@@ -139,7 +139,7 @@
   const auto* next_key = std::get_if<key_spec>(&it.spec);
   if (next_key != nullptr && current != nullptr) {
     const auto* key = std::get_if<key_spec>(&current->spec);
-    if (const auto ok = check_key(it.name, *next_key, *key); !ok) {
+    if (auto ok = check_key(it.name, *next_key, *key); !ok) {
       return ok;
     }
   }
--- a/src/libnutmegspur/testing/config_cluster.cpp
+++ b/src/libnutmegspur/testing/config_cluster.cpp
@@ -295,13 +295,15 @@
 void
 config_cluster::check(config_member& it) {
   const config_view now = it.replica->view();
-  if (now == it.seen) {
+  const revision claims = it.replica->at();
+  if (now == it.seen && claims == it.claimed) {
     return;
   }
-  if (it.seen && now->at < it.seen->at) {
-    break_rule(it, "went back from revision " + std::to_string(it.seen->at.value));
+  if (claims < it.claimed || (it.seen && now->at < it.seen->at)) {
+    break_rule(it, "went back from revision " + std::to_string(it.claimed.value));
   }
   it.seen = now;
+  it.claimed = claims;
   if (it.replica->at() == revision{}) {
     return;
   }
--- a/src/libnutmegspur/testing/config_cluster.h
+++ b/src/libnutmegspur/testing/config_cluster.h
@@ -43,6 +43,7 @@
   std::set<std::string> withdrawn;
   std::map<std::uint64_t, resource_answer> answers;
   config_view seen;
+  revision claimed; ///< Up to which it last said to hold everything.
 };
 
 /// The cluster. A relay is connected to its zone's members and to the relays of other zones; any
--- a/src/resource_http.operators/operator_call.cpp
+++ b/src/resource_http.operators/operator_call.cpp
@@ -109,7 +109,7 @@
   } else if (team.empty() == (*role == key_role::caller)) {
     in.reject("team", "must be given for a caller's key, and only for one");
   }
-  if (const auto ok = in.finish(); !ok) {
+  if (auto ok = in.finish(); !ok) {
     return ok;
   }
   out.new_secret = draw_secret();
@@ -169,7 +169,7 @@
     return it.method == "GET" ? result<void>{} : fail(no_such_page(it));
   }
   out.name = rest.mid(slash + 1).toStdString();
-  if (const auto ok = check_resource_name(out.name); !ok) {
+  if (auto ok = check_resource_name(out.name); !ok) {
     return ok;
   }
   const auto condition = read_condition(it);
--- a/src/resource_http.operators/resource_http.h
+++ b/src/resource_http.operators/resource_http.h
@@ -25,6 +25,8 @@
 class resource_http final : public duty_worker {
  public:
   explicit resource_http(const worker_context& context);
+  resource_http(const resource_http&) = delete;
+  resource_http& operator=(const resource_http&) = delete;
   ~resource_http() override;
 
   result<void> start(event_sink sink) override;
