--- a/src/libnutmegspur/request_attempts.cpp
+++ b/src/libnutmegspur/request_attempts.cpp
@@ -1,9 +1,10 @@
 // Attempts of requests at upstreams: chunks in order, resumption and the outcome.
+#include <nutmegspur/request_table.h>
+
 #include "request_rules.h"
 
 #include <nutmegspur/event_log.h>
 #include <nutmegspur/mechanisms.h>
-#include <nutmegspur/request_table.h>
 
 #include <algorithm>
 
@@ -90,10 +91,10 @@
   resuming_.erase(it.what.request);
   const auto found = needs_.upstreams.find(where.upstream);
   if (found == needs_.upstreams.end()) {
-    retry_or_fail(
-        now, it,
-        {error_code::unavailable, step::route, where.upstream.value, "the upstream is not listed"},
-        out);
+    retry_or_fail(now, it,
+                  {error_code::unavailable, step::route, where.upstream.value,
+                   "the upstream is not listed"},
+                  out);
     return;
   }
   ++it.attempts;
@@ -168,6 +169,7 @@
   if (it == nullptr) {
     return;
   }
+  note_progress(now, *it, ev.tokens);
   end_prefill(*it);
   if (!enabled(mechanism::chunk_offset_check) || ev.offset == it->delivered) {
     deliver(*it, ev.tokens, ev.text, out);
@@ -189,6 +191,15 @@
   retry_or_fail(now, *it, why, out);
 }
 
+void
+request_table::note_progress(const moment& now, live_request& it, std::uint32_t tokens) {
+  const bool inference = std::holds_alternative<inference_call>(it.what.call);
+  if (inference && !it.prefilling) {
+    needs_.routing.observe({it.upstream, now.boot - it.last_chunk, tokens});
+  }
+  it.last_chunk = now.boot;
+}
+
 void
 request_table::deliver(live_request& it, std::uint32_t tokens, const std::string& text,
                        action_list& out) {
@@ -281,7 +292,8 @@
 request_table::mark_suspect(const moment& now, const upstream_id& upstream, const error& why,
                             action_list& out) {
   const auto found = needs_.upstreams.find(upstream);
-  if (found == needs_.upstreams.end() || is_final(why.code) || why.code == error_code::overloaded) {
+  if (found == needs_.upstreams.end() || is_final(why.code) ||
+      why.code == error_code::overloaded) {
     return;
   }
   found->second.suspect = true;
