fair_deadline: a team over its share is placed only where it leaves room for others

Fair queueing orders what waits; a light team's requests found the engines full of the flooding team's work.

--- a/src/include/nutmegspur/policy.h
+++ b/src/include/nutmegspur/policy.h
@@ -95,6 +95,9 @@
   std::uint64_t cost_milli = 0;
   /// Expected time from placement to the last token; zero where it is not known.
   milliseconds expected_service{0};
+  /// Set by `peek`: placements should end by then. Earlier than `deadline` for a team that has
+  /// had more than its share, so that it leaves room for the others.
+  time_point place_by{};
 };
 
 /// What the queue must know of the zone's capacity.
--- a/src/libnutmegspur/fair_deadline_policy.cpp
+++ b/src/libnutmegspur/fair_deadline_policy.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds least_retry{100};
 constexpr milliseconds most_retry{60'000};
 constexpr milliseconds retry_without_upstreams{1000};
+/// Recent service over its share that a team may have before its placements must end earlier.
+constexpr double tolerated_share = 2.0;
+/// Least part of the time until its deadline that such a placement is given.
+constexpr double least_allowed = 0.65;
 /// How fast the measured drain rate follows.
 constexpr double rate_memory = 0.7;
 constexpr seconds rate_period{1};
@@ -104,8 +108,14 @@
 
   std::optional<waiting_request> peek(const moment& now) override {
     meter_.pass(now.boot, !requests_.empty());
+    shares_.fade(now.boot);
     const auto* next = next_request();
-    return next == nullptr ? std::nullopt : std::optional{*next};
+    if (next == nullptr) {
+      return std::nullopt;
+    }
+    auto it = *next;
+    it.place_by = place_by(it);
+    return it;
   }
 
   void remove(request_id request, bool placed) override {
@@ -160,6 +170,16 @@
  private:
   using team_queue = std::map<urgency, request_id>;
 
+  [[nodiscard]] time_point place_by(const waiting_request& it) const {
+    const double over = shares_.recent_share(it.team) / tolerated_share;
+    if (over <= 1) {
+      return it.deadline;
+    }
+    const auto allowed = static_cast<double>((it.deadline - it.arrived).count());
+    return it.arrived +
+           duration{static_cast<std::int64_t>(allowed * std::max(least_allowed, 1 / over))};
+  }
+
   void insert(const waiting_request& it) {
     shares_.enter(it.team, it.team_weight);
     teams_[it.team][urgency_of(it)] = it.request;
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -272,7 +272,9 @@
       continue;
     }
     live_request& it = found->second;
-    const auto where = needs_.routing.choose(query_for(it), needs_.upstreams, now);
+    route_query query = query_for(it);
+    query.deadline = next->place_by == time_point{} ? it.what.deadline : next->place_by;
+    const auto where = needs_.routing.choose(query, needs_.upstreams, now);
     if (!where && anyone_serves(it, now)) {
       return; // All that serve it are full; the head of the queue waits.
     }
--- a/src/libnutmegspur/team_shares.cpp
+++ b/src/libnutmegspur/team_shares.cpp
@@ -4,6 +4,7 @@
 #include <nutmegspur/team_shares.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegspur {
 
@@ -11,6 +12,11 @@
 
 /// Idle teams are forgotten once so many are kept.
 constexpr std::size_t max_kept = 1024;
+/// How long service counts as recent.
+constexpr seconds recent_memory{20};
+constexpr milliseconds fade_period{500};
+/// Teams with less recent service than this are left out of the shares.
+constexpr double least_recent_milli = 1000;
 
 } // namespace
 
@@ -40,6 +46,7 @@
   auto& it = shares_[team];
   it.counter += cost_milli / it.weight;
   it.local_milli += cost_milli;
+  it.recent_milli = std::max(0.0, it.recent_milli + static_cast<double>(cost_milli));
 }
 
 void
@@ -47,6 +54,37 @@
   auto& it = shares_[team];
   it.counter = std::max(it.counter, virtual_time_);
   it.counter += static_cast<std::int64_t>(cost_milli / it.weight);
+  it.recent_milli += static_cast<double>(cost_milli);
+}
+
+void
+team_shares::fade(time_point now) {
+  const auto span = now - faded_at_;
+  if (span < fade_period) {
+    return;
+  }
+  faded_at_ = now;
+  const double factor = std::exp(-static_cast<double>(span.count()) /
+                                 static_cast<double>(duration{recent_memory}.count()));
+  recent_all_ = 0;
+  recent_weights_ = 0;
+  for (auto& [team, it] : shares_) {
+    it.recent_milli *= factor;
+    if (it.recent_milli >= least_recent_milli) {
+      recent_all_ += it.recent_milli;
+      recent_weights_ += it.weight;
+    }
+  }
+}
+
+double
+team_shares::recent_share(const team_id& team) const {
+  const auto found = shares_.find(team);
+  if (found == shares_.end() || recent_all_ <= 0 || recent_weights_ <= 0) {
+    return 0;
+  }
+  const auto& it = found->second;
+  return (it.recent_milli / recent_all_) / (it.weight / recent_weights_);
 }
 
 std::int64_t
