--- a/src/include/nutmegspur/team_shares.h
+++ b/src/include/nutmegspur/team_shares.h
@@ -32,7 +32,8 @@
   void advance_to(std::int64_t least_counter);
   /// Time passed: service fades from the recent sums.
   void fade(time_point now);
-  /// Recent service of the team against its weight's part of all recent service; 1 is its share.
+  /// Recent service of the team for each unit of weight, against that of all others together; 0
+  /// where no other team had any.
   [[nodiscard]] double recent_share(const team_id& team) const;
   /// Service given here since the last call; teams with none are left out.
   std::vector<team_service_entry> take_local();
@@ -42,7 +43,7 @@
     std::uint32_t weight = 1;
     std::int64_t counter = 0;
     std::int64_t local_milli = 0; ///< Not yet taken; negative after a refund.
-    double recent_milli = 0; ///< Local and remote, fading.
+    double recent_milli = 0;      ///< Local and remote, fading.
     bool active = false;
   };
 
@@ -51,7 +52,7 @@
   // Invariant: virtual_time_ never goes back.
   std::int64_t virtual_time_ = 0;
   time_point faded_at_{};
-  double recent_all_ = 0;    ///< Sum of `recent_milli`, as of the last fade.
+  double recent_all_ = 0;     ///< Sum of `recent_milli`, as of the last fade.
   double recent_weights_ = 0; ///< Weights of the teams with recent service.
   std::unordered_map<team_id, share> shares_;
 };
--- a/src/libnutmegspur/admission_test.cpp
+++ b/src/libnutmegspur/admission_test.cpp
@@ -173,6 +173,28 @@
   EXPECT_EQ(policy->waiting(), 0U);
 }
 
+TEST(fair_deadline, a_team_over_its_share_must_leave_room) {
+  const auto policy = make_fair();
+  manual_clock clock;
+  std::uint64_t id = 0;
+  for (int i = 0; i < 30; ++i) {
+    const std::string team = i % 10 == 0 ? "light" : "flood";
+    ASSERT_TRUE(policy->offer(request_of(++id, team, clock.now(), seconds{100}), one_a_second,
+                              clock.now()));
+    serve_one(*policy, clock.now());
+  }
+  clock.advance(seconds{1});
+  for (const std::string team : {"light", "flood"}) {
+    const auto it = request_of(++id, team, clock.now(), seconds{100});
+    ASSERT_TRUE(policy->offer(it, {1, 100 * second_of_work, 0}, clock.now()));
+    const auto next = policy->peek(clock.now());
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->team.value, team);
+    EXPECT_EQ(next->place_by < next->deadline, team == "flood");
+    policy->remove(next->request, true);
+  }
+}
+
 TEST(fair_deadline, tells_local_service_once) {
   const auto policy = make_fair();
   const manual_clock clock;
--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -200,8 +200,8 @@
     }
     const double reported_running =
         it.load.running + it.load.waiting + static_cast<double>(memory.recent.size());
-    const double tokens = own_weight * all_for_own_ * it.own_prompt_tokens +
-                          (1 - own_weight) * reported_tokens;
+    const double tokens =
+        own_weight * all_for_own_ * it.own_prompt_tokens + (1 - own_weight) * reported_tokens;
     const double running =
         own_weight * all_for_own_ * it.own_in_flight + (1 - own_weight) * reported_running;
     return {static_cast<std::uint64_t>(tokens), static_cast<std::uint32_t>(running)};
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -95,9 +95,9 @@
                  log_event::request_refused, out);
     return;
   }
-  const waiting_request waiting{it.request, granted->team, granted->limits.weight, it.priority,
-                                now.boot,   it.deadline,   granted->cost_milli,
-                                expected_service(it, now)};
+  const waiting_request waiting{
+      it.request, granted->team, granted->limits.weight, it.priority,
+      now.boot,   it.deadline,   granted->cost_milli,    expected_service(it, now)};
   if (auto offered = needs_.admission.offer(waiting, capacity(now), now); !offered) {
     answer_error(it.request, offered.error(), log_event::request_refused, out);
     return;
--- a/src/libnutmegspur/role_planning.cpp
+++ b/src/libnutmegspur/role_planning.cpp
@@ -53,8 +53,8 @@
   if (prefill_each > 0) {
     batch = std::min(batch, prefill_chunk_tokens(role) / prefill_each);
   }
-  const double each_seconds = speed.step_seconds * speed.batch_penalty +
-                              prefill_each / speed.prefill_tokens_per_second;
+  const double each_seconds =
+      speed.step_seconds * speed.batch_penalty + prefill_each / speed.prefill_tokens_per_second;
   if (part.most_token_seconds > 0) {
     batch = std::min(batch, (part.most_token_seconds - speed.step_seconds) / each_seconds);
   }
--- a/src/libnutmegspur/routing_test.cpp
+++ b/src/libnutmegspur/routing_test.cpp
@@ -153,6 +153,33 @@
   EXPECT_FALSE(make("predicted_latency")->choose(query_of(call), upstreams, clock.now()));
 }
 
+TEST(predicted_latency, holds_back_what_would_end_after_its_deadline) {
+  const manual_clock clock;
+  upstream_map upstreams;
+  upstreams[upstream_id{"e1"}] = engine("e1");
+  const auto call = call_of(100, 100); // About 100 steps of 25 ms.
+  auto query = query_of(call);
+  const auto policy = make("predicted_latency");
+  query.deadline = clock.now().boot + seconds{1};
+  EXPECT_FALSE(policy->choose(query, upstreams, clock.now()));
+  EXPECT_GT(policy->expect(query, upstreams, clock.now()), seconds{1});
+  query.deadline = clock.now().boot + seconds{4};
+  EXPECT_TRUE(policy->choose(query, upstreams, clock.now()));
+}
+
+TEST(predicted_latency, learns_from_slow_streams) {
+  const manual_clock clock;
+  upstream_map upstreams;
+  upstreams[upstream_id{"e1"}] = engine("e1");
+  const auto call = call_of(100, 100);
+  const auto policy = make("predicted_latency");
+  const auto before = policy->expect(query_of(call), upstreams, clock.now());
+  for (int i = 0; i < 100; ++i) {
+    policy->observe({upstream_id{"e1"}, milliseconds{1000}, 10});
+  }
+  EXPECT_GT(policy->expect(query_of(call), upstreams, clock.now()), 2 * before);
+}
+
 TEST(predicted_latency, pays_for_bytes_between_regions) {
   const manual_clock clock;
   upstream_map upstreams;
--- a/src/libnutmegspur/team_shares.cpp
+++ b/src/libnutmegspur/team_shares.cpp
@@ -80,11 +80,16 @@
 double
 team_shares::recent_share(const team_id& team) const {
   const auto found = shares_.find(team);
-  if (found == shares_.end() || recent_all_ <= 0 || recent_weights_ <= 0) {
+  if (found == shares_.end() || found->second.recent_milli < least_recent_milli) {
     return 0;
   }
   const auto& it = found->second;
-  return (it.recent_milli / recent_all_) / (it.weight / recent_weights_);
+  const double others = recent_all_ - it.recent_milli;
+  const double other_weights = recent_weights_ - it.weight;
+  if (others <= 0 || other_weights <= 0) {
+    return 0;
+  }
+  return (it.recent_milli / it.weight) / (others / other_weights);
 }
 
 std::int64_t
--- a/src/libnutmegspur/testing/request_rig.cpp
+++ b/src/libnutmegspur/testing/request_rig.cpp
@@ -103,11 +103,7 @@
       routing(std::move(*routing_registry::instance().make("round_robin", {}))),
       upstreams(sample_upstreams()),
       table({instance_id{"i" + std::to_string(number)}, zone_id{"z"}, "r", rig.processes_},
-            {[&rig] { return rig.config_; },
-             upstreams,
-             *routing,
-             *admission,
-             claims,
+            {[&rig] { return rig.config_; }, upstreams, *routing, *admission, claims,
              [&rig](const moment&, const usage_line& line, action_list&) {
                rig.usage.push_back(line);
              },
@@ -263,8 +259,7 @@
   if (fate == call_fate::answered) {
     feed(it.instance, attempt_opened{id, 200, {{"content-type", "text/plain"}}});
     const std::string answer = "done " + body;
-    feed(it.instance,
-         attempt_chunk{id, 0, static_cast<std::uint32_t>(answer.size()), answer});
+    feed(it.instance, attempt_chunk{id, 0, static_cast<std::uint32_t>(answer.size()), answer});
     feed(it.instance, attempt_ended{id, {}, {}, "", answer.size()});
     return;
   }
--- a/src/libnutmegspur/testing/request_rig.h
+++ b/src/libnutmegspur/testing/request_rig.h
@@ -27,7 +27,7 @@
   bool ended = false; ///< The answer was said to be whole.
   token_usage usage;
   std::optional<error> refused;
-  int finals = 0;       ///< Final answers; more than one is a fault.
+  int finals = 0;           ///< Final answers; more than one is a fault.
   bool after_final = false; ///< Something came after the final answer.
 };
 
