--- a/src/include/nutmegspur/policy.h
+++ b/src/include/nutmegspur/policy.h
@@ -121,6 +121,14 @@
                              const moment& now) = 0;
   /// The request that should be placed next, without removing it.
   [[nodiscard]] virtual std::optional<waiting_request> peek(const moment& now) = 0;
+
+  /// The requests that may be placed now, best first, at most `most`. Where the first cannot be
+  /// placed in time, a later one may still be.
+  virtual std::vector<waiting_request> candidates(const moment& now, std::size_t most) {
+    const auto next = most > 0 ? peek(now) : std::nullopt;
+    return next ? std::vector{*next} : std::vector<waiting_request>{};
+  }
+
   /// Removes a request (placed, or its caller is gone) and charges its team if `placed`.
   virtual void remove(request_id request, bool placed) = 0;
   /// Requests that can no longer make their deadline, removed from the queue.
--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -112,6 +112,8 @@
   void end_withdrawn(const moment& now, action_list& out);
   void pass_deadlines(const moment& now, action_list& out);
   void dispatch(const moment& now, action_list& out);
+  /// Places or refuses one waiting request; false if none can be placed now.
+  bool dispatch_one(const moment& now, action_list& out);
   void dispatch_resuming(const moment& now, action_list& out);
   void place_next(const moment& now, live_request& it, const placement& where, action_list& out);
   [[nodiscard]] bool anyone_serves(const live_request& it, const moment& now) const;
--- a/src/libnutmegspur/fair_deadline_policy.cpp
+++ b/src/libnutmegspur/fair_deadline_policy.cpp
@@ -118,6 +118,21 @@
     return it;
   }
 
+  std::vector<waiting_request> candidates(const moment& now, std::size_t most) override {
+    const auto first = peek(now);
+    if (!first || most == 0) {
+      return {};
+    }
+    std::vector<waiting_request> found{*first};
+    for (const auto& it : class_heads()) {
+      if (found.size() < most && it.request != first->request) {
+        found.push_back(it);
+        found.back().place_by = place_by(it);
+      }
+    }
+    return found;
+  }
+
   void remove(request_id request, bool placed) override {
     const auto it = requests_.find(request);
     if (it == requests_.end()) {
@@ -218,6 +233,29 @@
     return &requests_.at(best->begin()->second);
   }
 
+  /// The most urgent request of each team and class, teams with the least service first.
+  [[nodiscard]] std::vector<waiting_request> class_heads() const {
+    std::vector<const team_queue*> queues;
+    for (const auto& [team, queue] : teams_) {
+      queues.push_back(&queue);
+    }
+    const auto served = [this](const team_queue* queue) {
+      return shares_.counter(requests_.at(queue->begin()->second).team);
+    };
+    std::stable_sort(queues.begin(), queues.end(),
+                     [&](const auto* a, const auto* b) { return served(a) < served(b); });
+    std::vector<waiting_request> heads;
+    for (const auto* queue : queues) {
+      auto it = queue->begin();
+      while (it != queue->end()) {
+        heads.push_back(requests_.at(it->second));
+        const auto next_class = static_cast<int>(it->first.priority) + 1;
+        it = queue->lower_bound({static_cast<request_class>(next_class), time_point::min(), 0});
+      }
+    }
+    return heads;
+  }
+
   [[nodiscard]] double drain_rate(const capacity_estimate& capacity) const {
     return meter_.rate() > 0 ? meter_.rate() : static_cast<double>(capacity.cost_milli_per_second);
   }
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -15,6 +15,8 @@
 namespace nutmegspur {
 namespace {
 
+/// Waiting requests that are tried for a placement before all wait.
+constexpr std::size_t max_candidates = 8;
 constexpr milliseconds retry_soon{1000};
 constexpr std::uint64_t default_upstream_rate_milli = 500'000;
 
@@ -265,28 +267,38 @@
 void
 request_table::dispatch(const moment& now, action_list& out) {
   dispatch_resuming(now, out);
-  while (const auto next = needs_.admission.peek(now)) {
-    const auto found = live_.find(next->request);
+  bool more = true;
+  while (more) {
+    more = dispatch_one(now, out);
+  }
+}
+
+bool
+request_table::dispatch_one(const moment& now, action_list& out) {
+  for (const auto& next : needs_.admission.candidates(now, max_candidates)) {
+    const auto found = live_.find(next.request);
     if (found == live_.end()) {
-      needs_.admission.remove(next->request, false);
-      continue;
+      needs_.admission.remove(next.request, false);
+      return true;
     }
     live_request& it = found->second;
     route_query query = query_for(it);
-    query.deadline = next->place_by == time_point{} ? it.what.deadline : next->place_by;
+    query.deadline = next.place_by == time_point{} ? it.what.deadline : next.place_by;
     const auto where = needs_.routing.choose(query, needs_.upstreams, now);
-    if (!where && anyone_serves(it, now)) {
-      return; // All that serve it are full; the head of the queue waits.
+    if (where) {
+      place_next(now, it, *where, out);
+      return true;
     }
-    if (!where) {
+    if (!anyone_serves(it, now)) {
       refuse(now, it,
              {error_code::unavailable, step::route, it.subject, "no upstream serves it now",
               outcome::not_run, retry_soon},
              out);
-      continue;
+      return true;
     }
-    place_next(now, it, *where, out);
+    // All that serve it are full, or too slow for its deadline; another may still be placed.
   }
+  return false;
 }
 
 void
--- a/src/nutmegspur_load/main.cpp
+++ b/src/nutmegspur_load/main.cpp
@@ -1,12 +1,18 @@
 /// \file main.cpp
 /// The load tool: `nutmegspur_load model|drive SCENARIO...`.
 
+#include "drive_mode.h"
 #include "model_world.h"
 
 #include <nutmegspur/error.h>
 
+#include <QtCore/QCoreApplication>
+#include <QtCore/QJsonDocument>
+#include <QtCore/QJsonObject>
+
+#include <cxxopts.hpp>
+
 #include <cstdio>
-#include <cstring>
 #include <fstream>
 #include <sstream>
 
@@ -66,6 +72,58 @@
   return 0;
 }
 
+std::map<std::string, std::string>
+read_keys(const std::string& path) {
+  std::ifstream in(path);
+  std::stringstream text;
+  text << in.rdbuf();
+  std::map<std::string, std::string> keys;
+  const auto object = QJsonDocument::fromJson(QByteArray::fromStdString(text.str())).object();
+  for (auto it = object.begin(); it != object.end(); ++it) {
+    keys[it.key().toStdString()] = it.value().toString().toStdString();
+  }
+  return keys;
+}
+
+/// Drives one scenario at real processes.
+int
+run_drives(std::span<const std::string> args) {
+  cxxopts::Options cli("nutmegspur_load drive", "Drives a scenario at real processes");
+  auto add = cli.add_options();
+  add("url", "caller address of an entry instance; may be given more than once",
+      cxxopts::value<std::vector<std::string>>());
+  add("model", "model to ask for", cxxopts::value<std::string>());
+  add("key", "key of teams without an own one", cxxopts::value<std::string>()->default_value(""));
+  add("keys", "JSON file {team: key}", cxxopts::value<std::string>()->default_value(""));
+  add("seconds", "cut the scenario short", cxxopts::value<double>()->default_value("0"));
+  add("scenario", "scenario file", cxxopts::value<std::string>());
+  cli.parse_positional({"scenario"});
+  std::vector<const char*> argv{"drive"};
+  for (const auto& it : args) {
+    argv.push_back(it.c_str());
+  }
+  try {
+    const auto given = cli.parse(static_cast<int>(argv.size()), argv.data());
+    const auto in = read_scenario(given["scenario"].as<std::string>());
+    if (!in) {
+      return complain(in.error());
+    }
+    drive_options options;
+    options.urls = given["url"].as<std::vector<std::string>>();
+    options.model = given["model"].as<std::string>();
+    options.key = given["key"].as<std::string>();
+    options.seconds = given["seconds"].as<double>();
+    if (const auto path = given["keys"].as<std::string>(); !path.empty()) {
+      options.keys = read_keys(path);
+    }
+    std::printf("%s\n", measure_json(run_drive(*in, options)).c_str());
+    return 0;
+  } catch (const cxxopts::exceptions::exception& ec) {
+    std::fprintf(stderr, "%s\n", ec.what());
+    return 2;
+  }
+}
+
 } // namespace
 
 } // namespace nutmegspur::load
@@ -76,6 +134,12 @@
   if (args.size() >= 2 && args.front() == "model") {
     return nutmegspur::load::run_models(std::span{args}.subspan(1));
   }
-  std::fputs("usage: nutmegspur_load model [--json] [--policy NAME] SCENARIO...\n", stderr);
+  if (args.size() >= 2 && args.front() == "drive") {
+    const QCoreApplication app(argc, argv);
+    return nutmegspur::load::run_drives(std::span{args}.subspan(1));
+  }
+  std::fputs("usage: nutmegspur_load model [--json] [--policy NAME] SCENARIO...\n"
+             "       nutmegspur_load drive --url URL --model M [--key K] [--seconds N] SCENARIO\n",
+             stderr);
   return 2;
 }
