Loads of a zone within a bounded rate, configuration passed on along the tree

Instances of the third level of a zone's tree no longer open watches of their own: those that feed others pass configuration on.

--- a/src/include/nutmegspur/config_replica.h
+++ b/src/include/nutmegspur/config_replica.h
@@ -36,6 +36,8 @@
   std::function<bool()> is_relay;
   /// Peers to pull from and pass changes to: a relay's zone members, a member's relays.
   std::function<std::vector<instance_id>()> sources;
+  /// Whether other instances hear from this one, relay or not. Empty means no.
+  std::function<bool()> passes_on = {};
 };
 
 /// Counts since the start.
@@ -106,6 +108,7 @@
   void heard_from_store(const moment& now);
   void warn_if_stale(const moment& now, action_list& out);
   [[nodiscard]] bool feeds(const moment& now) const;
+  [[nodiscard]] bool passes_on() const;
   [[nodiscard]] bool orphaned(const moment& now) const;
 
   config_replica_options options_;
--- a/src/include/nutmegspur/membership.h
+++ b/src/include/nutmegspur/membership.h
@@ -29,8 +29,15 @@
   std::uint16_t port = 0;
 };
 
-/// Between two heartbeats to each connected peer, and two digests of loads.
+/// Between two heartbeats to each connected peer.
 inline constexpr milliseconds member_heartbeat_period{1'000};
+/// Between two digests of loads to the same peer.
+inline constexpr milliseconds load_forward_period{500};
+/// Loads that a zone passes on in a second: with more engines, each one's go more rarely. Keeps an
+/// instance's bytes bounded.
+inline constexpr std::size_t zone_loads_per_second = 30;
+/// The load of one engine goes no more often than this.
+inline constexpr milliseconds least_load_period{700};
 /// A neighbour silent for this long leaves the ring.
 inline constexpr milliseconds member_silence_limit{5'000};
 /// How long an instance of another zone that does not answer is left alone.
@@ -106,6 +113,7 @@
   void watch_neighbours(const moment& now);
   void flush_changes(action_list& out);
   void send_heartbeats(action_list& out);
+  void set_load_period();
   void send_loads(const moment& now, action_list& out);
   void spread(const upstream_notice& notice, const instance_id& except, action_list& out) const;
   void settle(const moment& now, action_list& out);
@@ -136,6 +144,7 @@
   std::optional<time_point> asked_at_;  ///< Last call of the instance list.
   std::optional<call_id> list_call_;
   time_point last_heartbeat_{};
+  time_point last_loads_{};
   std::uint64_t settled_version_ = 0; ///< Of the member table, when connections were last set.
   bool connections_due_ = true;       ///< Connections are to be looked at.
   bool view_changed_ = true;          ///< Since readers were last set.
--- a/src/include/nutmegspur/upstream_tracker.h
+++ b/src/include/nutmegspur/upstream_tracker.h
@@ -45,6 +45,10 @@
   bool on_notice(const upstream_notice& notice, action_list& out);
   /// Takes a report; returns a notice if it shows that an upstream seen gone is back.
   std::optional<upstream_notice> on_report(const engine_report& report, action_list& out);
+
+  /// How often the load of one engine is passed on, whoever reads it.
+  void set_refresh(duration period) { refresh_ = period; }
+
   /// Takes cache events, in order.
   void on_cache(const cache_event& ev);
   /// Takes a peer's digest; `from` is remembered, so that nothing is sent back.
@@ -64,8 +68,9 @@
   // What was said of an upstream beside the list.
   struct signs {
     bool listed_leaving = false;
-    bool closing = false; ///< It said that it goes; holds while it is listed.
-    bool gone = false;    ///< It was seen gone; holds until it reports again.
+    bool closing = false;     ///< It said that it goes; holds while it is listed.
+    bool gone = false;        ///< It was seen gone; holds until it reports again.
+    time_point load_shared{}; ///< When the last load that was passed on was measured.
     moment state_measured{};
     bool state_known = false;
   };
@@ -79,6 +84,7 @@
   upstream_tracker_hooks hooks_;
   upstream_map upstreams_;
   std::map<upstream_id, signs> signs_; ///< Invariant: the same keys as `upstreams_`.
+  duration refresh_{0};
   // Loads and states not yet passed on, with the peer that they came from (empty: read here).
   std::map<upstream_id, instance_id> fresh_loads_;
   std::map<upstream_id, instance_id> fresh_states_;
--- a/src/libnutmegspur/config_replica.cpp
+++ b/src/libnutmegspur/config_replica.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds heartbeat_period{1500};
 // Sign of progress of the store (1 s), a heartbeat's period, and a message's way.
 constexpr milliseconds source_deadline{2900};
+// News of the store that are this much newer are passed on at once.
+constexpr milliseconds pass_on_step{500};
 constexpr milliseconds read_retry{400};
 constexpr milliseconds pull_retry{700};
 // A peer's snapshot is asked for once the store has had this long.
@@ -110,7 +112,12 @@
 
 bool
 config_replica::feeds(const moment& now) const {
-  return hooks_.is_relay() || watcher_.stands(now);
+  return hooks_.is_relay() || passes_on() || watcher_.stands(now);
+}
+
+bool
+config_replica::passes_on() const {
+  return hooks_.passes_on && hooks_.passes_on();
 }
 
 void
@@ -264,9 +271,15 @@
   if (same) {
     // Nothing that the sender knows of is missing here: what it holds, this instance holds too.
     state_.apply({}, message.at);
-    peer_news_ = std::max(peer_news_, now.boot - message.age);
+    const time_point news = now.boot - message.age;
+    if (news - peer_news_ > pass_on_step && passes_on()) {
+      // Those that hear from this instance would else wait for its own period on top.
+      last_heartbeats_ = {};
+    }
+    peer_news_ = std::max(peer_news_, news);
     last_news_ = std::max(last_news_, peer_news_);
     stale_warned_ = stale_warned_ && now.boot - last_news_ >= stale_warning;
+    send_heartbeats(now, out);
   } else if (message.at > state_.at() && message.highest > state_.at()) {
     pull_if_behind(now, out);
   }
@@ -324,7 +337,7 @@
 
 void
 config_replica::push(revision from, std::string_view except, action_list& out) {
-  if (!hooks_.is_relay() && except != "store") {
+  if (!hooks_.is_relay() && !passes_on() && except != "store") {
     return;
   }
   const auto recent = state_.changes_after(from);
--- a/src/libnutmegspur/membership.cpp
+++ b/src/libnutmegspur/membership.cpp
@@ -125,6 +125,9 @@
     members_.prune(now.boot);
     connections_due_ = true;
     send_heartbeats(out);
+  }
+  if (now.boot - last_loads_ >= load_forward_period) {
+    last_loads_ = now.boot;
     send_loads(now, out);
   }
 }
@@ -205,6 +208,7 @@
     }
   }
   tracker_.on_list(change, out);
+  set_load_period();
   view_changed_ = true;
   for (const auto& [id, it] : neighbours_) {
     if (it.feeds_from_us) {
@@ -333,6 +337,17 @@
   }
 }
 
+void
+membership::set_load_period() {
+  const auto engines =
+      std::count_if(view_.all().begin(), view_.all().end(), [this](const auto& it) {
+        return it.second.kind == instance_kind::engine && it.second.zone == options_.zone;
+      });
+  const auto period = seconds{engines} / static_cast<double>(zone_loads_per_second);
+  tracker_.set_refresh(
+      std::max<duration>(least_load_period, std::chrono::duration_cast<duration>(period)));
+}
+
 void
 membership::send_loads(const moment& now, action_list& out) {
   const auto above = feed();
--- a/src/libnutmegspur/node.cpp
+++ b/src/libnutmegspur/node.cpp
@@ -42,7 +42,8 @@
                    std::unique_ptr<admission_policy> admission_made)
     : config(given), routing(std::move(routing_made)), admission(std::move(admission_made)),
       replica({given.instance, given.zone},
-              {[this] { return members.is_relay(); }, [this] { return members.neighbours(); }}),
+              {[this] { return members.is_relay(); }, [this] { return members.neighbours(); },
+               [this] { return members.feeds_others(); }}),
       members({given.instance, given.zone, given.bind_address, given.peer_port},
               {[this](const upstream_id& id) { return replica.view()->drained(id); }, {}}),
       lease({given.instance, given.zone, given.lease_ttl},
@@ -57,34 +58,27 @@
                 .seed = seed,
                 .cache_salt_secret = given.peer_secret},
                needs_of_requests()),
-      resources({given.instance, given.zone, given.bootstrap_operator_key_sha256}, replica)
-{
-}
+      resources({given.instance, given.zone, given.bootstrap_operator_key_sha256}, replica) {}
 
 request_needs
-node::parts::needs_of_requests()
-{
+node::parts::needs_of_requests() {
   return {.config = [this] { return replica.view(); },
           .upstreams = members.upstreams(),
           .routing = *routing,
           .admission = *admission,
           .claims = claims,
-          .count_usage =
-              [this](const moment& now, const usage_line& line, action_list& out) {
-                usage.count(now, line, out);
-              },
+          .count_usage = [this](const moment& now, const usage_line& line,
+                                action_list& out) { usage.count(now, line, out); },
           .config_age = [this](const moment& now) { return config_age(now); }};
 }
 
 milliseconds
-node::parts::config_age(const moment& now) const
-{
+node::parts::config_age(const moment& now) const {
   return std::chrono::duration_cast<milliseconds>(now.boot - replica.last_news());
 }
 
 std::vector<instance_id>
-node::parts::zone_peers() const
-{
+node::parts::zone_peers() const {
   std::vector<instance_id> peers;
   for (const auto& it : members.neighbours()) {
     const member* known = members.members().find(it);
@@ -96,8 +90,7 @@
 }
 
 std::optional<instance_id>
-node::parts::usage_holder() const
-{
+node::parts::usage_holder() const {
   if (lease.seen_holder()) {
     return lease.seen_holder();
   }
@@ -106,8 +99,7 @@
 }
 
 std::optional<instance_id>
-node::parts::usage_copy_peer() const
-{
+node::parts::usage_copy_peer() const {
   const auto holder = usage_holder();
   for (const auto& it : zone_peers()) {
     if (it != holder) {
@@ -118,8 +110,7 @@
 }
 
 void
-node::parts::say_ready(action_list& out)
-{
+node::parts::say_ready(action_list& out) {
   const bool ready = replica.ready();
   if (said_ready == ready) {
     return;
@@ -132,8 +123,7 @@
 }
 
 action_list
-node::parts::step(const moment& now, const event& ev)
-{
+node::parts::step(const moment& now, const event& ev) {
   action_list out;
   replica.step(now, ev, out);
   members.step(now, ev, out);
@@ -151,8 +141,7 @@
 node::~node() = default;
 
 result<std::unique_ptr<node>>
-node::make(const settings& config, std::uint64_t seed)
-{
+node::make(const settings& config, std::uint64_t seed) {
   routing_options routing_with;
   routing_with.seed = seed;
   auto routing = routing_registry::instance().make(config.routing_policy, routing_with);
@@ -165,14 +154,12 @@
   if (!admission) {
     return fail(admission.error());
   }
-  auto all =
-      std::make_unique<parts>(config, seed, std::move(*routing), std::move(*admission));
+  auto all = std::make_unique<parts>(config, seed, std::move(*routing), std::move(*admission));
   return std::unique_ptr<node>{new node{std::move(all)}};
 }
 
 action_list
-node::step(const moment& now, const event& ev)
-{
+node::step(const moment& now, const event& ev) {
   return parts_->step(now, ev);
 }
 
--- a/src/libnutmegspur/upstream_tracker.cpp
+++ b/src/libnutmegspur/upstream_tracker.cpp
@@ -144,11 +144,15 @@
   it.load_measured = report.measured;
   it.highest_fence = report.highest_fence;
   it.last_sequence = report.last_sequence;
-  fresh_loads_[report.upstream] = {};
+  signs& said = signs_.at(report.upstream);
+  // Another reader may have passed on a load that is as new.
+  if (report.measured.boot - said.load_shared >= refresh_) {
+    said.load_shared = report.measured.boot;
+    fresh_loads_[report.upstream] = {};
+  }
   if (set_state(report.upstream, report.state, report.changing, report.measured)) {
     fresh_states_[report.upstream] = {};
   }
-  signs& said = signs_.at(report.upstream);
   if (!said.gone || said.closing) {
     return std::nullopt;
   }
@@ -186,6 +190,7 @@
     }
     found->second.load = entry.load;
     found->second.load_measured = measured;
+    signs_.at(entry.upstream).load_shared = measured.boot;
     fresh_loads_[entry.upstream] = from;
   }
   for (const auto& entry : digest.states) {
