--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -56,6 +56,10 @@
   ~request_table() = default;
 
   void step(const moment& now, const event& ev, action_list& out);
+
+  /// From now on new requests are refused as `not_run`; those that are live go on.
+  void close() { closed_ = true; }
+
   /// Requests without a final answer, and calls that go on after their caller left.
   [[nodiscard]] std::size_t live() const { return live_.size(); }
 
@@ -87,13 +91,14 @@
     bool may_have_run = false;
     std::uint32_t attempts = 0;
     bool attempt_open = false;
+    time_point last_chunk;   ///< Of the open attempt.
     bool prefilling = false; ///< The open attempt has given no output yet.
     upstream_id upstream;    ///< Of the last attempt.
     std::vector<upstream_id> tried;
     std::uint64_t delivered = 0; ///< Output tokens (bytes, for a service) given to the caller.
     // Invariant: every key is greater than `delivered`; at most `max_early_chunks`.
     std::map<std::uint64_t, early_chunk> early;
-    token_usage usage; ///< As engines reported.
+    token_usage usage;    ///< As engines reported.
     claim_outcome answer; ///< What is recorded for a claimed call.
   };
 
@@ -114,14 +119,15 @@
   void place_next(const moment& now, live_request& it, const placement& where, action_list& out);
   [[nodiscard]] bool anyone_serves(const live_request& it, const moment& now) const;
   [[nodiscard]] route_query query_for(const live_request& it) const;
+  [[nodiscard]] milliseconds expected_service(const request_arrived& it, const moment& now) const;
   [[nodiscard]] capacity_estimate capacity(const moment& now) const;
 
   // Attempts (request_attempts.cpp)
-  void begin_attempt(const moment& now, live_request& it, const placement& where,
-                     action_list& out);
+  void begin_attempt(const moment& now, live_request& it, const placement& where, action_list& out);
   void on_opened(const attempt_opened& ev, action_list& out);
   void on_chunk(const moment& now, const attempt_chunk& ev, action_list& out);
   void on_ended(const moment& now, const attempt_ended& ev, action_list& out);
+  void note_progress(const moment& now, live_request& it, std::uint32_t tokens);
   void deliver(live_request& it, std::uint32_t tokens, const std::string& text, action_list& out);
   void start(live_request& it, int status, std::vector<header_field> headers, action_list& out);
   void deliver_early(live_request& it, action_list& out);
@@ -130,8 +136,7 @@
   /// The open attempt's prompt is no longer waiting at its upstream.
   void end_prefill(live_request& it);
   void retry_or_fail(const moment& now, live_request& it, const error& why, action_list& out);
-  void finish_whole(const moment& now, live_request& it, const attempt_ended& ev,
-                    action_list& out);
+  void finish_whole(const moment& now, live_request& it, const attempt_ended& ev, action_list& out);
   /// The one final answer that is an error. `it` is gone afterwards, unless it is a call that must
   /// not be repeated and may be running: that goes on without its caller.
   void refuse(const moment& now, live_request& it, const error& why, action_list& out);
@@ -152,6 +157,7 @@
   request_needs needs_;
   retry_budget budget_;
   config_view seen_config_;
+  bool closed_ = false;
   live_map live_;
   // Invariant: a row for each live request that came with a key, under the digest of its secret.
   std::unordered_map<std::string, std::set<request_id>> by_key_;
--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -9,6 +9,7 @@
 #include <nutmegspur/policy.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <random>
@@ -22,6 +23,8 @@
 constexpr std::uint32_t base_queue_limit = 2;
 /// Further sequences in the queue limit: one for so many batch slots.
 constexpr std::uint32_t slots_per_queued = 8;
+/// Prompt tokens that may wait in an engine before it takes no more.
+constexpr std::uint64_t most_prefill_backlog = 8192;
 /// How far over the last seen batch an engine may be filled before a report tells more.
 constexpr std::uint32_t batch_headroom = 8;
 /// How long own placements count as cached where no cache event tells.
@@ -34,6 +37,12 @@
 constexpr double region_round_trip_seconds = 0.024;
 /// Share of the delay done to sequences already decoding that counts against a placement.
 constexpr double disturbance_weight = 0.1;
+/// Tokens over which the time between tokens is averaged.
+constexpr double token_memory = 200;
+/// Weight of own work in progress against reports.
+constexpr double own_weight = 0.5;
+/// Bound on how many times its own work an upstream is taken to hold.
+constexpr double most_all_for_own = 16;
 /// Candidates within this factor of the best are equal, and one of them is drawn.
 constexpr double near_best = 1.05;
 
@@ -50,6 +59,7 @@
   std::uint32_t batch_seen = 0; ///< Greatest batch that it reported without a queue behind it.
   bool batch_full = false;      ///< `batch_seen` is the batch's limit.
   engine_role role = engine_role::mixed;
+  double token_seconds = 0; ///< Time between tokens of own streams there, fading; 0: not seen.
 };
 
 /// A candidate and what it would cost.
@@ -57,6 +67,7 @@
   upstream_id upstream;
   double seconds = 0;
   double first_token_seconds = 0;
+  double total_seconds = 0;
   std::uint32_t prefill_tokens = 0;
 };
 
@@ -67,12 +78,13 @@
 
   std::optional<placement> choose(const route_query& query, const upstream_map& upstreams,
                                   const moment& now) override {
+    measure_own_share(upstreams);
     std::vector<scored> found;
     for (const auto& [id, it] : upstreams) {
       if (!can_serve(it, query, now.boot) || it.own_in_flight >= options_.max_own_in_flight) {
         continue;
       }
-      auto score = query.inference != nullptr ? score_engine(id, it, query, now)
+      auto score = query.inference != nullptr ? score_if_room(id, it, query, now)
                                               : score_service(id, it, query);
       if (score) {
         found.push_back(std::move(*score));
@@ -90,27 +102,67 @@
                      milliseconds{static_cast<std::int64_t>(best.first_token_seconds * millis)}};
   }
 
+  milliseconds expect(const route_query& query, const upstream_map& upstreams,
+                      const moment& now) override {
+    double best = 0;
+    if (query.inference == nullptr) {
+      return milliseconds{0};
+    }
+    measure_own_share(upstreams);
+    for (const auto& [id, it] : upstreams) {
+      if (can_serve(it, query, now.boot)) {
+        auto& memory = memory_[id];
+        refresh(memory, it, now);
+        const auto score = score_engine(id, memory, it, query);
+        best = best == 0 ? score.total_seconds : std::min(best, score.total_seconds);
+      }
+    }
+    constexpr double millis = 1000;
+    return milliseconds{static_cast<std::int64_t>(best * millis)};
+  }
+
+  void observe(const stream_progress& progress) override {
+    if (progress.tokens == 0) {
+      return;
+    }
+    constexpr double micros = 1e6;
+    auto& seen = memory_[progress.upstream].token_seconds;
+    const double span = static_cast<double>(progress.span.count()) / micros / progress.tokens;
+    const double keep = std::exp(-static_cast<double>(progress.tokens) / token_memory);
+    seen = seen == 0 ? span : keep * seen + (1 - keep) * span;
+  }
+
  private:
   static std::optional<scored> score_service(const upstream_id& id, const upstream_state& it,
                                              const route_query& query) {
     const double away = it.listed.region == query.region ? 0.0 : region_round_trip_seconds;
     constexpr double seconds_per_call = 0.01;
-    return scored{id, away + seconds_per_call * it.own_in_flight};
+    scored score;
+    score.upstream = id;
+    score.seconds = away + seconds_per_call * it.own_in_flight;
+    return score;
   }
 
-  std::optional<scored> score_engine(const upstream_id& id, const upstream_state& it,
-                                     const route_query& query, const moment& now) {
+  std::optional<scored> score_if_room(const upstream_id& id, const upstream_state& it,
+                                      const route_query& query, const moment& now) {
     auto& memory = memory_[id];
     refresh(memory, it, now);
     const auto placed = static_cast<std::uint32_t>(memory.recent.size());
-    if (queue_is_full(memory, it, placed)) {
+    if (queue_is_full(memory, it, placed) ||
+        backlog_of(memory, it).prefill_tokens > most_prefill_backlog) {
       return std::nullopt;
     }
+    constexpr double micros = 1e6;
+    auto score = score_engine(id, memory, it, query);
+    const auto span = duration{static_cast<std::int64_t>(score.total_seconds * micros)};
+    // Work that would end too late only slows down what is still in time.
+    return now.boot + span > query.deadline ? std::nullopt : std::optional{std::move(score)};
+  }
+
+  scored score_engine(const upstream_id& id, const upstream_memory& memory,
+                      const upstream_state& it, const route_query& query) const {
     const auto& call = *query.inference;
-    engine_backlog backlog{it.load.waiting_tokens, it.load.running + it.load.waiting + placed};
-    for (const auto& work : memory.recent) {
-      backlog.prefill_tokens += work.prefill_tokens;
-    }
+    const auto backlog = backlog_of(memory, it);
     const auto context = call.prompt_tokens + query.resume_from;
     const auto cached = std::min(context, cached_blocks(memory, it, call) * options_.block_tokens);
     const auto left = call.max_tokens - std::min(call.max_tokens, query.resume_from);
@@ -120,7 +172,39 @@
                              speed_.prefill_tokens_per_second;
     const double seconds = expected.total_seconds + disturbance_weight * disturbed +
                            region_price(it, query, context, left);
-    return scored{id, seconds, expected.first_token_seconds, size.prefill_tokens};
+    const double slower =
+        std::max(0.0, memory.token_seconds - step_seconds(speed_, backlog.running)) * left;
+    return {id, seconds, expected.first_token_seconds, expected.total_seconds + slower,
+            size.prefill_tokens};
+  }
+
+  /// How many times its own work an upstream holds, on average: what others place is not seen at
+  /// once, but they place by the same rules.
+  void measure_own_share(const upstream_map& upstreams) {
+    double all = 0;
+    double own = 0;
+    for (const auto& [id, it] : upstreams) {
+      all += it.load.running + it.load.waiting;
+      own += it.own_in_flight;
+    }
+    all_for_own_ = own > 0 ? std::clamp(all / own, 1.0, most_all_for_own) : 1.0;
+  }
+
+  /// Blends the lagged report, corrected by what was placed since, with own work in progress, which
+  /// has no lag and so does not send all instances to the same engine at once.
+  [[nodiscard]] engine_backlog backlog_of(const upstream_memory& memory,
+                                          const upstream_state& it) const {
+    double reported_tokens = it.load.waiting_tokens;
+    for (const auto& work : memory.recent) {
+      reported_tokens += work.prefill_tokens;
+    }
+    const double reported_running =
+        it.load.running + it.load.waiting + static_cast<double>(memory.recent.size());
+    const double tokens = own_weight * all_for_own_ * it.own_prompt_tokens +
+                          (1 - own_weight) * reported_tokens;
+    const double running =
+        own_weight * all_for_own_ * it.own_in_flight + (1 - own_weight) * reported_running;
+    return {static_cast<std::uint64_t>(tokens), static_cast<std::uint32_t>(running)};
   }
 
   static double region_price(const upstream_state& it, const route_query& query,
@@ -196,6 +280,7 @@
   routing_options options_;
   engine_speed speed_;
   std::mt19937_64 random_;
+  double all_for_own_ = 1;
   std::map<upstream_id, upstream_memory> memory_;
 };
 
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -1,11 +1,10 @@
 // Arrival, admission, placement and the ends of requests that come from outside an attempt.
-#include <nutmegspur/request_table.h>
-
 #include "request_rules.h"
 
 #include <nutmegspur/event_log.h>
 #include <nutmegspur/mechanisms.h>
 #include <nutmegspur/prefix.h>
+#include <nutmegspur/request_table.h>
 
 #include <QtCore/QJsonArray>
 #include <QtCore/QJsonDocument>
@@ -55,7 +54,9 @@
     on_opened(*opened, out);
   } else if (const auto* chunk = std::get_if<attempt_chunk>(&ev)) {
     on_chunk(now, *chunk, out);
-    return; // A chunk frees no place: nothing to dispatch.
+    if (resuming_.empty()) {
+      return; // A chunk frees no place: nothing to dispatch.
+    }
   } else if (const auto* ended = std::get_if<attempt_ended>(&ev)) {
     on_ended(now, *ended, out);
   } else if (std::holds_alternative<tick>(ev)) {
@@ -69,6 +70,13 @@
 void
 request_table::on_arrived(const moment& now, const request_arrived& it, action_list& out) {
   const config_view config = needs_.config();
+  if (closed_) {
+    answer_error(it.request,
+                 {error_code::unavailable, step::admit, "", "this instance is stopping",
+                  outcome::not_run, retry_soon},
+                 log_event::request_refused, out);
+    return;
+  }
   if (!config) {
     answer_error(it.request,
                  {error_code::unavailable, step::authenticate, "", "no configuration is held yet",
@@ -96,8 +104,9 @@
                  log_event::request_refused, out);
     return;
   }
-  const waiting_request waiting{it.request,  granted->team, granted->limits.weight, it.priority,
-                                now.boot,    it.deadline,   granted->cost_milli};
+  const waiting_request waiting{it.request, granted->team, granted->limits.weight, it.priority,
+                                now.boot,   it.deadline,   granted->cost_milli,
+                                expected_service(it, now)};
   if (auto offered = needs_.admission.offer(waiting, capacity(now), now); !offered) {
     answer_error(it.request, offered.error(), log_event::request_refused, out);
     return;
@@ -168,23 +177,28 @@
 
 void
 request_table::on_verdict(const moment& now, const claim_verdict& verdict, action_list& out) {
-  const auto found = live_.find(verdict.request);
+  auto found = live_.find(verdict.request);
   if (found == live_.end() || found->second.at != phase::claiming) {
     return;
   }
+  found->second.claimed = verdict.decision == claim_decision::proceed;
+  end_withdrawn(now, out); // The key may have been withdrawn while the claim was written.
+  found = live_.find(verdict.request);
+  if (found == live_.end()) {
+    return;
+  }
   live_request& it = found->second;
-  it.claimed = verdict.decision == claim_decision::proceed;
   if (verdict.decision == claim_decision::refuse) {
     refuse(now, it, verdict.why, out);
     return;
   }
   if (verdict.decision == claim_decision::replay) {
     const claim_record& record = verdict.record;
-    out.emplace_back(start_answer{verdict.request,
-                                  record.status,
-                                  {{"content-type", record.content_type},
-                                   {"idempotency-replayed", "true"}},
-                                  it.team});
+    out.emplace_back(
+        start_answer{verdict.request,
+                     record.status,
+                     {{"content-type", record.content_type}, {"idempotency-replayed", "true"}},
+                     it.team});
     if (!record.body.empty()) {
       out.emplace_back(send_chunk{verdict.request, record.body});
     }
@@ -255,9 +269,9 @@
   for (const request_id request : late) {
     live_request& it = live_.at(request);
     refuse(now, it,
-           {error_code::deadline_exceeded, it.at == phase::queued ? step::admit : step::attempt_stream,
-            it.upstream.value, "the deadline has passed",
-            ran_so_far(it), retry_soon},
+           {error_code::deadline_exceeded,
+            it.at == phase::queued ? step::admit : step::attempt_stream, it.upstream.value,
+            "the deadline has passed", ran_so_far(it), retry_soon},
            out);
   }
 }
@@ -293,8 +307,7 @@
   needs_.admission.remove(it.what.request, true);
   in_flight_cost_milli_ += it.cost_milli;
   const auto* service = std::get_if<service_call>(&it.what.call);
-  const bool has_claim =
-      !it.repeatable && service != nullptr && !service->idempotency_key.empty();
+  const bool has_claim = !it.repeatable && service != nullptr && !service->idempotency_key.empty();
   if (!has_claim || !enabled(mechanism::claim_before_send)) {
     begin_attempt(now, it, where, out);
     return;
@@ -323,9 +336,8 @@
 bool
 request_table::anyone_serves(const live_request& it, const moment& now) const {
   const route_query query = query_for(it);
-  return std::any_of(needs_.upstreams.begin(), needs_.upstreams.end(), [&](const auto& row) {
-    return can_serve(row.second, query, now.boot);
-  });
+  return std::any_of(needs_.upstreams.begin(), needs_.upstreams.end(),
+                     [&](const auto& row) { return can_serve(row.second, query, now.boot); });
 }
 
 route_query
@@ -345,6 +357,20 @@
   return query;
 }
 
+milliseconds
+request_table::expected_service(const request_arrived& it, const moment& now) const {
+  route_query query;
+  query.request = it.request;
+  query.inference = std::get_if<inference_call>(&it.call);
+  query.zone = options_.zone;
+  query.region = options_.region;
+  query.deadline = it.deadline;
+  if (query.inference == nullptr) {
+    return milliseconds{0};
+  }
+  return needs_.routing.expect(query, needs_.upstreams, now);
+}
+
 capacity_estimate
 request_table::capacity(const moment& now) const {
   capacity_estimate estimate;
