--- a/src/nutmegspur_bench/slopes_calls.cpp
+++ b/src/nutmegspur_bench/slopes_calls.cpp
@@ -110,6 +110,11 @@
     watches.push_back({x, rates.watches});
     cpu.push_back({x, rates.cpu_micros});
   }
+  // The sizes of today and of two years on, run whole, to check the lines below against.
+  const call_rates today = run_nodes(3, 2, 7);
+  const call_rates later = run_nodes(5, 74, 120);
+  std::printf("node idle: today %.0f us/s, at 370 nodes %.0f us/s\n", today.cpu_micros,
+              later.cpu_micros);
   print_slope("platform calls steady", "1/s", "nodes in 5 zones", steady);
   print_slope("platform calls, all restart", "1/s over 10 s", "nodes in 5 zones", restart);
   print_slope("platform calls after an outage", "1/s over 10 s", "nodes in 5 zones", outage);
