--- a/src/libnutmegspur/testing/authority_zone.cpp
+++ b/src/libnutmegspur/testing/authority_zone.cpp
@@ -226,7 +226,10 @@
   } else if (const auto* line = std::get_if<write_log>(&what)) {
     std::string text = std::to_string(line->number);
     for (const auto& [key, value] : line->fields) {
-      text += " " + key + "=" + value;
+      text += ' ';
+      text += key;
+      text += '=';
+      text += value;
     }
     note(from.name, text);
   }
--- a/src/libnutmegspur/testing/authority_zone.h
+++ b/src/libnutmegspur/testing/authority_zone.h
@@ -94,7 +94,7 @@
   };
 
   struct stream {
-    std::size_t engine;
+    std::size_t engine = 0;
     time_point ends;
   };
 
--- a/src/one_shot_http/one_shot_call.h
+++ b/src/one_shot_http/one_shot_call.h
@@ -51,7 +51,7 @@
   using done = std::function<void(result<one_shot_answer>)>;
 
   /// Largest answer that is read, in bytes.
-  static constexpr qsizetype max_answer = 1024 * 1024;
+  static constexpr qsizetype max_answer = qsizetype{1024} * 1024;
 
   one_shot_call(one_shot_request request, step at, done on_done);
   one_shot_call(const one_shot_call&) = delete;
