--- a/src/libnutmegspur/config_cluster_test.cpp
+++ b/src/libnutmegspur/config_cluster_test.cpp
@@ -211,6 +211,9 @@
   in.kill("b2");
   ASSERT_LT(in.at("b3").replica->at(), deleted);
   in.start("b4", "b", true);
+  // Nor does it hear of the deletion from the relays of the other zone.
+  in.cut("b4", "z1");
+  in.cut("b4", "z2");
   in.network = [](const std::string&, const std::string&) { return peer_fate{}; };
   EXPECT_TRUE(in.run_until([&] { return in.behind(deleted).empty(); }, seconds{4}));
   EXPECT_EQ(in.at("b3").replica->view()->team(team_id{"tumen"}), nullptr);
