--- a/src/include/nutmegspur/policy.h
+++ b/src/include/nutmegspur/policy.h
@@ -95,6 +95,9 @@
   std::uint64_t cost_milli = 0;
   /// Expected time from placement to the last token; zero where it is not known.
   milliseconds expected_service{0};
+  /// Set by `peek`: placements should end by then. Earlier than `deadline` for a team that has
+  /// had more than its share, so that it leaves room for the others.
+  time_point place_by{};
 };
 
 /// What the queue must know of the zone's capacity.
@@ -118,6 +121,14 @@
                              const moment& now) = 0;
   /// The request that should be placed next, without removing it.
   [[nodiscard]] virtual std::optional<waiting_request> peek(const moment& now) = 0;
+
+  /// The requests that may be placed now, best first, at most `most`. Where the first cannot be
+  /// placed in time, a later one may still be.
+  virtual std::vector<waiting_request> candidates(const moment& now, std::size_t most) {
+    const auto next = most > 0 ? peek(now) : std::nullopt;
+    return next ? std::vector{*next} : std::vector<waiting_request>{};
+  }
+
   /// Removes a request (placed, or its caller is gone) and charges its team if `placed`.
   virtual void remove(request_id request, bool placed) = 0;
   /// Requests that can no longer make their deadline, removed from the queue.
--- a/src/libnutmegspur/fair_deadline_policy.cpp
+++ b/src/libnutmegspur/fair_deadline_policy.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds least_retry{100};
 constexpr milliseconds most_retry{60'000};
 constexpr milliseconds retry_without_upstreams{1000};
+/// Recent service over its share that a team may have before its placements must end earlier.
+constexpr double tolerated_share = 2.0;
+/// Least part of the time until its deadline that such a placement is given.
+constexpr double least_allowed = 0.65;
 /// How fast the measured drain rate follows.
 constexpr double rate_memory = 0.7;
 constexpr seconds rate_period{1};
@@ -104,8 +108,29 @@
 
   std::optional<waiting_request> peek(const moment& now) override {
     meter_.pass(now.boot, !requests_.empty());
+    shares_.fade(now.boot);
     const auto* next = next_request();
-    return next == nullptr ? std::nullopt : std::optional{*next};
+    if (next == nullptr) {
+      return std::nullopt;
+    }
+    auto it = *next;
+    it.place_by = place_by(it);
+    return it;
+  }
+
+  std::vector<waiting_request> candidates(const moment& now, std::size_t most) override {
+    const auto first = peek(now);
+    if (!first || most == 0) {
+      return {};
+    }
+    std::vector<waiting_request> found{*first};
+    for (const auto& it : class_heads()) {
+      if (found.size() < most && it.request != first->request) {
+        found.push_back(it);
+        found.back().place_by = place_by(it);
+      }
+    }
+    return found;
   }
 
   void remove(request_id request, bool placed) override {
@@ -160,6 +185,16 @@
  private:
   using team_queue = std::map<urgency, request_id>;
 
+  [[nodiscard]] time_point place_by(const waiting_request& it) const {
+    const double over = shares_.recent_share(it.team) / tolerated_share;
+    if (over <= 1) {
+      return it.deadline;
+    }
+    const auto allowed = static_cast<double>((it.deadline - it.arrived).count());
+    return it.arrived +
+           duration{static_cast<std::int64_t>(allowed * std::max(least_allowed, 1 / over))};
+  }
+
   void insert(const waiting_request& it) {
     shares_.enter(it.team, it.team_weight);
     teams_[it.team][urgency_of(it)] = it.request;
@@ -198,6 +233,29 @@
     return &requests_.at(best->begin()->second);
   }
 
+  /// The most urgent request of each team and class, teams with the least service first.
+  [[nodiscard]] std::vector<waiting_request> class_heads() const {
+    std::vector<const team_queue*> queues;
+    for (const auto& [team, queue] : teams_) {
+      queues.push_back(&queue);
+    }
+    const auto served = [this](const team_queue* queue) {
+      return shares_.counter(requests_.at(queue->begin()->second).team);
+    };
+    std::stable_sort(queues.begin(), queues.end(),
+                     [&](const auto* a, const auto* b) { return served(a) < served(b); });
+    std::vector<waiting_request> heads;
+    for (const auto* queue : queues) {
+      auto it = queue->begin();
+      while (it != queue->end()) {
+        heads.push_back(requests_.at(it->second));
+        const auto next_class = static_cast<int>(it->first.priority) + 1;
+        it = queue->lower_bound({static_cast<request_class>(next_class), time_point::min(), 0});
+      }
+    }
+    return heads;
+  }
+
   [[nodiscard]] double drain_rate(const capacity_estimate& capacity) const {
     return meter_.rate() > 0 ? meter_.rate() : static_cast<double>(capacity.cost_milli_per_second);
   }
