--- a/src/http_streams.upstream/attempt_manager.cpp
+++ b/src/http_streams.upstream/attempt_manager.cpp
@@ -106,8 +106,8 @@
     it.body = std::make_unique<one_shot_body>(it.what.body);
     request.setHeader(QNetworkRequest::ContentLengthHeader, it.body->size());
   }
-  it.reply = manager_.sendCustomRequest(request, QByteArray::fromStdString(it.what.method),
-                                        it.body.get());
+  it.reply =
+      manager_.sendCustomRequest(request, QByteArray::fromStdString(it.what.method), it.body.get());
   it.reply->setReadBufferSize(read_buffer_bytes);
   connect_reply(it.what.attempt, it.reply);
 }
@@ -206,8 +206,8 @@
     return outcome::not_run;
   }
   const auto ec = it.reply->error();
-  const bool never_connected = ec == QNetworkReply::ConnectionRefusedError ||
-                               ec == QNetworkReply::HostNotFoundError;
+  const bool never_connected =
+      ec == QNetworkReply::ConnectionRefusedError || ec == QNetworkReply::HostNotFoundError;
   const bool touched = it.head_sent || it.opened || (it.body && it.body->touched());
   return never_connected && !touched ? outcome::not_run : outcome::unknown;
 }
@@ -298,9 +298,8 @@
   for (const attempt_id& id : silent) {
     const live_attempt& it = *live_.at(id);
     end(id,
-        error{error_code::upstream_failed,
-              it.opened ? step::attempt_stream : step::attempt_open, it.what.upstream.value,
-              "the upstream was silent for too long",
+        error{error_code::upstream_failed, it.opened ? step::attempt_stream : step::attempt_open,
+              it.what.upstream.value, "the upstream was silent for too long",
               enabled(mechanism::outcome_from_first_byte) ? outcome::unknown : outcome::not_run},
         true);
   }
--- a/src/http_streams.upstream/http_streams.cpp
+++ b/src/http_streams.upstream/http_streams.cpp
@@ -30,9 +30,10 @@
   std::unique_ptr<attempt_manager> attempts_;
 };
 
-const bool registered = worker_registry::instance().add(
-    "upstream/http_streams",
-    [](const worker_context& context) { return std::make_unique<upstream_worker>(context); });
+const bool registered =
+    worker_registry::instance().add("upstream/http_streams", [](const worker_context& context) {
+      return std::make_unique<upstream_worker>(context);
+    });
 
 } // namespace
 } // namespace nutmegspur::http_streams
--- a/src/http_streams.upstream/http_streams_test.cpp
+++ b/src/http_streams.upstream/http_streams_test.cpp
@@ -187,9 +187,8 @@
 }
 
 TEST_F(http_streams, sends_only_the_headers_that_it_was_given) {
-  scripted_peer peer{[](QTcpSocket* socket) {
-    socket->write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
-  }};
+  scripted_peer peer{
+      [](QTcpSocket* socket) { socket->write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"); }};
   open_attempt what = one_shot(peer, "POST", "amount=3");
   what.headers = {{"x-attempt", "1"}};
   EXPECT_FALSE(run(what).failure.has_value());
--- a/src/http_streams.upstream/sse_reader.cpp
+++ b/src/http_streams.upstream/sse_reader.cpp
@@ -105,7 +105,9 @@
   attempt_chunk chunk;
   chunk.attempt = attempt_;
   chunk.offset = offset.isDouble() ? static_cast<std::uint64_t>(offset.toInteger()) : next_offset_;
-  chunk.tokens = tokens.isDouble() ? static_cast<std::uint32_t>(tokens.toInteger()) : silent ? 0 : 1;
+  chunk.tokens = tokens.isDouble() ? static_cast<std::uint32_t>(tokens.toInteger())
+                 : silent          ? 0
+                                   : 1;
   if (chunk.tokens == 0 && silent) {
     return; // Says a role or a finish reason only.
   }
--- a/src/http_streams.upstream/sse_reader_test.cpp
+++ b/src/http_streams.upstream/sse_reader_test.cpp
@@ -18,10 +18,10 @@
 
 TEST(sse_reader, reads_offsets_usage_and_the_end) {
   sse_reader reader{attempt, 3};
-  const auto chunks = reader.feed(
-      token(3, "a") + token(4, "b") +
-      "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":2,"
-      "\"prompt_tokens_details\":{\"cached_tokens\":4}}}\r\n\r\ndata: [DONE]\n\n");
+  const auto chunks =
+      reader.feed(token(3, "a") + token(4, "b") +
+                  "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":2,"
+                  "\"prompt_tokens_details\":{\"cached_tokens\":4}}}\r\n\r\ndata: [DONE]\n\n");
   ASSERT_EQ(chunks.size(), 2U);
   EXPECT_EQ(chunks[1].offset, 4U);
   EXPECT_TRUE(reader.done());
--- a/src/openai_http.caller/answer_format.cpp
+++ b/src/openai_http.caller/answer_format.cpp
@@ -35,13 +35,13 @@
 
 QJsonObject
 usage_object(const token_usage& usage) {
-  return {{QStringLiteral("prompt_tokens"), static_cast<qint64>(usage.prompt_tokens)},
-          {QStringLiteral("completion_tokens"), static_cast<qint64>(usage.output_tokens)},
-          {QStringLiteral("total_tokens"),
-           static_cast<qint64>(std::int64_t{usage.prompt_tokens} + usage.output_tokens)},
-          {QStringLiteral("prompt_tokens_details"),
-           QJsonObject{{QStringLiteral("cached_tokens"),
-                        static_cast<qint64>(usage.cached_tokens)}}}};
+  return {
+      {QStringLiteral("prompt_tokens"), static_cast<qint64>(usage.prompt_tokens)},
+      {QStringLiteral("completion_tokens"), static_cast<qint64>(usage.output_tokens)},
+      {QStringLiteral("total_tokens"),
+       static_cast<qint64>(std::int64_t{usage.prompt_tokens} + usage.output_tokens)},
+      {QStringLiteral("prompt_tokens_details"),
+       QJsonObject{{QStringLiteral("cached_tokens"), static_cast<qint64>(usage.cached_tokens)}}}};
 }
 
 const char*
--- a/src/openai_http.caller/answer_format.h
+++ b/src/openai_http.caller/answer_format.h
@@ -15,7 +15,7 @@
 /// What all parts of one answer share.
 struct answer_identity {
   api_format format = api_format::chat_completions;
-  std::string id;           ///< For example "chatcmpl-entry1-17".
+  std::string id; ///< For example "chatcmpl-entry1-17".
   std::string model;
   std::int64_t created = 0; ///< Seconds since 1970, UTC.
 };
--- a/src/openai_http.caller/caller_parse.cpp
+++ b/src/openai_http.caller/caller_parse.cpp
@@ -30,7 +30,7 @@
 // Fields of a body that go on to an engine; others are dropped, so that a caller cannot set what
 // is between the entry and its engines.
 constexpr std::array<const char*, 11> passed_fields{
-    "messages", "prompt",           "temperature",       "top_p",   "top_k",  "stop",
+    "messages", "prompt",           "temperature",       "top_p",   "top_k",     "stop",
     "seed",     "presence_penalty", "frequency_penalty", "adapter", "min_tokens"};
 // Fields whose meaning is not carried out: silently dropping them would give a wrong answer.
 constexpr std::array<const char*, 8> refused_fields{
@@ -72,8 +72,8 @@
   const std::string key = value.size() > scheme.size() ? value.substr(scheme.size()) : "";
   if (head.toLower() != "bearer " || key.empty() || key.size() > max_key_bytes ||
       !is_printable(key)) {
-    return fail(bad("the Authorization header must be 'Bearer <key>'",
-                    error_code::unauthenticated));
+    return fail(
+        bad("the Authorization header must be 'Bearer <key>'", error_code::unauthenticated));
   }
   return key;
 }
@@ -208,15 +208,15 @@
     return {};
   }
   const QJsonArray messages = body.value(QLatin1String("messages")).toArray();
-  const bool whole =
-      !messages.isEmpty() &&
-      std::all_of(messages.begin(), messages.end(), [](const QJsonValue& it) {
-        const QJsonObject message = it.toObject();
-        return message.value(QLatin1String("role")).isString() &&
-               is_text_content(message.value(QLatin1String("content")));
-      });
+  const bool whole = !messages.isEmpty() &&
+                     std::all_of(messages.begin(), messages.end(), [](const QJsonValue& it) {
+                       const QJsonObject message = it.toObject();
+                       return message.value(QLatin1String("role")).isString() &&
+                              is_text_content(message.value(QLatin1String("content")));
+                     });
   if (!whole) {
-    return fail(bad("field 'messages' must be a list of {\"role\", \"content\"} with text content"));
+    return fail(
+        bad("field 'messages' must be a list of {\"role\", \"content\"} with text content"));
   }
   return {};
 }
@@ -249,8 +249,7 @@
   to.insert(QStringLiteral("model"), QString::fromStdString(call.model.value));
   to.insert(QStringLiteral("max_tokens"), static_cast<qint64>(call.max_tokens));
   to.insert(QStringLiteral("stream"), true);
-  to.insert(QStringLiteral("stream_options"),
-            QJsonObject{{QStringLiteral("include_usage"), true}});
+  to.insert(QStringLiteral("stream_options"), QJsonObject{{QStringLiteral("include_usage"), true}});
   return std::make_shared<const std::string>(
       QJsonDocument{to}.toJson(QJsonDocument::Compact).toStdString());
 }
@@ -267,9 +266,9 @@
   const auto adapter = read_name(*body, "adapter", false);
   const auto stream = read_flag(*body, "stream");
   const auto max_tokens = read_max_tokens(*body);
-  for (const auto* why : {model ? nullptr : &model.error(), adapter ? nullptr : &adapter.error(),
-                          stream ? nullptr : &stream.error(),
-                          max_tokens ? nullptr : &max_tokens.error()}) {
+  for (const auto* why :
+       {model ? nullptr : &model.error(), adapter ? nullptr : &adapter.error(),
+        stream ? nullptr : &stream.error(), max_tokens ? nullptr : &max_tokens.error()}) {
     if (why != nullptr) {
       return fail(*why);
     }
--- a/src/openai_http.caller/caller_server.cpp
+++ b/src/openai_http.caller/caller_server.cpp
@@ -111,7 +111,8 @@
   if (path == QLatin1String("/healthz")) {
     write_document(socket, 200, "ok\n", plain, close_after);
   } else if (path == QLatin1String("/readyz")) {
-    const QByteArray text = ready_.ready ? "ready\n" : QByteArray::fromStdString(ready_.reason + "\n");
+    const QByteArray text =
+        ready_.ready ? "ready\n" : QByteArray::fromStdString(ready_.reason + "\n");
     write_document(socket, ready_.ready ? 200 : 503, text, plain, close_after);
   } else if (path == QLatin1String("/metrics")) {
     write_document(socket, 200, QByteArray::fromStdString(context_.metrics.render()),
@@ -148,8 +149,8 @@
   }
   const bool full = live_.size() >= context_.config.max_in_flight;
   if (full || !sink_(nutmegspur::event{std::move(parsed->arrived)})) {
-    const error why{error_code::overloaded, step::admit, "", "this instance is full",
-                    outcome::not_run, ring_retry};
+    const error why{error_code::overloaded,  step::admit,      "",
+                    "this instance is full", outcome::not_run, ring_retry};
     count(it, to_name(why.code));
     write_error(socket, why, public_id(request), close_after);
     return;
@@ -218,14 +219,12 @@
   live_answer& it = found->second;
   count(it, "ok");
   if (it.inference && !it.stream) {
-    write_document(it.socket, 200,
-                   whole_answer(it.identity, it.text, what.usage, what.finish_reason),
-                   {{"content-type", "application/json"},
-                    {"x-request-id", public_id(what.request)}},
-                   false);
+    write_document(
+        it.socket, 200, whole_answer(it.identity, it.text, what.usage, what.finish_reason),
+        {{"content-type", "application/json"}, {"x-request-id", public_id(what.request)}}, false);
   } else if (it.inference) {
-    QByteArray tail = transfer_chunk(
-        sse_event(stream_chunk(it.identity, "", it.first_text, what.finish_reason)));
+    QByteArray tail =
+        transfer_chunk(sse_event(stream_chunk(it.identity, "", it.first_text, what.finish_reason)));
     if (it.include_usage) {
       tail += transfer_chunk(sse_event(usage_chunk(it.identity, what.usage)));
     }
@@ -345,8 +344,8 @@
 void
 caller_server::count(const live_answer& it, std::string_view code) {
   context_.metrics
-      .get_counter("nutmegspur_answers_total", {{"class", std::string{to_name(it.priority)}},
-                                                {"code", std::string{code}}})
+      .get_counter("nutmegspur_answers_total",
+                   {{"class", std::string{to_name(it.priority)}}, {"code", std::string{code}}})
       .add();
 }
 
--- a/src/openai_http.caller/caller_server_test.cpp
+++ b/src/openai_http.caller/caller_server_test.cpp
@@ -1,4 +1,5 @@
-// The callers' server over real connections: answers, refusals, callers that leave or send nonsense.
+// The callers' server over real connections: answers, refusals, callers that leave or send
+// nonsense.
 #include "caller_server.h"
 
 #include <QtCore/QCoreApplication>
@@ -120,8 +121,9 @@
   const request_id request = arrived();
   server->on_start({request, 200, {}, team_id{"a"}});
   server->on_text({request, "one "});
-  server->on_refuse({request, {error_code::key_withdrawn, step::authenticate, "", "withdrawn",
-                               outcome::unknown}});
+  server->on_refuse(
+      {request,
+       {error_code::key_withdrawn, step::authenticate, "", "withdrawn", outcome::unknown}});
   turn_until_received("0\r\n\r\n");
   EXPECT_TRUE(received.contains(R"("code":"key_withdrawn")"));
   EXPECT_FALSE(received.contains("[DONE]"));
--- a/src/openai_http.caller/openai_http.cpp
+++ b/src/openai_http.caller/openai_http.cpp
@@ -39,9 +39,10 @@
   std::unique_ptr<caller_server> server_;
 };
 
-const bool registered = worker_registry::instance().add(
-    "caller/openai_http",
-    [](const worker_context& context) { return std::make_unique<caller_worker>(context); });
+const bool registered =
+    worker_registry::instance().add("caller/openai_http", [](const worker_context& context) {
+      return std::make_unique<caller_worker>(context);
+    });
 
 } // namespace
 } // namespace nutmegspur::openai_http
