--- a/src/nutmegspur_bench/slopes_config.cpp
+++ b/src/nutmegspur_bench/slopes_config.cpp
@@ -30,7 +30,7 @@
     for (int key = 0; key < keys_of_team; ++key) {
       const std::string key_name = name + "-key-" + std::to_string(key);
       std::string digest = std::to_string(n * keys_of_team + key);
-      digest = std::string(64 - digest.size(), '0') + digest;
+      digest.insert(0, 64 - digest.size(), '0');
       all.push_back(stored(resource_kind::key, key_name,
                            key_spec{team_id{name}, key_role::caller, digest}, ++at));
     }
--- a/src/nutmegspur_bench/slopes_membership.cpp
+++ b/src/nutmegspur_bench/slopes_membership.cpp
@@ -84,6 +84,7 @@
 print_costs(const std::string& size, const std::vector<std::pair<double, cluster_cost>>& costs) {
   const auto column = [&](const std::string& what, const std::string& unit, auto value) {
     std::vector<point> points;
+    points.reserve(costs.size());
     for (const auto& [x, cost] : costs) {
       points.push_back({x, value(cost)});
     }
