--- a/src/libnutmegspur/fair_deadline_policy.cpp
+++ b/src/libnutmegspur/fair_deadline_policy.cpp
@@ -142,7 +142,7 @@
       meter_.drained(it->second.cost_milli);
       shares_.charge(it->second.team, static_cast<std::int64_t>(it->second.cost_milli));
     }
-    erase(it->second);
+    erase(request);
   }
 
   std::vector<waiting_request> expire(const capacity_estimate& capacity,
@@ -156,7 +156,7 @@
     std::sort(late.begin(), late.end(),
               [](const auto& a, const auto& b) { return a.request < b.request; });
     for (const auto& it : late) {
-      erase(it);
+      erase(it.request);
     }
     return late;
   }
@@ -202,8 +202,9 @@
     requests_[it.request] = it;
   }
 
-  void erase(const waiting_request& gone) {
-    const auto it = gone; // `gone` may live in requests_.
+  void erase(request_id request) {
+    const auto node = requests_.extract(request);
+    const auto& it = node.mapped();
     auto& queue = teams_[it.team];
     queue.erase(urgency_of(it));
     if (queue.empty()) {
@@ -211,7 +212,6 @@
       shares_.leave(it.team);
     }
     queued_milli_ -= it.cost_milli;
-    requests_.erase(it.request);
   }
 
   const waiting_request* next_request() {
--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint32_t batch_headroom = 8;
 /// How long own placements count as cached where no cache event tells.
 constexpr seconds placed_block_life{60};
+constexpr seconds prune_period{1};
 /// Bytes on the wire for one output token of a stream, and for one prompt token.
 constexpr double output_token_bytes = 200;
 constexpr double prompt_token_bytes = 4;
@@ -56,6 +57,7 @@
 struct upstream_memory {
   std::deque<recent_placement> recent;
   std::unordered_map<std::uint64_t, time_point> placed_blocks;
+  time_point next_prune{};      ///< Of `placed_blocks`.
   std::uint32_t batch_seen = 0; ///< Greatest batch that it reported without a queue behind it.
   bool batch_full = false;      ///< `batch_seen` is the batch's limit.
   engine_role role = engine_role::mixed;
@@ -220,8 +222,11 @@
     while (!memory.recent.empty() && memory.recent.front().at <= it.load_measured.boot) {
       memory.recent.pop_front();
     }
-    std::erase_if(memory.placed_blocks,
-                  [&](const auto& block) { return block.second + placed_block_life < now.boot; });
+    if (now.boot >= memory.next_prune) {
+      memory.next_prune = now.boot + prune_period;
+      std::erase_if(memory.placed_blocks,
+                    [&](const auto& block) { return block.second + placed_block_life < now.boot; });
+    }
     if (memory.role != it.state.role) {
       memory.role = it.state.role;
       memory.batch_seen = 0;
--- a/src/nutmegspur_load/drive_mode.cpp
+++ b/src/nutmegspur_load/drive_mode.cpp
@@ -121,9 +121,8 @@
                            {"stream", true},
                            {"max_tokens", static_cast<qint64>(it.output_tokens)}};
     auto* reply = network_.post(request_for(it, stream->slot), QJsonDocument(body).toJson());
-    QObject::connect(reply, &QNetworkReply::readyRead, [this, reply, stream] {
-      read_lines(*stream, reply->readAll());
-    });
+    QObject::connect(reply, &QNetworkReply::readyRead,
+                     [this, reply, stream] { read_lines(*stream, reply->readAll()); });
     QObject::connect(reply, &QNetworkReply::finished, [this, reply, stream] {
       finish(*stream, *reply);
       reply->deleteLater();
--- a/src/nutmegspur_load/model_entry.cpp
+++ b/src/nutmegspur_load/model_entry.cpp
@@ -22,7 +22,7 @@
 
 result<std::unique_ptr<model_entry>>
 model_entry::make(const model_entry_options& options, const policy_bundle& policy,
-                  config_view config, fleet_hooks hooks) {
+                  const config_view& config, fleet_hooks hooks) {
   routing_options routing;
   routing.seed = options.seed;
   routing.block_tokens = options.block_tokens;
@@ -35,11 +35,11 @@
     return fail(admitting.error());
   }
   return std::unique_ptr<model_entry>(new model_entry(
-      options, std::move(*router), std::move(*admitting), std::move(config), std::move(hooks)));
+      options, std::move(*router), std::move(*admitting), config, std::move(hooks)));
 }
 
 model_entry::model_entry(model_entry_options given, std::unique_ptr<routing_policy> routing,
-                         std::unique_ptr<admission_policy> admitting, config_view config,
+                         std::unique_ptr<admission_policy> admitting, const config_view& config,
                          fleet_hooks hooks)
     : options(std::move(given)), admission(std::move(admitting)), routing_(std::move(routing)),
       claims_({instance_id{"entry-" + std::to_string(options.index)}, options.seed}),
--- a/src/nutmegspur_load/model_world.cpp
+++ b/src/nutmegspur_load/model_world.cpp
@@ -87,7 +87,7 @@
   void schedule_arrivals(std::size_t next);
   void arrive(const planned_request& it);
   void step(std::size_t entry, const event& ev);
-  void carry_out(std::size_t entry, action_list actions);
+  void carry_out(std::size_t entry, const action_list& actions);
   void open(std::size_t entry, const open_attempt& what);
   void submit(std::size_t entry, const open_attempt& what, world_engine& engine);
   void end_attempt(std::size_t entry, attempt_id attempt, error_code code, outcome ran,
@@ -265,7 +265,7 @@
 }
 
 void
-model_run::carry_out(std::size_t entry, action_list actions) {
+model_run::carry_out(std::size_t entry, const action_list& actions) {
   for (const auto& it : actions) {
     if (const auto* what = std::get_if<open_attempt>(&it)) {
       open(entry, *what);
