--- a/src/nutmegspur_load/model_entry.h
+++ b/src/nutmegspur_load/model_entry.h
@@ -38,8 +38,8 @@
 class model_entry {
  public:
   static result<std::unique_ptr<model_entry>> make(const model_entry_options& options,
-                                                   const policy_bundle& policy, config_view config,
-                                                   fleet_hooks hooks);
+                                                   const policy_bundle& policy,
+                                                   const config_view& config, fleet_hooks hooks);
 
   model_entry(const model_entry&) = delete;
   model_entry& operator=(const model_entry&) = delete;
@@ -55,7 +55,8 @@
 
  private:
   model_entry(model_entry_options given, std::unique_ptr<routing_policy> routing,
-              std::unique_ptr<admission_policy> admitting, config_view config, fleet_hooks hooks);
+              std::unique_ptr<admission_policy> admitting, const config_view& config,
+              fleet_hooks hooks);
 
   std::unique_ptr<routing_policy> routing_;
   claim_book claims_;
--- a/src/nutmegspur_standin/engine_service.cpp
+++ b/src/nutmegspur_standin/engine_service.cpp
@@ -338,8 +338,8 @@
     }
     const auto handle = model_.options().name + "-" + std::to_string(job);
     exported_[handle] = model_.export_blocks(job);
-    const auto tokens =
-        static_cast<qint64>(exported_[handle].size() * model_.options().block_tokens);
+    const auto blocks = static_cast<qint64>(exported_[handle].size());
+    const qint64 tokens = blocks * model_.options().block_tokens;
     reply.send(200, QJsonObject{{"handle", QString::fromStdString(handle)},
                                 {"tokens", tokens},
                                 {"bytes", static_cast<double>(tokens) * bytes_per_cached_token}});
