--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -38,6 +38,9 @@
 constexpr double region_round_trip_seconds = 0.024;
 /// Share of the delay done to sequences already decoding that counts against a placement.
 constexpr double disturbance_weight = 0.1;
+/// Output tokens that a request is expected to make at most: `max_tokens` is only a bound, and many
+/// callers set it high.
+constexpr std::uint32_t most_expected_output = 1024;
 /// Tokens over which the time between tokens is averaged.
 constexpr double token_memory = 200;
 /// Weight of own work in progress against reports.
@@ -167,7 +170,8 @@
     const auto backlog = backlog_of(memory, it);
     const auto context = call.prompt_tokens + query.resume_from;
     const auto cached = std::min(context, cached_blocks(memory, it, call) * options_.block_tokens);
-    const auto left = call.max_tokens - std::min(call.max_tokens, query.resume_from);
+    const auto whole = std::min(call.max_tokens, query.resume_from + most_expected_output);
+    const auto left = whole - std::min(whole, query.resume_from);
     const request_size size{context - cached, left};
     const auto expected = estimate_latency(speed_, it.state.role, backlog, size);
     const double disturbed = static_cast<double>(size.prefill_tokens) * backlog.running /
