A cancelled attempt closes its connection at the upstream

Cause: QNetworkReply::disconnect() without arguments also cut the library's own connection between the reply and its transfer, so abort() ended nothing: the engine went on generating for a caller that had left (whole_path waited 60 s in vain for an idle engine), and an abandoned watch stayed open at the platform. Ruled out: the engine stand-in (closing the connection by hand ends its stream) and the caller's side (its connection was gone). Before: the new test a_cancelled_attempt_closes_its_connection hangs until killed at 10 s; after: passes, and whole_path passes. Conclusion: handlers look their attempt up by id, so nothing needs disconnecting; the platform adapter disconnects only its own scope.

--- a/src/etcd_http.platform/etcd_http.cpp
+++ b/src/etcd_http.platform/etcd_http.cpp
@@ -65,7 +65,8 @@
   const auto calls = std::move(calls_);
   calls_.clear();
   for (const auto& [id, it] : calls) {
-    it->reply->disconnect();
+    // Only our own connections: the library ends the transfer through one of the reply's own.
+    it->reply->disconnect(scope_.get());
     it->reply->abort();
     it->reply->deleteLater();
     if (it->body) {
--- a/src/etcd_http.platform/watch_stream.cpp
+++ b/src/etcd_http.platform/watch_stream.cpp
@@ -10,7 +10,8 @@
 void
 watch_stream::later::operator()(stream* it) const {
   if (it->reply != nullptr) {
-    it->reply->disconnect();
+    // Only our own connections: the library ends the transfer through one of the reply's own.
+    it->reply->disconnect(it);
     it->reply->abort();
   }
   it->deleteLater();
--- a/src/http_streams.upstream/attempt_manager.cpp
+++ b/src/http_streams.upstream/attempt_manager.cpp
@@ -76,8 +76,10 @@
 }
 
 attempt_manager::~attempt_manager() {
-  for (auto& [id, it] : live_) {
-    it->reply->disconnect();
+  // Emptied first: what the replies still signal finds no attempt.
+  const auto attempts = std::move(live_);
+  live_.clear();
+  for (const auto& [id, it] : attempts) {
     it->reply->abort();
     delete it->reply;
   }
@@ -248,7 +250,8 @@
   const auto found = live_.find(id);
   const std::unique_ptr<live_attempt> it = std::move(found->second);
   live_.erase(found);
-  it->reply->disconnect();
+  // The signals find no attempt any more. They are not disconnected wholesale: the library ends the
+  // connection through one of the reply's own.
   it->reply->abort();
   it->reply->deleteLater();
   // The reply may still hold the body: both go in the next round of the event loop.
@@ -277,7 +280,8 @@
   }
   const std::unique_ptr<live_attempt> it = std::move(found->second);
   live_.erase(found);
-  it->reply->disconnect();
+  // The signals find no attempt any more. They are not disconnected wholesale: the library ends the
+  // connection through one of the reply's own.
   it->reply->abort();
   it->reply->deleteLater();
   if (it->body) {
--- a/src/http_streams.upstream/http_streams_test.cpp
+++ b/src/http_streams.upstream/http_streams_test.cpp
@@ -26,11 +26,17 @@
   QTcpServer server;
   int connections = 0;
   std::vector<QByteArray> requests;
+  std::function<void()> on_closed;
 
  private:
   void accept() {
     while (QTcpSocket* socket = server.nextPendingConnection()) {
       ++connections;
+      QObject::connect(socket, &QTcpSocket::disconnected, socket, [this] {
+        if (on_closed) {
+          on_closed();
+        }
+      });
       QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] { read(socket); });
     }
   }
@@ -90,6 +96,23 @@
     return what;
   }
 
+  /// Starts an attempt and cancels it once its answer has begun; waits until `peer` sees it closed.
+  void cancel_in_mid_answer(scripted_peer& peer, open_attempt what) {
+    what.attempt = {request_id{++last_}, 1};
+    what.upstream = upstream_id{"u1"};
+    what.address = "127.0.0.1";
+    QEventLoop loop;
+    wake_ = [&](const event& ev) {
+      events.push_back(ev);
+      if (std::holds_alternative<attempt_chunk>(ev)) {
+        manager_->cancel({what.attempt, what.upstream});
+      }
+    };
+    peer.on_closed = [&loop] { loop.quit(); };
+    manager_->open(what);
+    loop.exec();
+  }
+
   std::vector<event> events;
 
  private:
@@ -114,6 +137,20 @@
       });
 };
 
+TEST_F(http_streams, a_cancelled_attempt_closes_its_connection) {
+  // The answer never ends by itself: the test ends only if the cancellation reaches the peer.
+  scripted_peer peer{[](QTcpSocket* socket) {
+    socket->write("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+                  "data: {\"choices\":[{\"index\":0,\"text\":\"a\"}]}\n\n");
+  }};
+  open_attempt what = one_shot(peer, "POST", "{}");
+  what.one_shot = false;
+  what.streaming = true;
+  what.progress_limit = milliseconds{600'000};
+  cancel_in_mid_answer(peer, what);
+  EXPECT_EQ(peer.requests.size(), 1U);
+}
+
 TEST_F(http_streams, a_closed_connection_sends_a_one_shot_call_once) {
   for (const auto* method : {"POST", "PUT", "DELETE", "GET", "PATCH"}) {
     for (const auto* body : {"", "amount=3"}) {
