Routing forgets placements at engines whose reports do not come

Cause: a placement counted as queued until a report showed it, and reports of another zone's engines do not reach an instance.

--- a/src/libnutmegspur/predicted_latency_policy.cpp
+++ b/src/libnutmegspur/predicted_latency_policy.cpp
@@ -30,6 +30,9 @@
 /// How long own placements count as cached where no cache event tells.
 constexpr seconds placed_block_life{60};
 constexpr seconds prune_period{1};
+/// A placement that no report has shown for so long counts only while own work is in progress
+/// there; reports of another zone's engines do not come at all.
+constexpr seconds unreported_limit{2};
 /// Bytes on the wire for one output token of a stream, and for one prompt token.
 constexpr double output_token_bytes = 200;
 constexpr double prompt_token_bytes = 4;
@@ -152,7 +155,9 @@
                                       const route_query& query, const moment& now) {
     auto& memory = memory_[id];
     refresh(memory, it, now);
-    const auto placed = static_cast<std::uint32_t>(memory.recent.size());
+    // What has ended since is no longer in the engine's queue.
+    const auto placed =
+        std::min(static_cast<std::uint32_t>(memory.recent.size()), it.own_in_flight);
     if (queue_is_full(memory, it, placed) ||
         backlog_of(memory, it).prefill_tokens > most_prefill_backlog) {
       return std::nullopt;
@@ -222,8 +227,15 @@
     return region_round_trip_seconds + bytes * region_seconds_per_byte;
   }
 
+  /// Whether the oldest of the recent placements is shown by a report, or has surely ended.
+  static bool is_outdated(const upstream_memory& memory, const upstream_state& it, time_point now) {
+    const time_point at = memory.recent.front().at;
+    const bool reported = at <= it.load_measured.boot;
+    return reported || (at + unreported_limit < now && memory.recent.size() > it.own_in_flight);
+  }
+
   static void refresh(upstream_memory& memory, const upstream_state& it, const moment& now) {
-    while (!memory.recent.empty() && memory.recent.front().at <= it.load_measured.boot) {
+    while (!memory.recent.empty() && is_outdated(memory, it, now.boot)) {
       memory.recent.pop_front();
     }
     if (now.boot >= memory.next_prune) {
--- a/src/libnutmegspur/routing_test.cpp
+++ b/src/libnutmegspur/routing_test.cpp
@@ -143,6 +143,26 @@
   EXPECT_EQ(placed["e2"], 5);
 }
 
+TEST(predicted_latency, forgets_ended_placements_of_an_engine_that_never_reports) {
+  // The reports of another zone's engines do not reach this instance.
+  const auto policy = make("predicted_latency");
+  manual_clock clock;
+  upstream_map upstreams;
+  upstreams.emplace(upstream_id{"e1"}, engine("e1"));
+  const auto call = call_of(64, 2);
+  constexpr int requests = 500;
+  for (int n = 0; n < requests; ++n) {
+    clock.advance(milliseconds{100});
+    auto query = query_of(call);
+    query.deadline = clock.now().boot + seconds{30};
+    auto& it = upstreams.at(upstream_id{"e1"});
+    ASSERT_TRUE(policy->choose(query, upstreams, clock.now()).has_value()) << n;
+    ++it.own_in_flight;
+    clock.advance(milliseconds{100});
+    --it.own_in_flight; // It has ended.
+  }
+}
+
 TEST(predicted_latency, holds_back_where_every_engine_has_a_queue) {
   const manual_clock clock;
   upstream_map upstreams;
