Node tests: readiness waits for engines' first reports; the last instance's usage survives its shutdown

Causes: (1) an instance was ready before it knew what any engine serves, so its first requests were refused with 503. (2) An instance alone in its zone gave the lease up as soon as it was told to stop; usage of requests that ended after that could not be sealed by anybody and was lost at exit. Ruled out: the ledger (it hands over whatever it may seal) and the shutdown's phases. Conclusion: first readiness waits at most 3 s for reports; a lone instance keeps its lease until releasing and sealed.

--- a/src/libnutmegspur/node.cpp
+++ b/src/libnutmegspur/node.cpp
@@ -22,6 +22,8 @@
 /// A shutdown's last wait, beyond a usage window, for its usage to be sealed and its lease given
 /// up.
 constexpr seconds usage_release_margin{20};
+/// Once the configuration is whole, the first readiness waits so long for engines' first reports.
+constexpr seconds first_reports_limit{3};
 
 } // namespace
 
@@ -42,6 +44,7 @@
   resource_api resources;
   shutdown ending;
   std::optional<bool> said_ready;
+  std::optional<time_point> config_whole_at; ///< When the configuration was first whole.
   /// The upstreams whose reports are read here: for the zone, and for the open orders.
   std::vector<set_polled_upstreams::target> read_for_zone;
   std::vector<upstream_id> read_for_orders;
@@ -50,7 +53,8 @@
         std::unique_ptr<admission_policy> admission_made);
 
   action_list step(const moment& now, const event& ev);
-  void say_ready(action_list& out);
+  void say_ready(const moment& now, action_list& out);
+  [[nodiscard]] bool awaits_reports(const moment& now);
   [[nodiscard]] std::vector<instance_id> zone_peers() const;
   [[nodiscard]] std::optional<instance_id> usage_holder() const;
   [[nodiscard]] std::optional<instance_id> usage_copy_peer() const;
@@ -60,7 +64,7 @@
   fleet_hooks hooks_of_fleet();
   shutdown_needs needs_of_shutdown();
   [[nodiscard]] std::size_t unreleased() const;
-  [[nodiscard]] bool alone_in_zone() const;
+  [[nodiscard]] bool keeps_lease_for_usage() const;
   [[nodiscard]] std::vector<instance_id> other_zone_members() const;
   void add_watched(action_list& out);
 };
@@ -77,10 +81,7 @@
                [this](const upstream_id& id) { return orders.marked(id); }}),
       lease({given.instance, given.zone, given.lease_ttl},
             {[this] { return static_cast<unsigned>(members.rank().value_or(~0U)); },
-             [this] {
-               // Alone in its zone, an instance keeps the lease until its usage is sealed.
-               return usage.busy() || orders.busy() || (alone_in_zone() && !usage.handed_over());
-             }}),
+             [this] { return usage.busy() || orders.busy() || keeps_lease_for_usage(); }}),
       orders({given.instance, given.zone}, hooks_of_orders(), lease),
       usage({.self = given.instance, .zone = given.zone, .window = given.usage_window},
             {[this] { return usage_holder(); }, [this] { return usage_copy_peer(); }}, lease),
@@ -170,9 +171,12 @@
   return others;
 }
 
+/// Alone in its zone, a stopping instance keeps the lease until the usage of its last request is
+/// sealed: nobody else could report it.
 bool
-node::parts::alone_in_zone() const {
-  return other_zone_members().empty();
+node::parts::keeps_lease_for_usage() const {
+  const bool serving_ends = ending.at() == shutdown_phase::releasing;
+  return other_zone_members().empty() && !(serving_ends && usage.handed_over());
 }
 
 /// The reports of engines with an open order are read here, whoever reads them for the zone.
@@ -243,17 +247,41 @@
   return std::nullopt;
 }
 
+/// Whether engines of the own zone have yet to report for the first time: what they serve is not
+/// known before, and requests would be refused.
+bool
+node::parts::awaits_reports(const moment& now) {
+  if (!config_whole_at) {
+    config_whole_at = now.boot;
+  }
+  if (now.boot >= *config_whole_at + first_reports_limit) {
+    return false;
+  }
+  const auto& all = members.upstreams();
+  return members.listed().all().empty() ||
+         std::any_of(all.begin(), all.end(), [this](const auto& row) {
+           const upstream_state& it = row.second;
+           return it.listed.kind == instance_kind::engine && it.listed.zone == config.zone &&
+                  !it.leaving && it.load_measured.boot == time_point{};
+         });
+}
+
 void
-node::parts::say_ready(action_list& out) {
+node::parts::say_ready(const moment& now, action_list& out) {
   if (ending.at() != shutdown_phase::serving) {
     return;
   }
-  const bool ready = replica.ready();
+  bool ready = replica.ready();
+  std::string reason = ready ? "" : "no whole configuration is held yet";
+  if (ready && !said_ready.value_or(false) && awaits_reports(now)) {
+    ready = false;
+    reason = "engines of the zone have not reported yet";
+  }
   if (said_ready == ready) {
     return;
   }
   said_ready = ready;
-  out.emplace_back(set_ready{ready, ready ? "" : "no whole configuration is held yet"});
+  out.emplace_back(set_ready{ready, std::move(reason)});
   if (ready) {
     out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::process_ready), {}});
   }
@@ -273,7 +301,7 @@
   fleet.step(now, ev, out);
   resources.step(now, ev, out);
   add_watched(out);
-  say_ready(out);
+  say_ready(now, out);
   ending.step(now, ev, out);
   return out;
 }
--- /dev/null
+++ b/src/libnutmegspur/node_test.cpp
@@ -0,0 +1,196 @@
+// Tests of the whole core of one instance: readiness, a request from end to end, shutdown.
+// labels: P13 P14
+#include "testing/fake_store.h"
+
+#include <nutmegspur/node.h>
+
+#include <gtest/gtest.h>
+
+namespace nutmegspur {
+namespace {
+
+constexpr const char* caller_digest =
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+
+settings
+settings_of_test() {
+  settings it;
+  it.instance = instance_id{"i1"};
+  it.zone = zone_id{"z1"};
+  it.region = "r1";
+  it.peer_secret = "0123456789abcdef";
+  it.usage_window = seconds{2};
+  it.balancer_lag = milliseconds{500};
+  return it;
+}
+
+/// One node before a fake platform, with one listed engine.
+class node_rig {
+ public:
+  node_rig() : node_(std::move(*node::make(settings_of_test(), 1))) {
+    store.progress_every = seconds{1};
+    put(resource_kind::team, "t", team_spec{});
+    put(resource_kind::model, "m", model_spec{});
+    put(resource_kind::offer, "o", offer_spec{model_id{"m"}, {team_id{"t"}}, false, {}});
+    put(resource_kind::key, "k", key_spec{team_id{"t"}, key_role::caller, caller_digest, false});
+    store.set_instances(
+        {{"i1", instance_kind::entry, zone_id{"z1"}, "r1", "127.0.0.1", 1, "", false},
+         {"e1", instance_kind::engine, zone_id{"z1"}, "r1", "127.0.0.1", 2, "", false}});
+  }
+
+  void put(resource_kind kind, const std::string& name, const resource_spec& spec) {
+    store.put(clock.now(), config_key(kind, name), spec_json(spec));
+  }
+
+  void feed(const event& ev) {
+    for (auto& what : node_->step(clock.now(), ev)) {
+      if (const auto* call = std::get_if<call_platform>(&what)) {
+        store.submit(clock.now(), "i1", *call);
+      } else if (const auto* said = std::get_if<set_ready>(&what)) {
+        ready = said->ready;
+      } else {
+        actions.push_back(std::move(what));
+      }
+    }
+  }
+
+  /// A new process takes the place of the node.
+  void restart() {
+    store.forget("i1");
+    actions.clear();
+    node_ = std::move(*node::make(settings_of_test(), 2));
+  }
+
+  void run(duration span) {
+    const time_point ends = clock.now().boot + span;
+    while (clock.now().boot < ends) {
+      clock.advance(tick_period);
+      for (const auto& it : store.take_due(clock.now())) {
+        feed(it.what);
+      }
+      feed(tick{});
+    }
+  }
+
+  void report_engine() {
+    engine_report report;
+    report.upstream = upstream_id{"e1"};
+    report.state.model = model_id{"m"};
+    report.load.total_blocks = report.load.free_blocks = 1000;
+    report.measured = clock.now();
+    feed(report);
+  }
+
+  request_id ask() {
+    request_arrived it;
+    it.request = request_id{++last_};
+    it.secret_sha256 = caller_digest;
+    it.deadline = clock.now().boot + seconds{60};
+    inference_call call;
+    call.model = model_id{"m"};
+    call.prompt_tokens = 10;
+    call.max_tokens = 2;
+    it.call = call;
+    it.body = std::make_shared<const std::string>("{}");
+    feed(it);
+    return it.request;
+  }
+
+  /// The newest action of the type, or null.
+  template <class A> const A* last() const {
+    const A* found = nullptr;
+    for (const auto& it : actions) {
+      if (const auto* action = std::get_if<A>(&it)) {
+        found = action;
+      }
+    }
+    return found;
+  }
+
+  manual_clock clock;
+  testing::fake_store store;
+  std::vector<action> actions;
+  std::optional<bool> ready;
+
+ private:
+  std::unique_ptr<node> node_;
+  std::uint64_t last_ = 0;
+};
+
+TEST(node, unknown_policies_are_named) {
+  settings it = settings_of_test();
+  it.routing_policy = "fastest";
+  const auto made = node::make(it, 1);
+  ASSERT_FALSE(made.has_value());
+  EXPECT_NE(made.error().message.find("fastest"), std::string::npos);
+  EXPECT_NE(made.error().message.find("predicted_latency"), std::string::npos);
+}
+
+TEST(node, is_ready_once_the_zones_engines_have_reported) {
+  node_rig rig;
+  rig.run(seconds{1});
+  EXPECT_NE(rig.ready, true);
+  rig.report_engine();
+  EXPECT_EQ(rig.ready, true);
+}
+
+TEST(node, does_not_wait_for_ever_for_an_engine_that_never_reports) {
+  node_rig rig;
+  rig.run(seconds{6});
+  EXPECT_EQ(rig.ready, true);
+}
+
+TEST(node, is_not_ready_without_a_configuration) {
+  node_rig rig;
+  rig.store.set_fault(testing::store_fault::down);
+  rig.report_engine();
+  rig.run(seconds{10});
+  EXPECT_NE(rig.ready, true);
+}
+
+TEST(node, serves_a_request_and_reports_its_usage) {
+  node_rig rig;
+  rig.run(seconds{1});
+  rig.report_engine();
+  const request_id request = rig.ask();
+  const auto* attempt = rig.last<open_attempt>();
+  ASSERT_NE(attempt, nullptr);
+  const attempt_id id = attempt->attempt;
+  rig.feed(attempt_opened{id, 200, {}});
+  rig.feed(attempt_chunk{id, 0, 2, "two words"});
+  rig.feed(attempt_ended{id, std::nullopt, {10, 2, 0}, "stop"});
+  ASSERT_NE(rig.last<end_answer>(), nullptr);
+  EXPECT_EQ(rig.last<end_answer>()->request, request);
+  rig.run(seconds{60});
+  std::uint64_t tokens = 0;
+  for (const auto& it : rig.store.usage_reports()) {
+    for (const auto& line : it.report.record.lines) {
+      tokens += line.output_tokens;
+    }
+  }
+  EXPECT_EQ(tokens, 2U);
+}
+
+TEST(node, stops_after_its_live_request_and_its_successor_reports_the_usage) {
+  node_rig rig;
+  rig.run(seconds{1});
+  rig.report_engine();
+  rig.ask();
+  const attempt_id id = rig.last<open_attempt>()->attempt;
+  rig.feed(attempt_opened{id, 200, {}});
+  rig.feed(stop_requested{});
+  EXPECT_EQ(rig.ready, false);
+  rig.run(seconds{10});
+  EXPECT_EQ(rig.last<stop_now>(), nullptr);
+  rig.feed(attempt_chunk{id, 0, 2, "two words"});
+  rig.feed(attempt_ended{id, std::nullopt, {10, 2, 0}, "stop"});
+  rig.run(seconds{60});
+  ASSERT_NE(rig.last<stop_now>(), nullptr);
+  rig.restart();
+  rig.run(seconds{60});
+  ASSERT_EQ(rig.store.usage_reports().size(), 1U);
+  EXPECT_EQ(rig.store.usage_reports().front().report.record.lines.front().output_tokens, 2U);
+}
+
+} // namespace
+} // namespace nutmegspur
