One one-shot body for all HTTP clients; ctl sends deletes once, too

The platform adapter and the upstream worker each had one, and ctl took the adapter's by its path. A DELETE of ctl had no body, so the library could repeat it and the second answer would be 'not found'; it now goes out like every other write.

--- a/src/http_streams.upstream/attempt_manager.cpp
+++ b/src/http_streams.upstream/attempt_manager.cpp
@@ -210,7 +210,7 @@
   const auto ec = it.reply->error();
   const bool never_connected =
       ec == QNetworkReply::ConnectionRefusedError || ec == QNetworkReply::HostNotFoundError;
-  const bool touched = it.head_sent || it.opened || (it.body && it.body->touched());
+  const bool touched = it.head_sent || it.opened || (it.body && it.body->begun());
   return never_connected && !touched ? outcome::not_run : outcome::unknown;
 }
 
--- a/src/nutmegspur/ctl_client.cpp
+++ b/src/nutmegspur/ctl_client.cpp
@@ -1,7 +1,7 @@
 // The HTTP side of the operators' client.
 #include "ctl_client.h"
 
-#include "../etcd_http.platform/one_shot_body.h"
+#include "one_shot_body.h"
 
 #include <QtCore/QEventLoop>
 #include <QtCore/QJsonDocument>
@@ -103,12 +103,10 @@
   }
   // The library would send the call again by itself; a key would then be issued without its secret
   // being seen.
-  etcd_http::one_shot_body once{body};
+  one_shot_body once{body};
   out.setHeader(QNetworkRequest::ContentLengthHeader, body.size());
   out.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-  const bool empty = body.isEmpty();
-  const auto reply = own(empty ? manager_.sendCustomRequest(out, method)
-                               : manager_.sendCustomRequest(out, method, &once));
+  const auto reply = own(manager_.sendCustomRequest(out, method, &once));
   wait_for(*reply);
   return answer_of(*reply);
 }
--- a/src/http_streams.upstream/one_shot_body.cpp
+++ b/src/one_shot_http/one_shot_body.cpp
@@ -4,13 +4,16 @@
 #include <algorithm>
 #include <cstring>
 
-namespace nutmegspur::http_streams {
+namespace nutmegspur {
 
 one_shot_body::one_shot_body(shared_body body)
     : body_(body ? std::move(body) : std::make_shared<const std::string>()) {
   open(QIODevice::ReadOnly | QIODevice::Unbuffered);
 }
 
+one_shot_body::one_shot_body(const QByteArray& body)
+    : one_shot_body(std::make_shared<const std::string>(body.toStdString())) {}
+
 qint64
 one_shot_body::size() const {
   return static_cast<qint64>(body_->size());
@@ -37,4 +40,4 @@
   return -1;
 }
 
-} // namespace nutmegspur::http_streams
+} // namespace nutmegspur
--- a/src/http_streams.upstream/one_shot_body.h
+++ b/src/one_shot_http/one_shot_body.h
@@ -7,14 +7,16 @@
 
 #include <nutmegspur/request.h>
 
+#include <QtCore/QByteArray>
 #include <QtCore/QIODevice>
 
-namespace nutmegspur::http_streams {
+namespace nutmegspur {
 
 /// Reads a shared body from its start to its end, once.
 class one_shot_body : public QIODevice {
  public:
   explicit one_shot_body(shared_body body);
+  explicit one_shot_body(const QByteArray& body);
 
   [[nodiscard]] bool isSequential() const override { return true; }
 
@@ -23,7 +25,7 @@
   [[nodiscard]] qint64 size() const override;
 
   /// Whether any byte was read, and so may have left.
-  [[nodiscard]] bool touched() const { return at_ > 0; }
+  [[nodiscard]] bool begun() const { return at_ > 0; }
 
  protected:
   qint64 readData(char* to, qint64 most) override;
@@ -34,4 +36,4 @@
   qint64 at_ = 0;
 };
 
-} // namespace nutmegspur::http_streams
+} // namespace nutmegspur
