Claims expire: each is attached to a lease that is replaced every hour

Ruled out: deleting them by a duty of the zone (a scan of all claims, and it must not race a repeat), a lease for each claim (a third write each). Before: claims stay for ever.

--- a/src/include/nutmegspur/claims.h
+++ b/src/include/nutmegspur/claims.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <nutmegspur/decision.h>
+#include <nutmegspur/rotating_lease.h>
 
 #include <cstdint>
 #include <functional>
@@ -57,6 +58,8 @@
   milliseconds decision_limit{2000};
   /// How long a recording or release is tried again while the store is out.
   seconds record_limit{300};
+  /// How long a claim is kept at least; zero keeps it for ever.
+  seconds lifetime{0};
 };
 
 /// All claims of one instance.
@@ -115,12 +118,14 @@
   void on_end_read(const moment& now, entry& it, const platform_reply& reply, action_list& out);
   void judge(const moment& now, entry& it, const kv_pair& pair, action_list& out);
   void on_tick(const moment& now, action_list& out);
+  void ask_for_lease(const moment& now, action_list& out);
   void give_up(const moment& now, entry& it, action_list& out);
   void decide(const moment& now, entry& it, const claim_verdict& verdict, action_list& out);
   void end_with(const moment& now, entry& it, claim_record record, action_list& out);
 
   claim_options options_;
   listener hears_;
+  rotating_lease lease_; ///< Every claim is attached to it, so that claims do not pile up.
   std::uint64_t last_call_ = 0;
   std::uint64_t last_token_ = 0;
   // Entries leave when their end is safe in the store or given up.
--- a/src/include/nutmegspur/settings.h
+++ b/src/include/nutmegspur/settings.h
@@ -36,6 +36,7 @@
   seconds usage_window{60};
   seconds drain_limit{30};
   milliseconds balancer_lag{2000};
+  seconds idempotency_lifetime{86'400}; ///< How long an Idempotency-Key is remembered at least.
   milliseconds default_deadline{30'000};
   std::uint32_t max_body_bytes = 1024U * 1024;
   std::uint32_t max_in_flight = 2000;
--- a/src/libnutmegspur/claims.cpp
+++ b/src/libnutmegspur/claims.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-claim_book::claim_book(claim_options options) : options_(std::move(options)) {}
+claim_book::claim_book(claim_options options)
+    : options_(std::move(options)), lease_(options_.lifetime) {}
 
 void
 claim_book::set_listener(listener hears) {
@@ -120,7 +121,7 @@
 claim_book::write(const moment& now, entry& it, action_list& out) {
   kv_txn txn;
   txn.conditions.push_back({it.key, it.modified});
-  txn.writes.push_back({it.key, to_json(it.record)});
+  txn.writes.push_back({it.key, to_json(it.record), lease_.current()});
   call(now, it, std::move(txn), out);
 }
 
@@ -152,6 +153,12 @@
 
 void
 claim_book::on_reply(const moment& now, const platform_reply& reply, action_list& out) {
+  if (lease_.take(reply)) {
+    return;
+  }
+  if (!reply.answer && reply.answer.error().code == error_code::not_found) {
+    lease_.doubt(now.boot); // The only thing that a claim's write can fail to find.
+  }
   const auto call = calls_.find(reply.call.number);
   if (call == calls_.end()) {
     return; // Left behind when its claim went on without it.
@@ -322,6 +329,7 @@
 
 void
 claim_book::on_tick(const moment& now, action_list& out) {
+  ask_for_lease(now, out);
   std::vector<request_id> ids;
   for (const auto& [request, it] : entries_) {
     ids.push_back(request);
@@ -334,6 +342,15 @@
   }
 }
 
+void
+claim_book::ask_for_lease(const moment& now, action_list& out) {
+  if (!lease_.due(now.boot)) {
+    return;
+  }
+  const std::uint64_t number = ++last_call_;
+  out.emplace_back(call_platform{{duty::claims, number}, lease_.ask(number, now.boot)});
+}
+
 void
 claim_book::tend(const moment& now, entry& it, action_list& out) {
   if (it.at == phase::held) {
--- /dev/null
+++ b/src/libnutmegspur/rotating_lease_test.cpp
@@ -0,0 +1,126 @@
+// Tests of the rotating lease, alone and under claims: a record outlives its least lifetime and
+// goes. labels: P11
+#include "testing/fake_store.h"
+
+#include <nutmegspur/claims.h>
+#include <nutmegspur/rotating_lease.h>
+
+#include <gtest/gtest.h>
+
+namespace nutmegspur {
+namespace {
+
+constexpr seconds day{24 * 3600};
+
+/// One claim book before the fake store.
+struct claim_rig {
+  manual_clock clock;
+  testing::fake_store store;
+  claim_book book{{.instance = instance_id{"i1"}, .lifetime = day}};
+  std::vector<claim_decision> verdicts;
+  std::uint64_t last = 0;
+
+  claim_rig() {
+    book.set_listener([this](const moment&, const claim_verdict& it, action_list&) {
+      verdicts.push_back(it.decision);
+    });
+  }
+
+  void submit(const action_list& out) {
+    for (const auto& it : out) {
+      if (const auto* call = std::get_if<call_platform>(&it)) {
+        store.submit(clock.now(), "i1", *call);
+      }
+    }
+  }
+
+  void run(duration span, duration pace = seconds{1}) {
+    const time_point ends = clock.now().boot + span;
+    while (clock.now().boot < ends) {
+      clock.advance(pace);
+      action_list out;
+      book.step(clock.now(), tick{}, out);
+      submit(out);
+      for (const auto& it : store.take_due(clock.now())) {
+        action_list more;
+        book.step(clock.now(), it.what, more);
+        submit(more);
+      }
+    }
+  }
+
+  claim_decision claim_and_record(const std::string& key) {
+    const request_id request{++last};
+    action_list out;
+    book.begin(clock.now(), {request, team_id{"t"}, key, "digest", clock.now().boot + seconds{30}},
+               out);
+    submit(out);
+    run(seconds{1}, tick_period); // A write, and a read back where the key is taken.
+    const claim_decision verdict = verdicts.back();
+    action_list end;
+    book.finish(clock.now(), request, {outcome::ran, 200, "text/plain", "paid"}, end);
+    submit(end);
+    run(seconds{1}, tick_period);
+    return verdict;
+  }
+};
+
+TEST(claims_lifetime,
+     a_repeat_is_answered_from_the_record_for_the_whole_lifetime_then_the_record_goes) {
+  claim_rig rig;
+  rig.run(seconds{5});
+  EXPECT_EQ(rig.claim_and_record("payment"), claim_decision::proceed);
+  rig.run(day - seconds{60}, seconds{30});
+  EXPECT_EQ(rig.claim_and_record("payment"), claim_decision::replay);
+  rig.run(2 * rotating_lease::rotation, seconds{30});
+  EXPECT_TRUE(rig.store.list("claim/").empty());
+}
+
+TEST(claims_lifetime, claims_work_without_a_lease) {
+  claim_rig rig;
+  rig.store.fault_next(
+      testing::store_fault::down,
+      [](const std::string&, const platform_request& it) {
+        return std::holds_alternative<lease_grant>(it);
+      },
+      1);
+  rig.run(seconds{5});
+  EXPECT_EQ(rig.claim_and_record("payment"), claim_decision::proceed);
+  EXPECT_EQ(rig.store.list("claim/").size(), 1U);
+}
+
+TEST(claims_lifetime, a_lease_that_the_store_has_lost_is_replaced) {
+  claim_rig rig;
+  rig.run(seconds{5});
+  EXPECT_EQ(rig.claim_and_record("first"), claim_decision::proceed);
+  // The store loses all leases.
+  rig.clock.advance(3 * day);
+  rig.store.take_due(rig.clock.now());
+  rig.claim_and_record("second"); // Refused as not run, or carried out: the lease is replaced.
+  rig.run(seconds{5});
+  EXPECT_EQ(rig.claim_and_record("third"), claim_decision::proceed);
+}
+
+TEST(rotating_lease, asks_once_in_a_rotation_and_again_after_a_failure) {
+  rotating_lease lease{day};
+  const time_point start{seconds{1000}};
+  ASSERT_TRUE(lease.due(start));
+  lease.ask(7, start);
+  EXPECT_FALSE(lease.due(start + rotating_lease::retry_pause));
+  EXPECT_FALSE(lease.take({{duty::claims, 8}, lease_reply{lease_id{1}, day}, start}));
+  EXPECT_TRUE(lease.take({{duty::claims, 7}, fail(error{}), start}));
+  EXPECT_FALSE(lease.due(start));
+  EXPECT_TRUE(lease.due(start + rotating_lease::retry_pause));
+  lease.ask(9, start);
+  EXPECT_TRUE(lease.take({{duty::claims, 9}, lease_reply{lease_id{1}, day}, start}));
+  EXPECT_EQ(lease.current(), lease_id{1});
+  EXPECT_FALSE(lease.due(start + rotating_lease::rotation - seconds{1}));
+  EXPECT_TRUE(lease.due(start + rotating_lease::rotation));
+}
+
+TEST(rotating_lease, a_zero_lifetime_never_asks) {
+  EXPECT_FALSE(rotating_lease{seconds{0}}.due(time_point{seconds{1000}}));
+}
+
+} // namespace
+} // namespace nutmegspur
--- a/src/libnutmegspur/settings.cpp
+++ b/src/libnutmegspur/settings.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::int64_t most_port = 65'535;
 constexpr std::int64_t hour_in_seconds = 3'600;
+constexpr std::int64_t most_idempotency_lifetime = 31LL * 24 * 3'600;
 constexpr std::int64_t hour_in_milliseconds = 3'600'000;
 constexpr std::int64_t most_body_bytes = 64LL * 1024 * 1024;
 constexpr std::size_t least_secret_length = 16;
@@ -23,7 +24,7 @@
 
 using type = setting_type;
 
-constexpr std::array<setting_info, 23> table{{
+constexpr std::array<setting_info, 24> table{{
     {"instance", type::text, "name of this instance, unique among all live ones", true},
     {"zone", type::text, "availability zone that this instance runs in", true},
     {"region", type::text, "region of the availability zone", true},
@@ -48,6 +49,9 @@
     {"balancer-lag", type::span_milliseconds,
      "how long the balancer may still send callers after /readyz says no, in milliseconds", false,
      0, 60'000},
+    {"idempotency-lifetime", type::span_seconds,
+     "how long an Idempotency-Key is remembered at least, in seconds", false, hour_in_seconds,
+     most_idempotency_lifetime},
     {"default-deadline", type::span_milliseconds,
      "deadline of a request that names none, in milliseconds", false, 100, hour_in_milliseconds},
     {"max-body-bytes", type::integer, "longest request body", false, 1024, most_body_bytes},
@@ -132,17 +136,29 @@
 
 /// The members, in the order of the table.
 constexpr std::array<setting_member, table.size()> members{
-    &settings::instance,         &settings::zone,
-    &settings::region,           &settings::bind_address,
-    &settings::caller_port,      &settings::operator_port,
-    &settings::peer_port,        &settings::platform_address,
-    &settings::platform_port,    &settings::platform_plugin,
-    &settings::routing_policy,   &settings::admission_policy,
-    &settings::peer_secret,      &settings::bootstrap_operator_key_sha256,
-    &settings::lease_ttl,        &settings::usage_window,
-    &settings::drain_limit,      &settings::balancer_lag,
-    &settings::default_deadline, &settings::max_body_bytes,
-    &settings::max_in_flight,    &settings::log_level,
+    &settings::instance,
+    &settings::zone,
+    &settings::region,
+    &settings::bind_address,
+    &settings::caller_port,
+    &settings::operator_port,
+    &settings::peer_port,
+    &settings::platform_address,
+    &settings::platform_port,
+    &settings::platform_plugin,
+    &settings::routing_policy,
+    &settings::admission_policy,
+    &settings::peer_secret,
+    &settings::bootstrap_operator_key_sha256,
+    &settings::lease_ttl,
+    &settings::usage_window,
+    &settings::drain_limit,
+    &settings::balancer_lag,
+    &settings::idempotency_lifetime,
+    &settings::default_deadline,
+    &settings::max_body_bytes,
+    &settings::max_in_flight,
+    &settings::log_level,
     &settings::log_directory,
 };
 
