--- a/src/engine_http.engine_control/engine_http_test.cpp
+++ b/src/engine_http.engine_control/engine_http_test.cpp
@@ -1,5 +1,6 @@
 // The engine worker against a small HTTP server.
 #include "engine_codec.h"
+#include "testing/event_loop.h"
 
 #include <nutmegspur/kernel.h>
 
@@ -15,20 +16,13 @@
 namespace nutmegspur {
 namespace {
 
+using testing::application;
+
 constexpr const char* report_text =
     R"({"highest_fence":7,"last_sequence":3,"changing":false,"role":"decode","model":"m",)"
     R"("version":"v1","adapters":["a"],"running":2,"waiting":1,"waiting_tokens":40,)"
     R"("free_blocks":5,"total_blocks":9,"age_ms":250,"leaving":true,"notice_seconds":20})";
 
-QCoreApplication&
-application() {
-  static int argc = 1;
-  static char name[] = "test";
-  static char* argv[] = {name, nullptr};
-  static QCoreApplication app{argc, argv};
-  return app;
-}
-
 struct worker_under_test {
   QCoreApplication& app = application();
   QTcpServer server;
--- a/src/etcd_http.platform/etcd_http_test.cpp
+++ b/src/etcd_http.platform/etcd_http_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the platform adapter against the platform stand-in, over loopback.
 #include "etcd_http.h"
 #include "platform_service.h"
+#include "testing/event_loop.h"
 
 #include <QtCore/QCoreApplication>
 #include <QtCore/QElapsedTimer>
@@ -11,26 +12,8 @@
 namespace nutmegspur::etcd_http {
 namespace {
 
-QCoreApplication&
-application() {
-  static int argc = 1;
-  static char name[] = "test";
-  static char* argv[] = {name, nullptr};
-  static QCoreApplication app(argc, argv);
-  return app;
-}
-
-// Runs the event loop until `holds`; false only if that never came.
-bool
-wait_for(const std::function<bool()>& holds) {
-  constexpr qint64 give_up_ms = 60'000;
-  QElapsedTimer timer;
-  timer.start();
-  while (!holds() && timer.elapsed() < give_up_ms) {
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
-  }
-  return holds();
-}
+using testing::application;
+using testing::wait_for;
 
 // A stand-in whose requests the test sees, and which answers as the test wants.
 struct fake_platform {
--- a/src/http_streams.upstream/attempt_manager.cpp
+++ b/src/http_streams.upstream/attempt_manager.cpp
@@ -245,11 +245,10 @@
   return std::nullopt;
 }
 
-void
-attempt_manager::end(const attempt_id& id, std::optional<error> failure, bool retire) {
-  const auto found = live_.find(id);
-  const std::unique_ptr<live_attempt> it = std::move(found->second);
-  live_.erase(found);
+std::unique_ptr<attempt_manager::live_attempt>
+attempt_manager::remove(const attempt_id& id, bool retire) {
+  auto node = live_.extract(id);
+  std::unique_ptr<live_attempt> it = std::move(node.mapped());
   // The signals find no attempt any more. They are not disconnected wholesale: the library ends the
   // connection through one of the reply's own.
   it->reply->abort();
@@ -259,6 +258,12 @@
     it->body.release()->deleteLater();
   }
   slots_.give_back(it->slot, retire);
+  return it;
+}
+
+void
+attempt_manager::end(const attempt_id& id, std::optional<error> failure, bool retire) {
+  const std::unique_ptr<live_attempt> it = remove(id, retire);
   attempt_ended ended;
   ended.attempt = id;
   ended.failure = std::move(failure);
@@ -274,20 +279,9 @@
 
 void
 attempt_manager::cancel(const cancel_attempt& what) {
-  const auto found = live_.find(what.attempt);
-  if (found == live_.end()) {
-    return;
-  }
-  const std::unique_ptr<live_attempt> it = std::move(found->second);
-  live_.erase(found);
-  // The signals find no attempt any more. They are not disconnected wholesale: the library ends the
-  // connection through one of the reply's own.
-  it->reply->abort();
-  it->reply->deleteLater();
-  if (it->body) {
-    it->body.release()->deleteLater();
+  if (live_.count(what.attempt) > 0) {
+    remove(what.attempt, false);
   }
-  slots_.give_back(it->slot, false);
 }
 
 void
--- a/src/http_streams.upstream/attempt_manager.h
+++ b/src/http_streams.upstream/attempt_manager.h
@@ -50,6 +50,8 @@
   void on_bytes(live_attempt& it);
   void on_finished(live_attempt& it);
   void sweep();
+  /// Takes a live attempt out and ends its connection; `retire` also gives up its slot.
+  std::unique_ptr<live_attempt> remove(const attempt_id& id, bool retire);
   void end(const attempt_id& id, std::optional<error> failure, bool retire);
   [[nodiscard]] std::optional<error> failure_of(const live_attempt& it) const;
   [[nodiscard]] static outcome outcome_of(const live_attempt& it);
--- a/src/http_streams.upstream/http_streams_test.cpp
+++ b/src/http_streams.upstream/http_streams_test.cpp
@@ -2,6 +2,7 @@
 // request, and what is said of whether it ran.
 // labels: P10 P11
 #include "attempt_manager.h"
+#include "testing/event_loop.h"
 
 #include <QtCore/QCoreApplication>
 #include <QtCore/QEventLoop>
@@ -116,15 +117,7 @@
   std::vector<event> events;
 
  private:
-  static QCoreApplication& application() {
-    static int argc = 1;
-    static char name[] = "http_streams_test";
-    static char* argv[] = {name, nullptr};
-    static QCoreApplication app{argc, argv};
-    return app;
-  }
-
-  QCoreApplication& app_ = application();
+  QCoreApplication& app_ = testing::application();
   settings config_;
   metric_registry metrics_;
   worker_context context_{config_, metrics_};
--- /dev/null
+++ b/src/libnutmegspur/testing/event_loop.h
@@ -0,0 +1,35 @@
+/// \file event_loop.h
+/// Qt's event loop for tests of workers: one application for the process, and waiting for a
+/// condition.
+#pragma once
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QElapsedTimer>
+
+#include <functional>
+
+namespace nutmegspur::testing {
+
+/// The process's application, made when first asked for.
+inline QCoreApplication&
+application() {
+  static int argc = 1;
+  static char name[] = "test";
+  static char* argv[] = {name, nullptr};
+  static QCoreApplication app{argc, argv};
+  return app;
+}
+
+/// Runs the event loop until `holds`; false only if that never came.
+inline bool
+wait_for(const std::function<bool()>& holds) {
+  constexpr qint64 give_up_ms = 60'000;
+  QElapsedTimer timer;
+  timer.start();
+  while (!holds() && timer.elapsed() < give_up_ms) {
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+  }
+  return holds();
+}
+
+} // namespace nutmegspur::testing
--- a/src/one_shot_http/one_shot_call_test.cpp
+++ b/src/one_shot_http/one_shot_call_test.cpp
@@ -1,5 +1,6 @@
 // A one-shot call against a server that answers, stays silent, hangs up or is not there.
 #include "one_shot_call.h"
+#include "testing/event_loop.h"
 
 #include <QtCore/QCoreApplication>
 #include <QtCore/QEventLoop>
@@ -12,15 +13,7 @@
 namespace nutmegspur {
 namespace {
 
-/// Qt needs an application for its event loop.
-QCoreApplication&
-application() {
-  static int argc = 1;
-  static char name[] = "test";
-  static char* argv[] = {name, nullptr};
-  static QCoreApplication app{argc, argv};
-  return app;
-}
+using testing::application;
 
 /// A server that counts connections and bytes and reacts to a whole request as it is told.
 struct peer_server {
--- a/src/openai_http.caller/caller_server_test.cpp
+++ b/src/openai_http.caller/caller_server_test.cpp
@@ -1,6 +1,7 @@
 // The callers' server over real connections: answers, refusals, callers that leave or send
 // nonsense.
 #include "caller_server.h"
+#include "testing/event_loop.h"
 
 #include <QtCore/QCoreApplication>
 #include <QtCore/QEventLoop>
@@ -66,15 +67,7 @@
   }
 
  private:
-  static QCoreApplication& application() {
-    static int argc = 1;
-    static char name[] = "caller_server_test";
-    static char* argv[] = {name, nullptr};
-    static QCoreApplication app{argc, argv};
-    return app;
-  }
-
-  QCoreApplication& app_ = application();
+  QCoreApplication& app_ = testing::application();
 
  protected:
   settings config;
--- a/src/tcp_msgpack.peers/tcp_msgpack_test.cpp
+++ b/src/tcp_msgpack.peers/tcp_msgpack_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the peer connections, over loopback.
 #include "tcp_msgpack.h"
+#include "testing/event_loop.h"
 
 #include <QtCore/QCoreApplication>
 #include <QtCore/QElapsedTimer>
@@ -9,26 +10,8 @@
 namespace nutmegspur::tcp_msgpack {
 namespace {
 
-QCoreApplication&
-application() {
-  static int argc = 1;
-  static char name[] = "test";
-  static char* argv[] = {name, nullptr};
-  static QCoreApplication app(argc, argv);
-  return app;
-}
-
-// Runs the event loop until `holds`; false only if that never came.
-bool
-wait_for(const std::function<bool()>& holds) {
-  constexpr qint64 give_up_ms = 60'000;
-  QElapsedTimer timer;
-  timer.start();
-  while (!holds() && timer.elapsed() < give_up_ms) {
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
-  }
-  return holds();
-}
+using testing::application;
+using testing::wait_for;
 
 // A worker, its settings and the events that it gave.
 struct node {
