--- /dev/null
+++ b/testsuite/lib/overhead.py
@@ -0,0 +1,132 @@
+"""The measurement behind tools/overhead: what an entry instance adds to going straight to an engine.
+
+Prints the time to the first token both ways, taken in turn in one run, and the processor time and
+memory of an entry instance for each request, token and live stream.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import pathlib
+import statistics
+import threading
+import time
+
+import processes
+import small_system
+import streaming
+
+MILLIS = 1000.0
+MICROS = 1e6
+ENGINE_ARGS = ("--prefill-rate", "1000000", "--decode-rate", "50", "--slots", "512", "--blocks", "100000")
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(prog="tools/overhead", description=__doc__)
+    parser.add_argument("build", help=argparse.SUPPRESS)
+    parser.add_argument("--pairs", type=int, default=200, help="requests each way for the first token")
+    parser.add_argument("--streams", default="16,32,64,128,256", help="live streams to measure with")
+    parser.add_argument("--tokens", type=int, default=400, help="tokens of each of these streams")
+    return parser.parse_args()
+
+
+def first_token(port, headers, number):
+    """Seconds from the request to its first event."""
+    body = json.dumps(streaming.chat_body(small_system.MODEL, f"first token {number}", 1))
+    connection = http.client.HTTPConnection(processes.LOOPBACK, port, timeout=30)
+    began = time.perf_counter()
+    connection.request("POST", streaming.CHAT, body, {"Content-Type": "application/json", **headers})
+    reply = connection.getresponse()
+    reply.readline()
+    span = time.perf_counter() - began
+    reply.read()
+    connection.close()
+    if reply.status != 200:
+        raise processes.Failure(f"status {reply.status}")
+    return span
+
+
+class Usage:
+    """Processor time (s) and resident memory (bytes) of a process, from /proc."""
+
+    def __init__(self, process):
+        stat = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        self.processor = (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
+        self.memory = int(stat[21]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def measure_first_token(system, key, pairs):
+    direct, through = [], []
+    for number in range(pairs):
+        direct.append(first_token(system.engines["engine-1"], {}, number))
+        through.append(first_token(system.entries["entry-1"]["caller"], streaming.bearer(key), number))
+    for name, spans in (("direct", direct), ("through an entry instance", through)):
+        cuts = statistics.quantiles(spans, n=20)
+        print(f"first token {name}: p50 {statistics.median(spans) * MILLIS:.2f} ms, p95 {cuts[18] * MILLIS:.2f} ms")
+    print(f"added at p50: {(statistics.median(through) - statistics.median(direct)) * MILLIS:.2f} ms")
+
+
+def measure_requests(system, key, count):
+    """Processor time of the entry instance for a request of one token."""
+    entry = system.processes["entry-1"]
+    before = Usage(entry)
+    for number in range(count):
+        first_token(system.entries["entry-1"]["caller"], streaming.bearer(key), number)
+    spent = Usage(entry).processor - before.processor
+    print(f"processor a request of one token: {spent / count * MICROS:.0f} us ({count} requests)")
+
+
+def measure_streams(system, key, live, tokens):
+    entry = system.processes["entry-1"]
+    port = system.entries["entry-1"]["caller"]
+    idle = Usage(entry)
+    streams = []
+
+    def open_stream(number):
+        streams.append(streaming.Stream(port, key, small_system.MODEL, f"stream {live} {number}", tokens, 600_000))
+
+    openers = [threading.Thread(target=open_stream, args=(n,)) for n in range(live)]
+    for it in openers:
+        it.start()
+    for it in openers:
+        it.join()
+    if len(streams) != live:
+        raise processes.Failure(f"{len(streams)} of {live} streams opened")
+    full = Usage(entry)
+    readers = [threading.Thread(target=it.read_all) for it in streams]
+    for it in readers:
+        it.start()
+    for it in readers:
+        it.join()
+    if not all(it.done and it.error is None for it in streams):
+        raise processes.Failure("a stream did not end whole")
+    for it in streams:
+        it.close()
+    spent = Usage(entry).processor - idle.processor
+    print(f"live streams {live}: processor a token {spent / (live * tokens) * MICROS:.1f} us, "
+          f"memory {full.memory / 2**20:.1f} MB (idle {idle.memory / 2**20:.1f} MB)", flush=True)
+
+
+def main():
+    arguments = parse_arguments()
+    system = processes.System(arguments.build)
+    try:
+        system.start_platform()
+        zone, region = small_system.ZONES[0]
+        system.start_engine("engine-1", zone, region, small_system.MODEL, *ENGINE_ARGS)
+        system.start_entry("entry-1", zone, region)
+        system.wait_ready()
+        system.apply(json.loads(small_system.SAMPLE.read_text()))
+        key = system.issue_key("overhead", small_system.TEAM)
+        streaming.wait_offered(system, key, small_system.MODEL)
+        measure_first_token(system, key, arguments.pairs)
+        measure_requests(system, key, arguments.pairs)
+        for live in arguments.streams.split(","):
+            measure_streams(system, key, int(live), arguments.tokens)
+    finally:
+        system.stop()
+
+
+if __name__ == "__main__":
+    main()
