A part of an answer that the callers' ring refused ends the answer with an error

Cause: when the ring to the callers' thread was full, a lost chunk was told to the core as 'the caller has gone', so the caller's connection got no final answer at all; and an end of the same step that found room again could have followed the gap, so that a truncated answer looked whole. Ruled out: a larger ring (only rarer), blocking the decision thread (holds up everyone). After: the error is kept until the ring takes it, and nothing else of that answer is sent.

--- a/src/libnutmegspur/daemon.cpp
+++ b/src/libnutmegspur/daemon.cpp
@@ -3,6 +3,7 @@
 
 #include <nutmegspur/daemon.h>
 #include <nutmegspur/event_log.h>
+#include <nutmegspur/unsent_answers.h>
 
 #include <array>
 #include <condition_variable>
@@ -62,8 +63,7 @@
   bool woken = false; ///< Guarded by `wake_mutex`.
   /// Touched by the decision thread only.
   bool stopped = false;
-  /// Final answers that the caller's ring has not taken yet; at most one for each request.
-  std::vector<action> unsent_refusals;
+  unsent_answers unsent;
 
   impl(const settings& given, std::unique_ptr<node> made)
       : config(given), decisions(std::move(made)) {}
@@ -74,7 +74,7 @@
   void feed(const event& ev);
   void carry_out(const action& what, const moment& now);
   void overflow(const action& what, const moment& now);
-  void retry_refusals();
+  void retry_answers();
   pvt::worker_thread* worker(worker_kind kind);
 };
 
@@ -110,7 +110,7 @@
     const time_point before = boot_clock::now();
     if (before >= next_tick) {
       feed(tick{});
-      retry_refusals();
+      retry_answers();
       next_tick = before + tick_period;
     }
     const bool busy = take_events();
@@ -159,6 +159,9 @@
     }
     return;
   }
+  if (unsent.bars(what)) {
+    return;
+  }
   const auto kind = worker_for(what);
   if (!kind) {
     for (const auto& it : workers) {
@@ -175,9 +178,8 @@
 void
 daemon_process::impl::overflow(const action& what, const moment& now) {
   log(log_event::ring_full, {{"worker", std::string{to_name(*worker_for(what))}}});
-  if (std::holds_alternative<refuse_request>(what) || std::holds_alternative<end_answer>(what)) {
-    unsent_refusals.push_back(what);
-    return;
+  if (auto answer = overflow_answer(what)) {
+    unsent.keep(std::move(*answer));
   }
   if (const auto ev = overflow_event(what, now)) {
     feed(*ev);
@@ -185,10 +187,10 @@
 }
 
 void
-daemon_process::impl::retry_refusals() {
+daemon_process::impl::retry_answers() {
   pvt::worker_thread* to = worker(worker_kind::caller);
-  while (to != nullptr && !unsent_refusals.empty() && to->push(unsent_refusals.back())) {
-    unsent_refusals.pop_back();
+  if (to != nullptr) {
+    unsent.flush([to](const action& what) { return to->push(what); });
   }
 }
 
--- a/src/libnutmegspur/overflow_event.cpp
+++ b/src/libnutmegspur/overflow_event.cpp
@@ -45,6 +45,25 @@
 
 } // namespace
 
+std::optional<action>
+overflow_answer(const action& what) {
+  const auto broken = [](request_id request) {
+    error why = ring_full_error(step::attempt_stream, "");
+    why.ran = outcome::unknown; // An attempt had begun to answer.
+    return refuse_request{request, std::move(why)};
+  };
+  if (const auto* start = std::get_if<start_answer>(&what)) {
+    return broken(start->request);
+  }
+  if (const auto* chunk = std::get_if<send_chunk>(&what)) {
+    return broken(chunk->request);
+  }
+  if (std::holds_alternative<refuse_request>(what) || std::holds_alternative<end_answer>(what)) {
+    return what;
+  }
+  return std::nullopt;
+}
+
 std::optional<event>
 overflow_event(const action& what, const moment& now) {
   return std::visit(overflow_of{now}, what);
