--- a/src/include/nutmegspur/unsent_answers.h
+++ b/src/include/nutmegspur/unsent_answers.h
@@ -22,7 +22,7 @@
   /// Whether `what` belongs to an answer whose final part is kept here, and so must not be sent.
   [[nodiscard]] bool bars(const action& what) const;
   /// Keeps a final answer; one that is already kept for the request stays.
-  void keep(action final_answer);
+  void keep(const action& final_answer);
   /// Hands answers to `push` until it refuses one.
   void flush(const std::function<bool(const action&)>& push);
 
--- a/src/libnutmegspur/daemon.cpp
+++ b/src/libnutmegspur/daemon.cpp
@@ -178,8 +178,8 @@
 void
 daemon_process::impl::overflow(const action& what, const moment& now) {
   log(log_event::ring_full, {{"worker", std::string{to_name(*worker_for(what))}}});
-  if (auto answer = overflow_answer(what)) {
-    unsent.keep(std::move(*answer));
+  if (const auto answer = overflow_answer(what)) {
+    unsent.keep(*answer);
   }
   if (const auto ev = overflow_event(what, now)) {
     feed(*ev);
--- a/src/libnutmegspur/unsent_answers.cpp
+++ b/src/libnutmegspur/unsent_answers.cpp
@@ -30,9 +30,9 @@
 }
 
 void
-unsent_answers::keep(action final_answer) {
+unsent_answers::keep(const action& final_answer) {
   if (const auto request = answered_request(final_answer)) {
-    kept_.try_emplace(*request, std::move(final_answer));
+    kept_.try_emplace(*request, final_answer);
   }
 }
 
