--- a/src/include/nutmegspur/settings.h
+++ b/src/include/nutmegspur/settings.h
@@ -69,6 +69,9 @@
 /// The table, in the order of the help page.
 std::span<const setting_info> settings_table();
 
+/// The value of a setting that is not given, as text; empty if there is none.
+std::string default_value(std::string_view flag);
+
 /// The environment variable of a flag.
 std::string environment_name(std::string_view flag);
 
--- a/src/libnutmegspur/settings.cpp
+++ b/src/libnutmegspur/settings.cpp
@@ -199,6 +199,29 @@
   return it == table.end() ? nullptr : it;
 }
 
+/// The text of a member's value.
+struct value_text {
+  const settings& from;
+
+  std::string operator()(std::string settings::*member) const { return from.*member; }
+
+  std::string operator()(instance_id settings::*member) const { return (from.*member).value; }
+
+  std::string operator()(zone_id settings::*member) const { return (from.*member).value; }
+
+  std::string operator()(seconds settings::*member) const {
+    return std::to_string((from.*member).count());
+  }
+
+  std::string operator()(milliseconds settings::*member) const {
+    return std::to_string((from.*member).count());
+  }
+
+  template <class N> std::string operator()(N settings::*member) const {
+    return std::to_string(from.*member);
+  }
+};
+
 /// Ports that would collide on one address.
 result<void>
 check_ports(const settings& out) {
@@ -217,6 +240,17 @@
   return table;
 }
 
+std::string
+default_value(std::string_view flag) {
+  const setting_info* info = info_of(flag);
+  if (info == nullptr) {
+    return "";
+  }
+  const settings defaults;
+  return std::visit(value_text{defaults},
+                    members.at(static_cast<std::size_t>(info - table.data())));
+}
+
 std::string
 environment_name(std::string_view flag) {
   std::string name = "NUTMEGSPUR_";
--- a/src/libnutmegspur/settings_test.cpp
+++ b/src/libnutmegspur/settings_test.cpp
@@ -62,6 +62,20 @@
   EXPECT_EQ(parsed.error().message.find("too-short"), std::string::npos);
 }
 
+TEST(settings, defaults_are_told_as_text_and_are_accepted) {
+  EXPECT_EQ(default_value("caller-port"), "8080");
+  EXPECT_EQ(default_value("lease-ttl"), "10");
+  EXPECT_EQ(default_value("balancer-lag"), "2000");
+  EXPECT_EQ(default_value("instance"), "");
+  EXPECT_EQ(default_value("colour"), "");
+  for (const auto& info : settings_table()) {
+    const std::string value = default_value(info.flag);
+    if (!value.empty()) {
+      EXPECT_TRUE(parse_with({std::string{info.flag}, value, "flag"}).has_value()) << info.flag;
+    }
+  }
+}
+
 TEST(settings, unknown_ones_and_colliding_ports_are_refused) {
   EXPECT_FALSE(parse_with({"colour", "red", "flag"}).has_value());
   EXPECT_FALSE(parse_with({"operator-port", "8080", "flag"}).has_value());
--- a/src/nutmegspur/entry.cpp
+++ b/src/nutmegspur/entry.cpp
@@ -36,7 +36,9 @@
   add("h,help", "show this page");
   add("check", "check the settings and exit: 0 if they are good, 2 if not");
   for (const auto& it : settings_table()) {
-    const std::string help = std::string{it.help} + (it.required ? " (required)" : "");
+    const std::string usual = default_value(it.flag);
+    const std::string help = std::string{it.help} + (it.required ? " (required)" : "") +
+                             (usual.empty() ? "" : " (default: " + usual + ")");
     add(std::string{it.flag}, help, cxxopts::value<std::string>());
   }
   return options;
