--- a/src/include/nutmegspur/decision.h
+++ b/src/include/nutmegspur/decision.h
@@ -6,6 +6,7 @@
 /// the same with a manual clock. Parts are composed in nutmegspur/node.h.
 #pragma once
 
+#include <nutmegspur/event_log.h>
 #include <nutmegspur/peer.h>
 #include <nutmegspur/platform.h>
 #include <nutmegspur/request.h>
@@ -142,7 +143,7 @@
 
 /// Write an event to the log.
 struct write_log {
-  std::uint16_t number = 0; ///< A `log_event`.
+  log_event number = log_event::process_started;
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
--- a/src/libnutmegspur/claims.cpp
+++ b/src/libnutmegspur/claims.cpp
@@ -247,7 +247,7 @@
     verdict.why = refusal(error_code::conflict, "the idempotency key was used for another request",
                           outcome::not_run);
     out.emplace_back(write_log{
-        static_cast<std::uint16_t>(log_event::claim_conflict),
+        log_event::claim_conflict,
         {{"team", it.what.team.value}, {"request", std::to_string(it.what.request.value)}}});
   } else if (record->phase == claim_phase::claimed && record->writer == it.record.writer) {
     hold(now, it, pair.modified, out);
@@ -361,7 +361,7 @@
     return;
   }
   if (it.decided && now.boot >= it.started + options_.record_limit) {
-    out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::request_failed),
+    out.emplace_back(write_log{log_event::request_failed,
                                {{"request", std::to_string(it.what.request.value)},
                                 {"step", std::string{to_name(step::claim_record)}},
                                 {"peer", "platform"},
--- a/src/libnutmegspur/config_replica.cpp
+++ b/src/libnutmegspur/config_replica.cpp
@@ -35,7 +35,7 @@
 
 write_log
 log_line(log_event number, std::vector<std::pair<std::string, std::string>> fields) {
-  return {static_cast<std::uint16_t>(number), std::move(fields)};
+  return {number, std::move(fields)};
 }
 
 } // namespace
--- a/src/libnutmegspur/daemon.cpp
+++ b/src/libnutmegspur/daemon.cpp
@@ -43,7 +43,7 @@
   for (const auto& [key, value] : it.fields) {
     fields.push_back({key, value});
   }
-  log(static_cast<log_event>(it.number), std::span<const log_field>{fields});
+  log(it.number, std::span<const log_field>{fields});
 }
 
 } // namespace
--- a/src/libnutmegspur/node.cpp
+++ b/src/libnutmegspur/node.cpp
@@ -283,7 +283,7 @@
   said_ready = ready;
   out.emplace_back(set_ready{ready, std::move(reason)});
   if (ready) {
-    out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::process_ready), {}});
+    out.emplace_back(write_log{log_event::process_ready, {}});
   }
 }
 
--- a/src/libnutmegspur/order_keeper.cpp
+++ b/src/libnutmegspur/order_keeper.cpp
@@ -30,7 +30,7 @@
 
 write_log
 log_line(log_event number, const upstream_id& id, const intent_record& intent, std::string why) {
-  return {static_cast<std::uint16_t>(number),
+  return {number,
           {{"upstream", id.value},
            {"sequence", std::to_string(intent.sequence)},
            {"fence", std::to_string(intent.authority.value)},
--- a/src/libnutmegspur/request_attempts.cpp
+++ b/src/libnutmegspur/request_attempts.cpp
@@ -28,7 +28,7 @@
 
 write_log
 resume_log(request_id request, const upstream_id& from, const error& why, std::uint64_t at) {
-  return {static_cast<std::uint16_t>(log_event::request_resumed),
+  return {log_event::request_resumed,
           {{"request", std::to_string(request.value)},
            {"peer", from.value},
            {"delivered", std::to_string(at)},
@@ -296,7 +296,7 @@
   }
   found->second.suspect = true;
   found->second.suspect_until = now.boot + options_.suspect_span;
-  out.emplace_back(write_log{static_cast<std::uint16_t>(log_event::upstream_failed),
+  out.emplace_back(write_log{log_event::upstream_failed,
                              {{"peer", upstream.value},
                               {"code", std::string{to_name(why.code)}},
                               {"message", why.message}}});
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -22,7 +22,7 @@
 
 write_log
 request_log(log_event number, request_id request, const error& why) {
-  return {static_cast<std::uint16_t>(number),
+  return {number,
           {{"request", std::to_string(request.value)},
            {"code", std::string{to_name(why.code)}},
            {"step", std::string{to_name(why.at)}},
--- a/src/libnutmegspur/shutdown.cpp
+++ b/src/libnutmegspur/shutdown.cpp
@@ -24,7 +24,7 @@
   at_ = next;
   since_ = now.boot;
   out.emplace_back(write_log{
-      static_cast<std::uint16_t>(log_event::process_stopping),
+      log_event::process_stopping,
       {{"phase", std::string{to_name(next)}}, {"live", std::to_string(needs_.live_work())}}});
 }
 
--- a/src/libnutmegspur/testing/authority_zone.cpp
+++ b/src/libnutmegspur/testing/authority_zone.cpp
@@ -224,7 +224,7 @@
   } else if (const auto* message = std::get_if<send_peer>(&what)) {
     carry_message(from, *message, how);
   } else if (const auto* line = std::get_if<write_log>(&what)) {
-    std::string text = std::to_string(line->number);
+    std::string text = std::to_string(static_cast<int>(line->number));
     for (const auto& [key, value] : line->fields) {
       text += ' ';
       text += key;
--- a/src/libnutmegspur/upstream_tracker.cpp
+++ b/src/libnutmegspur/upstream_tracker.cpp
@@ -11,7 +11,7 @@
 
 write_log
 log_line(log_event number, const upstream_id& upstream) {
-  return {static_cast<std::uint16_t>(number), {{"upstream", upstream.value}}};
+  return {number, {{"upstream", upstream.value}}};
 }
 
 milliseconds
--- a/src/libnutmegspur/usage_sealer.cpp
+++ b/src/libnutmegspur/usage_sealer.cpp
@@ -68,7 +68,7 @@
 
 write_log
 log_line(log_event number, const usage_record& record, fence authority) {
-  return {static_cast<std::uint16_t>(number),
+  return {number,
           {{"window", report_id(record)},
            {"lines", std::to_string(record.lines.size())},
            {"parts", std::to_string(record.parts.size())},
--- a/src/libnutmegspur/zone_lease.cpp
+++ b/src/libnutmegspur/zone_lease.cpp
@@ -22,7 +22,7 @@
 
 write_log
 log_line(log_event number, const zone_lease_settings& config, fence authority, const char* why) {
-  return {static_cast<std::uint16_t>(number),
+  return {number,
           {{"zone", config.zone.value},
            {"holder", config.self.value},
            {"fence", std::to_string(authority.value)},
