--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -4,6 +4,9 @@
 # nutmegspur_test(<name> SOURCES <file>... [LABELS <label>...] [LIBRARIES <lib>...])
 # One GoogleTest program and one ctest entry. Labels P01..P14 name the promises that it proves.
 function(nutmegspur_test name)
+  if(NOT NUTMEGSPUR_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(arg "" "" "SOURCES;LABELS;LIBRARIES" ${ARGN})
   add_executable(${name} ${arg_SOURCES})
   target_link_libraries(${name} PRIVATE
--- /dev/null
+++ b/src/http1/event_loop.h
@@ -0,0 +1,56 @@
+/// \file event_loop.h
+/// The one thread of proxied traffic: libuv's loop, with the project's timer service on it.
+#pragma once
+
+#include <nutmegspur/timer_service.h>
+
+#include <uv.h>
+
+#include <array>
+#include <functional>
+#include <vector>
+
+namespace nutmegspur::http1 {
+
+/// Not movable: libuv keeps its address.
+class event_loop {
+ public:
+  event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+  ~event_loop();
+
+  /// Runs until `stop`.
+  void run();
+  void stop();
+
+  /// Both clocks, read anew.
+  [[nodiscard]] static moment now() { return system_clock_source::now(); }
+
+  timer_id once(duration after, timer_service::callback run);
+  timer_id every(duration period, timer_service::callback run);
+  void cancel(timer_id id);
+  /// Calls `run` when the process is sent `number`.
+  void on_signal(int number, std::function<void()> run);
+
+  [[nodiscard]] uv_loop_t* handle() { return &loop_; }
+
+  /// Where sockets read to; its content is valid only until the next read.
+  [[nodiscard]] uv_buf_t read_buffer() { return uv_buf_init(buffer_.data(), buffer_.size()); }
+
+ private:
+  struct signal_watch;
+
+  void arm();
+  void run_due();
+
+  uv_loop_t loop_{};
+  uv_timer_t timer_{};
+  timer_service timers_;
+  std::vector<signal_watch*> signals_;
+  bool running_due_ = false;
+  static constexpr std::size_t buffer_bytes = 64UL * 1024;
+  std::array<char, buffer_bytes> buffer_{};
+};
+
+} // namespace nutmegspur::http1
--- /dev/null
+++ b/src/http1/http_client.cpp
@@ -0,0 +1,342 @@
+// Calls and their kept connections.
+#include "http_client.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace nutmegspur::http1 {
+
+/// One connection; carries one call at a time.
+class client_connection {
+ public:
+  client_connection(http_client& client, const endpoint& to)
+      : client_(client), to_(to), stream_(client.loop_),
+        reader_(message_reader::kind::answer,
+                {[this] { on_head(); }, [this](std::string_view bytes) { on_body(bytes); },
+                 [this] { whole_ = true; }}) {
+    stream_.set_events({[this] { on_connected(); },
+                        [this](std::string_view bytes) { on_data(bytes); },
+                        [this](stream_end how) { on_end(how); }});
+  }
+
+  client_connection(const client_connection&) = delete;
+  client_connection& operator=(const client_connection&) = delete;
+
+  ~client_connection() { client_.loop_.cancel(connect_timer_); }
+
+  void connect(milliseconds limit) {
+    connect_timer_ = client_.loop_.once(limit, [this](const moment&) {
+      if (!connected_) {
+        fail_call(call_end::unreachable);
+      }
+    });
+    stream_.connect(to_);
+  }
+
+  void carry(client_call& call) {
+    call_ = &call;
+    call.on_ = this;
+    whole_ = false;
+    ours_ = true;
+    reader_.expect_no_body(call.no_body_);
+    if (connected_) {
+      send();
+    }
+  }
+
+  /// The call is over for its owner; the connection goes with it unless it is clean.
+  void drop_call() {
+    call_ = nullptr;
+    dead_ = true;
+    stream_.abort();
+    client_.remove(this);
+  }
+
+  [[nodiscard]] bool idle() const { return call_ == nullptr && connected_ && !dead_; }
+
+  [[nodiscard]] bool usable(time_point now) const { return idle() && now < idle_until_; }
+
+  [[nodiscard]] bool dead() const { return dead_; }
+
+  [[nodiscard]] const endpoint& to() const { return to_; }
+
+  void retire() {
+    dead_ = true;
+    client_.remove(this);
+  }
+
+ private:
+  void send() {
+    call_->sent_ = true;
+    if (call_->events_.on_sent) {
+      call_->events_.on_sent();
+    }
+    if (call_ != nullptr) {
+      stream_.write(call_->bytes_);
+    }
+  }
+
+  void on_connected() {
+    connected_ = true;
+    client_.loop_.cancel(connect_timer_);
+    if (call_ != nullptr) {
+      send();
+    }
+  }
+
+  void on_head() {
+    const http_answer_head& head = reader_.answer();
+    constexpr int first_final_status = 200;
+    const auto& is_ours = call_->options_.is_ours;
+    ours_ = head.status >= first_final_status && (!is_ours || is_ours(head));
+    if (!ours_) {
+      // An interim answer, or one to an earlier request that came late: passed over.
+      reusable_ = reusable_ && head.status < first_final_status;
+      return;
+    }
+    read_keep_alive(head);
+    if (call_->events_.on_head) {
+      call_->events_.on_head(head);
+    }
+  }
+
+  void on_body(std::string_view bytes) {
+    if (call_ != nullptr && ours_ && call_->events_.on_body) {
+      call_->events_.on_body(bytes);
+    }
+  }
+
+  void read_keep_alive(const http_answer_head& head) {
+    reusable_ = reusable_ && head.keep_alive;
+    idle_time_ = client_.limits_.usual_idle;
+    const std::string_view field = head.fields.get("Keep-Alive");
+    const auto at = field.find("timeout=");
+    if (at == std::string_view::npos) {
+      return;
+    }
+    constexpr std::size_t name_bytes = 8;
+    int stated = 0;
+    const std::string_view digits = field.substr(at + name_bytes);
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), stated).ec == std::errc{}) {
+      idle_time_ = seconds{stated};
+    }
+  }
+
+  void on_data(std::string_view bytes) {
+    if (call_ == nullptr) {
+      // Bytes that belong to no call.
+      retire();
+      return;
+    }
+    while (!bytes.empty() && call_ != nullptr) {
+      const auto progress = reader_.feed(bytes);
+      if (dead_) {
+        return;
+      }
+      if (!progress.fault.empty()) {
+        fail_call(call_end::malformed);
+        return;
+      }
+      bytes.remove_prefix(std::min(progress.consumed, bytes.size()));
+      if (whole_) {
+        finish_message(!bytes.empty());
+        if (dead_) {
+          return;
+        }
+      }
+    }
+  }
+
+  void finish_message(bool more_bytes) {
+    whole_ = false;
+    if (!ours_) {
+      return;
+    }
+    // Bytes of the request that were not taken would be read as the next one's.
+    const bool clean = reusable_ && !more_bytes && stream_.unsent() == 0;
+    client_call* call = std::exchange(call_, nullptr);
+    call->on_ = nullptr;
+    if (clean) {
+      idle_until_ = event_loop::now().boot + idle_time_ - client_.limits_.idle_margin;
+    } else {
+      dead_ = true;
+      client_.remove(this);
+    }
+    call->end(call_end::whole);
+  }
+
+  void on_end(stream_end how) {
+    if (call_ != nullptr && how == stream_end::closed && ours_ && reader_.feed_end() && whole_) {
+      reusable_ = false;
+      finish_message(false);
+      return;
+    }
+    fail_call(connected_ ? call_end::broken : call_end::unreachable);
+  }
+
+  void fail_call(call_end how) {
+    dead_ = true;
+    stream_.abort();
+    client_.remove(this);
+    if (client_call* call = std::exchange(call_, nullptr)) {
+      call->on_ = nullptr;
+      call->end(call->sent_ ? how : call_end::unreachable);
+    }
+  }
+
+  http_client& client_;
+  endpoint to_;
+  tcp_stream stream_;
+  message_reader reader_;
+  client_call* call_ = nullptr;
+  timer_id connect_timer_;
+  milliseconds idle_time_{0};
+  time_point idle_until_{};
+  bool connected_ = false;
+  bool reusable_ = true;
+  bool whole_ = false;
+  bool ours_ = true;
+  bool dead_ = false;
+};
+
+client_call::client_call(event_loop& loop, call_events events, call_options options,
+                         std::string bytes, bool no_body)
+    : loop_(loop), events_(std::move(events)), options_(std::move(options)),
+      bytes_(std::move(bytes)), no_body_(no_body) {
+  timer_ = loop_.once(options_.limit, [this](const moment&) {
+    if (on_ != nullptr) {
+      std::exchange(on_, nullptr)->drop_call();
+    }
+    end(sent_ ? call_end::timed_out : call_end::unreachable);
+  });
+}
+
+client_call::~client_call() {
+  cancel();
+}
+
+void
+client_call::cancel() {
+  ended_ = true;
+  loop_.cancel(timer_);
+  if (on_ != nullptr) {
+    std::exchange(on_, nullptr)->drop_call();
+  }
+}
+
+void
+discard(event_loop& loop, std::unique_ptr<client_call> call) {
+  if (call == nullptr) {
+    return;
+  }
+  call->cancel();
+  loop.once(duration{0}, [held = std::shared_ptr<client_call>{std::move(call)}](const moment&) {});
+}
+
+void
+client_call::end(call_end how) {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  loop_.cancel(timer_);
+  // Moved out, since the owner may destroy this call within.
+  const auto tell = std::move(events_.on_end);
+  if (tell) {
+    tell(how);
+  }
+}
+
+http_client::http_client(event_loop& loop, client_limits limits) : loop_(loop), limits_(limits) {
+  constexpr milliseconds sweep_period{500};
+  sweep_timer_ = loop_.every(sweep_period, [this](const moment& now) { sweep(now); });
+}
+
+http_client::~http_client() {
+  loop_.cancel(sweep_timer_);
+}
+
+client_connection*
+http_client::take_idle(const endpoint& to) {
+  const auto it = connections_.find(to);
+  if (it == connections_.end()) {
+    return nullptr;
+  }
+  const time_point now = event_loop::now().boot;
+  // The one used last is the least likely to be closed by the other end.
+  for (auto row = it->second.rbegin(); row != it->second.rend(); ++row) {
+    if ((*row)->usable(now)) {
+      return row->get();
+    }
+  }
+  return nullptr;
+}
+
+std::unique_ptr<client_call>
+http_client::start(const endpoint& to, std::string bytes, call_events events, call_options options,
+                   bool no_body) {
+  const bool fresh = options.new_connection;
+  const milliseconds connect_limit = std::min(options.connect_limit, options.limit);
+  auto call = std::make_unique<client_call>(loop_, std::move(events), std::move(options),
+                                            std::move(bytes), no_body);
+  if (client_connection* idle = fresh ? nullptr : take_idle(to)) {
+    idle->carry(*call);
+    return call;
+  }
+  auto& all = connections_[to];
+  if (all.size() >= limits_.connections_per_endpoint) {
+    // Told on a later turn, when the owner holds the call.
+    loop_.cancel(call->timer_);
+    call->timer_ = loop_.once(duration{0},
+                              [it = call.get()](const moment&) { it->end(call_end::unreachable); });
+    return call;
+  }
+  all.push_back(std::make_unique<client_connection>(*this, to));
+  opened_++;
+  client_connection* connection = all.back().get();
+  connection->carry(*call);
+  connection->connect(connect_limit);
+  return call;
+}
+
+void
+http_client::forget(const endpoint& to) {
+  const auto it = connections_.find(to);
+  if (it == connections_.end()) {
+    return;
+  }
+  for (auto& connection : it->second) {
+    if (connection->idle()) {
+      connection->retire();
+    }
+  }
+}
+
+void
+http_client::remove(client_connection* connection) {
+  // On a later turn: the connection may be further up the stack.
+  loop_.once(duration{0}, [this, connection, to = connection->to()](const moment&) {
+    const auto it = connections_.find(to);
+    if (it == connections_.end()) {
+      return;
+    }
+    std::erase_if(it->second,
+                  [&](const auto& row) { return row.get() == connection && row->dead(); });
+    if (it->second.empty()) {
+      connections_.erase(it);
+    }
+  });
+}
+
+void
+http_client::sweep(const moment& now) {
+  for (auto& [to, all] : connections_) {
+    for (auto& connection : all) {
+      if (connection->idle() && !connection->usable(now.boot)) {
+        connection->retire();
+      }
+    }
+  }
+}
+
+} // namespace nutmegspur::http1
--- /dev/null
+++ b/src/http1/http_server.cpp
@@ -0,0 +1,135 @@
+// The listening side and the answers.
+#include "http_server.h"
+
+#include "server_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace nutmegspur::http1 {
+
+namespace {
+
+std::string
+format_head(int status, std::string_view reason, const http_fields& fields) {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+  text.append(reason.empty() ? reason_phrase(status) : reason).append("\r\n");
+  for (const auto& [name, value] : fields.all) {
+    if (!is_connection_field(name)) {
+      text.append(name).append(": ").append(value).append("\r\n");
+    }
+  }
+  return text;
+}
+
+} // namespace
+
+void
+exchange::reply(int status, std::string_view reason, const http_fields& fields,
+                std::string_view body) {
+  if (on_ == nullptr) {
+    return;
+  }
+  begun_ = true;
+  const bool keep = !on_->closing();
+  std::string text = format_head(status, reason, fields);
+  constexpr int no_content = 204;
+  constexpr int not_modified = 304;
+  const bool bodiless = status == no_content || status == not_modified;
+  if (!bodiless) {
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  text += keep ? "\r\n" : "Connection: close\r\n\r\n";
+  if (head_.method != "HEAD" && !bodiless) {
+    text.append(body);
+  }
+  server_connection* on = std::exchange(on_, nullptr);
+  on->send(text);
+  on->answer_done(keep);
+}
+
+void
+exchange::begin(int status, std::string_view reason, const http_fields& fields) {
+  if (on_ == nullptr) {
+    return;
+  }
+  begun_ = true;
+  chunked_ = true;
+  std::string text = format_head(status, reason, fields);
+  text += "Transfer-Encoding: chunked\r\n";
+  text += on_->closing() ? "Connection: close\r\n\r\n" : "\r\n";
+  on_->send(text);
+}
+
+void
+exchange::write(std::string_view piece) {
+  if (on_ == nullptr || piece.empty()) {
+    return;
+  }
+  constexpr std::size_t size_digits = 20;
+  std::array<char, size_digits> size{};
+  const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+  std::string text{size.data(), static_cast<std::size_t>(n)};
+  text.append(piece).append("\r\n");
+  on_->send(text);
+}
+
+void
+exchange::finish() {
+  if (on_ == nullptr) {
+    return;
+  }
+  server_connection* on = std::exchange(on_, nullptr);
+  on->send("0\r\n\r\n");
+  on->answer_done(!on->closing());
+}
+
+void
+exchange::abort() {
+  if (on_ == nullptr) {
+    return;
+  }
+  std::exchange(on_, nullptr)->break_off();
+}
+
+std::size_t
+exchange::unsent() const {
+  return on_ == nullptr ? 0 : on_->unsent();
+}
+
+http_server::http_server(event_loop& loop, server_hooks hooks)
+    : loop_(loop), hooks_(std::move(hooks)),
+      listener_(loop, [this](std::unique_ptr<tcp_stream> stream) {
+        auto connection = std::make_unique<server_connection>(*this, std::move(stream));
+        auto* key = connection.get();
+        connections_.emplace(key, std::move(connection));
+      }) {}
+
+http_server::~http_server() = default;
+
+result<void>
+http_server::listen(const endpoint& at) {
+  return listener_.listen(at);
+}
+
+void
+http_server::drain() {
+  draining_ = true;
+  for (auto& [key, connection] : connections_) {
+    connection->drain();
+  }
+}
+
+std::size_t
+http_server::busy() const {
+  return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                [](const auto& it) { return it.second->busy(); }));
+}
+
+void
+http_server::remove(server_connection* which) {
+  connections_.erase(which);
+}
+
+} // namespace nutmegspur::http1
--- /dev/null
+++ b/src/http1/message_reader.cpp
@@ -0,0 +1,259 @@
+// Parsing by http_parser, behind stricter checks of request heads.
+#include "message_reader.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace nutmegspur::http1 {
+
+namespace {
+
+bool
+is_token_char(char c) {
+  constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         others.find(c) != std::string_view::npos;
+}
+
+bool
+is_token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_char);
+}
+
+std::optional<std::string>
+find_request_line_fault(std::string_view line) {
+  const auto first = line.find(' ');
+  const auto last = line.rfind(' ');
+  if (first == std::string_view::npos || first == last || !is_token(line.substr(0, first))) {
+    return "the request line is malformed";
+  }
+  const std::string_view target = line.substr(first + 1, last - first - 1);
+  if (!target.starts_with('/') || target.find(' ') != std::string_view::npos) {
+    return "the request target is no path";
+  }
+  const std::string_view version = line.substr(last + 1);
+  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
+    return "the HTTP version is not supported";
+  }
+  return std::nullopt;
+}
+
+std::string_view
+trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+/// Counts what frames the body.
+struct framing {
+  int lengths = 0;
+  int codings = 0;
+  int hosts = 0;
+};
+
+std::optional<std::string>
+find_field_fault(std::string_view line, framing& seen) {
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) {
+    return "a header field is malformed";
+  }
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = trimmed(line.substr(colon + 1));
+  if (std::any_of(value.begin(), value.end(), [](char c) { return c == '\0' || c == '\r'; })) {
+    return "a header field has a control character";
+  }
+  if (same_field_name(name, "Content-Length")) {
+    seen.lengths++;
+    if (value.empty() ||
+        !std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; })) {
+      return "Content-Length is no number";
+    }
+  } else if (same_field_name(name, "Transfer-Encoding")) {
+    seen.codings++;
+    if (!same_field_name(value, "chunked")) {
+      return "the transfer coding is not supported";
+    }
+  } else if (same_field_name(name, "Host")) {
+    seen.hosts++;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+find_head_end(std::string_view bytes) {
+  const auto at = bytes.find("\r\n\r\n");
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  constexpr std::size_t ending_bytes = 4;
+  return at + ending_bytes;
+}
+
+std::optional<std::string>
+find_head_fault(std::string_view head) {
+  framing seen;
+  bool first = true;
+  while (!head.empty()) {
+    const auto end = head.find("\r\n");
+    if (end == std::string_view::npos || head.substr(0, end).find('\n') != std::string_view::npos) {
+      return "a line does not end with CR LF";
+    }
+    const std::string_view line = head.substr(0, end);
+    head.remove_prefix(end + 2);
+    if (line.empty()) {
+      break;
+    }
+    auto fault = first ? find_request_line_fault(line) : find_field_fault(line, seen);
+    if (fault) {
+      return fault;
+    }
+    first = false;
+  }
+  if (seen.hosts != 1) {
+    return "there must be one Host field";
+  }
+  if (seen.lengths + seen.codings > 1) {
+    return "the length of the body is given twice";
+  }
+  return std::nullopt;
+}
+
+message_reader::message_reader(kind what, reader_events events)
+    : events_(std::move(events)), kind_(what) {
+  http_parser_init(&parser_, what == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+}
+
+void
+message_reader::begin() {
+  in_message_ = true;
+  head_done_ = false;
+  request_ = {};
+  answer_ = {};
+  fields_ = kind_ == kind::request ? &request_.fields : &answer_.fields;
+  value_came_ = true;
+}
+
+void
+message_reader::add_field_name(std::string_view text) {
+  if (value_came_) {
+    fields_->add({}, {});
+    value_came_ = false;
+  }
+  fields_->all.back().first.append(text);
+}
+
+void
+message_reader::finish_head() {
+  head_done_ = true;
+  const bool keep_alive = http_should_keep_alive(&parser_) != 0;
+  if (kind_ == kind::request) {
+    request_.method = http_method_str(static_cast<http_method>(parser_.method));
+    request_.keep_alive = keep_alive;
+  } else {
+    answer_.status = static_cast<int>(parser_.status_code);
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    constexpr int first_final_status = 200;
+    const bool bodiless = no_body_ || answer_.status < first_final_status ||
+                          answer_.status == no_content || answer_.status == not_modified;
+    const bool framed = (parser_.flags & F_CHUNKED) != 0 ||
+                        parser_.content_length != std::numeric_limits<std::uint64_t>::max();
+    answer_.ends_with_connection = !bodiless && !framed;
+    answer_.keep_alive = keep_alive && !answer_.ends_with_connection;
+  }
+  if (events_.on_head) {
+    events_.on_head();
+  }
+}
+
+const http_parser_settings&
+message_reader::callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings to{};
+    to.on_message_begin = [](http_parser* p) {
+      self(p).begin();
+      return 0;
+    };
+    to.on_url = [](http_parser* p, const char* at, std::size_t n) {
+      self(p).request_.target.append(at, n);
+      return 0;
+    };
+    to.on_status = [](http_parser* p, const char* at, std::size_t n) {
+      self(p).answer_.reason.append(at, n);
+      return 0;
+    };
+    to.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+      self(p).add_field_name({at, n});
+      return 0;
+    };
+    to.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+      message_reader& it = self(p);
+      it.value_came_ = true;
+      it.fields_->all.back().second.append(at, n);
+      return 0;
+    };
+    to.on_headers_complete = [](http_parser* p) {
+      self(p).finish_head();
+      return self(p).no_body_ ? 1 : 0;
+    };
+    to.on_body = [](http_parser* p, const char* at, std::size_t n) {
+      if (self(p).events_.on_body) {
+        self(p).events_.on_body({at, n});
+      }
+      return 0;
+    };
+    to.on_message_complete = [](http_parser* p) {
+      self(p).in_message_ = false;
+      // Stops here; the bytes behind belong to another message.
+      http_parser_pause(p, 1);
+      return 0;
+    };
+    return to;
+  }();
+  return settings;
+}
+
+read_progress
+message_reader::feed(std::string_view bytes) {
+  read_progress progress;
+  const bool began = in_message_;
+  progress.consumed = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  const http_errno ec = HTTP_PARSER_ERRNO(&parser_);
+  if (ec == HPE_PAUSED) {
+    http_parser_pause(&parser_, 0);
+    // The parser stops on the last byte of a message, and counts it in.
+    if (!in_message_ && (began || head_done_) && events_.on_end) {
+      events_.on_end();
+    }
+  } else if (ec != HPE_OK) {
+    progress.fault = http_errno_description(ec);
+  } else if (parser_.upgrade != 0) {
+    progress.fault = "the protocol cannot be changed";
+  }
+  return progress;
+}
+
+bool
+message_reader::feed_end() {
+  if (!in_message_) {
+    return false;
+  }
+  http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+  if (in_message_) {
+    return false;
+  }
+  if (events_.on_end) {
+    events_.on_end();
+  }
+  return true;
+}
+
+} // namespace nutmegspur::http1
--- /dev/null
+++ b/src/http1/server_connection.cpp
@@ -0,0 +1,209 @@
+// A caller's connection.
+#include "server_connection.h"
+
+#include <algorithm>
+
+namespace nutmegspur::http1 {
+
+namespace {
+
+/// Bytes of a next request that are taken in while one is in work; more are left to the system.
+constexpr std::size_t most_unread_bytes = 128UL * 1024;
+
+} // namespace
+
+server_connection::server_connection(http_server& server, std::unique_ptr<tcp_stream> stream)
+    : server_(server), stream_(std::move(stream)),
+      reader_(message_reader::kind::request,
+              {{},
+               [this](std::string_view bytes) { body_.append(bytes); },
+               [this] { whole_ = true; }}) {
+  stream_->set_events(
+      {{}, [this](std::string_view bytes) { on_data(bytes); }, [this](stream_end) { on_end(); }});
+  stream_->start_reading();
+  arm(server_.hooks_.limits().idle_timeout);
+}
+
+server_connection::~server_connection() {
+  server_.loop_.cancel(timer_);
+  if (current_ != nullptr) {
+    current_->on_ = nullptr;
+  }
+}
+
+void
+server_connection::arm(milliseconds limit) {
+  server_.loop_.cancel(timer_);
+  timer_ = server_.loop_.once(limit, [this](const moment&) { on_timeout(); });
+}
+
+void
+server_connection::on_timeout() {
+  switch (phase_) {
+  case phase::idle:
+    close();
+    break;
+  case phase::head:
+  case phase::body:
+    refuse(408, "the request did not come in time");
+    break;
+  default:
+    break;
+  }
+}
+
+void
+server_connection::on_data(std::string_view bytes) {
+  unread_.append(bytes);
+  if (phase_ == phase::answering && unread_.size() > most_unread_bytes) {
+    stream_->stop_reading();
+    reading_ = false;
+  }
+  read_on();
+}
+
+void
+server_connection::on_end() {
+  if (current_ != nullptr) {
+    const exchange_ptr gone = std::move(current_);
+    gone->on_ = nullptr;
+    if (gone->on_gone_) {
+      gone->on_gone_();
+    }
+  }
+  close();
+}
+
+void
+server_connection::read_on() {
+  if (phase_ == phase::idle && !unread_.empty()) {
+    phase_ = phase::head;
+    arm(server_.hooks_.limits().head_timeout);
+  }
+  if (phase_ == phase::head) {
+    read_head();
+  }
+  if (phase_ == phase::body) {
+    read_body();
+  }
+}
+
+void
+server_connection::read_head() {
+  const caller_limits limits = server_.hooks_.limits();
+  const auto end = find_head_end(unread_);
+  if (end.value_or(unread_.size()) > limits.max_head_bytes) {
+    refuse(431, "the head is too long");
+    return;
+  }
+  if (!end) {
+    return;
+  }
+  if (const auto fault = find_head_fault(std::string_view{unread_}.substr(0, *end))) {
+    refuse(400, *fault);
+    return;
+  }
+  body_.clear();
+  whole_ = false;
+  const auto progress = reader_.feed(std::string_view{unread_}.substr(0, *end));
+  if (!progress.fault.empty()) {
+    refuse(400, progress.fault);
+    return;
+  }
+  unread_.erase(0, *end);
+  phase_ = phase::body;
+  // A body's bytes may take as long again as the head's; what is slower than that is not read.
+  arm(limits.head_timeout);
+  if (!whole_ && same_field_name(reader_.request().fields.get("Expect"), "100-continue")) {
+    stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void
+server_connection::read_body() {
+  if (!whole_ && !unread_.empty()) {
+    const auto progress = reader_.feed(unread_);
+    if (!progress.fault.empty()) {
+      refuse(400, progress.fault);
+      return;
+    }
+    unread_.erase(0, progress.consumed);
+    arm(server_.hooks_.limits().head_timeout);
+  }
+  if (body_.size() > server_.hooks_.limits().max_body_bytes) {
+    refuse(413, "the body is too long");
+    return;
+  }
+  if (whole_) {
+    dispatch();
+  }
+}
+
+void
+server_connection::dispatch() {
+  server_.loop_.cancel(timer_);
+  phase_ = phase::answering;
+  close_after_ = !reader_.request().keep_alive;
+  auto request = std::make_shared<exchange>(*this, std::move(reader_.request()), std::move(body_),
+                                            event_loop::now());
+  body_.clear();
+  current_ = request;
+  server_.hooks_.on_request(std::move(request));
+}
+
+void
+server_connection::refuse(int status, const std::string& why) {
+  server_.hooks_.on_refused(status, why);
+  const std::string_view reason = reason_phrase(status);
+  stream_->write("HTTP/1.1 " + std::to_string(status) + " " + std::string{reason} +
+                 "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  close();
+}
+
+void
+server_connection::answer_done(bool keep_alive) {
+  current_.reset();
+  if (!keep_alive || closing()) {
+    close();
+    return;
+  }
+  phase_ = phase::idle;
+  if (!reading_) {
+    reading_ = true;
+    stream_->start_reading();
+  }
+  arm(server_.hooks_.limits().idle_timeout);
+  if (!unread_.empty()) {
+    // On a later turn, so that answers given at once do not nest.
+    server_.loop_.cancel(timer_);
+    timer_ = server_.loop_.once(duration{0}, [this](const moment&) { read_on(); });
+  }
+}
+
+void
+server_connection::break_off() {
+  current_.reset();
+  stream_->abort();
+  close();
+}
+
+void
+server_connection::drain() {
+  if (phase_ == phase::idle) {
+    close();
+  }
+}
+
+void
+server_connection::close() {
+  if (phase_ == phase::closed) {
+    return;
+  }
+  phase_ = phase::closed;
+  stream_->stop_reading();
+  server_.loop_.cancel(timer_);
+  server_.loop_.once(duration{0},
+                     [this, &server = server_](const moment&) { server.remove(this); });
+}
+
+} // namespace nutmegspur::http1
--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -7,6 +7,7 @@
 #include <nutmegspur/error.h>
 
 #include <cstdint>
+#include <functional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,6 +34,8 @@
   process_stopped = 103,
   settings_rejected = 104,
   ring_full = 105,
+  settings_reloaded = 106,
+  log_dropped = 107,
   config_applied = 200,
   config_refused = 201,
   key_withdrawn = 202,
@@ -42,6 +45,8 @@
   order_sent = 302,
   order_resolved = 303,
   order_refused = 304,
+  fleet_ordered = 305,
+  fleet_answered = 306,
   usage_sealed = 400,
   usage_reported = 401,
   usage_rejected = 402,
@@ -49,15 +54,22 @@
   request_failed = 501,
   request_resumed = 502,
   claim_conflict = 503,
+  request_placed = 504,
+  request_answered = 505,
+  request_retried = 506,
+  caller_left = 507,
   upstream_added = 600,
   upstream_leaving = 601,
   upstream_gone = 602,
   upstream_failed = 603,
+  upstream_restarted = 604,
+  upstream_unreadable = 605,
   peer_connected = 700,
   peer_lost = 701,
   peer_rejected = 702,
   platform_unreachable = 800,
   platform_reachable = 801,
+  history_lost = 802,
 };
 
 /// One row of the catalogue.
@@ -84,6 +96,11 @@
 /// Writes one line with the step, peer, code and message of `ec` after `fields`.
 void log(log_event number, const error& ec, std::initializer_list<log_field> fields = {});
 
+/// Takes each line in place of glog, for a process that must never wait for its log. Set before
+/// any other thread starts; an empty sink gives the lines to glog again.
+using log_sink = std::function<void(severity, const std::string& line)>;
+void set_log_sink(log_sink sink);
+
 /// The text of a line without time and place, for tests.
 std::string format_log_line(log_event number, std::span<const log_field> fields);
 
--- /dev/null
+++ b/src/include/nutmegspur/http_message.h
@@ -0,0 +1,63 @@
+/// \file http_message.h
+/// Heads of HTTP/1.1 messages (RFC 9112), as parsed or to be sent.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace nutmegspur {
+
+/// Header fields in their order. Names keep their case; lookups ignore it.
+struct http_fields {
+  std::vector<std::pair<std::string, std::string>> all;
+
+  /// The value of the first field called `name`, or empty.
+  [[nodiscard]] std::string_view get(std::string_view name) const;
+  [[nodiscard]] bool has(std::string_view name) const;
+  [[nodiscard]] std::size_t count(std::string_view name) const;
+
+  void add(std::string name, std::string value) {
+    all.emplace_back(std::move(name), std::move(value));
+  }
+};
+
+/// Whether two field names are the same, ignoring ASCII case.
+bool same_field_name(std::string_view a, std::string_view b);
+
+/// Whether `name` concerns one connection only and is not passed on (RFC 9110, 7.6.1), or describes
+/// the framing, which each connection has of its own.
+bool is_connection_field(std::string_view name);
+
+struct http_request_head {
+  std::string method;
+  std::string target; ///< Path and query.
+  http_fields fields;
+  bool keep_alive = true;
+
+  /// The target without its query.
+  [[nodiscard]] std::string_view path() const {
+    return std::string_view{target}.substr(0, target.find('?'));
+  }
+};
+
+struct http_answer_head {
+  int status = 0;
+  std::string reason;
+  http_fields fields;
+  bool keep_alive = true;
+  /// How the body ends: by its length or a last chunk, or only with the connection.
+  bool ends_with_connection = false;
+};
+
+/// The bytes of a request with its body. `Content-Length` is added where there is a body, or where
+/// the method usually has one; connection fields among `fields` are left out.
+std::string format_request(std::string_view method, std::string_view target,
+                           const http_fields& fields, std::string_view body);
+
+/// The usual reason phrase of a status.
+std::string_view reason_phrase(int status);
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/load_view.h
@@ -0,0 +1,80 @@
+/// \file load_view.h
+/// Work that is open at each upstream: this instance's own, exactly, and that of its peers, as they
+/// last told.
+#pragma once
+
+#include <nutmegspur/clock.h>
+#include <nutmegspur/ids.h>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegspur {
+
+/// Open work at one upstream.
+struct upstream_load {
+  std::uint32_t open = 0;    ///< Requests that have no whole answer yet.
+  double backlog_millis = 0; ///< Reading time of prompts whose first token has not come.
+};
+
+/// One row of what an instance tells its peers.
+struct upstream_load_notice {
+  upstream_id upstream;
+  upstream_load load;
+};
+
+/// Own and peers' open work.
+class load_view {
+ public:
+  /// A peer that has told nothing for so long no longer counts.
+  static constexpr milliseconds peer_lifetime{1'000};
+
+  /// A request is sent. Returns its number, for the calls below.
+  std::uint64_t on_sent(const moment& now, const upstream_id& id, double read_millis);
+  /// Its first token came, or nothing more will be read for it.
+  void on_read(const moment& now, std::uint64_t number);
+  /// Its answer is whole, or the attempt has ended otherwise. Unknown numbers are ignored.
+  void on_ended(const moment& now, std::uint64_t number);
+
+  void on_peer(const moment& now, const instance_id& peer, std::vector<upstream_load_notice> loads);
+
+  void forget_peer(const instance_id& peer) { peers_.erase(peer); }
+
+  /// Own work and that of all peers heard lately.
+  [[nodiscard]] upstream_load total(const moment& now, const upstream_id& id) const;
+  /// Own work at every upstream that has any.
+  [[nodiscard]] std::vector<upstream_load_notice> own(const moment& now) const;
+
+  /// All open requests of this instance.
+  [[nodiscard]] std::size_t own_open() const { return sent_.size(); }
+
+ private:
+  struct waiting_prompt {
+    std::uint64_t number = 0;
+    double read_millis = 0;
+  };
+
+  struct own_work {
+    std::uint32_t open = 0;
+    std::deque<waiting_prompt> waiting; ///< In the order sent.
+    /// When the prompt at the front began to be read, as far as can be told.
+    time_point front_since{};
+  };
+
+  struct peer_work {
+    time_point heard{};
+    std::unordered_map<upstream_id, upstream_load> loads;
+  };
+
+  [[nodiscard]] static upstream_load load_of(const moment& now, const own_work& work);
+
+  std::unordered_map<upstream_id, own_work> own_;
+  std::unordered_map<std::uint64_t, upstream_id> sent_;
+  std::unordered_map<instance_id, peer_work> peers_;
+  std::uint64_t last_number_ = 0;
+};
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/peer_notice.h
@@ -0,0 +1,41 @@
+/// \file peer_notice.h
+/// What instances that proxy tell each other by datagram: open work, new cached parts and how far
+/// their configuration is; and usage counts, to the holder of the reporting duty.
+///
+/// Everything is a whole state or repeats, so that a lost datagram does no harm.
+#pragma once
+
+#include <nutmegspur/error.h>
+#include <nutmegspur/ids.h>
+#include <nutmegspur/load_view.h>
+#include <nutmegspur/prompt_cache_view.h>
+#include <nutmegspur/usage_windows.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nutmegspur {
+
+/// One datagram.
+struct peer_notice {
+  instance_id sender;
+  std::int64_t started_ms = 0; ///< Of the sender's process; tells a restart.
+  std::uint64_t sequence = 0;  ///< Grows within a process; older notices are dropped.
+  std::int64_t config_version = 0;
+  revision store; ///< How far the sender has followed the store.
+  bool store_reachable = false;
+  std::vector<upstream_load_notice> loads;
+  std::vector<cached_part_notice> placed; ///< Since about three notices ago.
+  std::vector<usage_window> usage;
+};
+
+/// Longest datagram, in bytes; fits into one UDP datagram over IPv4 with room to spare.
+inline constexpr std::size_t max_notice_bytes = 32'000;
+
+std::string pack_notice(const peer_notice& it);
+/// An error for bytes that are no notice.
+result<peer_notice> unpack_notice(std::string_view bytes);
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/include/nutmegspur/placement.h
@@ -0,0 +1,106 @@
+/// \file placement.h
+/// Where a proxied request goes: the upstream that costs least, or a refusal at once if none can
+/// answer in time.
+///
+/// Costs are in milliseconds: the time until the caller sees the first byte, and the time that the
+/// request takes from others at the upstream.
+#pragma once
+
+#include <nutmegspur/error.h>
+#include <nutmegspur/ids.h>
+#include <nutmegspur/prompt_cache_view.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace nutmegspur {
+
+/// How far an upstream is.
+enum class distance { same_zone, same_region, other_region };
+
+template <> struct enum_names<distance> {
+  static constexpr std::array<enum_name<distance>, 3> table{{
+      {distance::same_zone, "same_zone"},
+      {distance::same_region, "same_region"},
+      {distance::other_region, "other_region"},
+  }};
+};
+
+/// What is known of one upstream at this moment.
+struct placement_candidate {
+  upstream_id id;
+  distance away = distance::same_zone;
+  std::uint32_t open = 0;  ///< Requests that it works on or holds.
+  std::uint32_t slots = 1; ///< Requests that it works on at once.
+  double backlog_millis = 0;
+  std::uint32_t cached_tokens = 0; ///< Leading prompt tokens that it is believed to hold.
+  double failure_share = 0;
+  std::uint64_t home_weight = 0; ///< As the home of the shared part; 0 if nothing is shared.
+};
+
+/// What is asked for.
+struct placement_request {
+  double objective_millis = 0;
+  double remaining_millis = 0; ///< Until the caller gives up or the route's timeout.
+  double body_bytes = 0;
+  bool engine = false;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t shared_tokens = 0;
+  double fixed_millis = 0;     ///< Of the engine, to the first token.
+  double millis_per_token = 0; ///< Of the engine's reading.
+  double service_millis = 0;   ///< Usual work of a plain service's request.
+};
+
+/// Weights of the decision.
+struct placement_weights {
+  /// Network delay there and back. Metropolitan and continental links, as operators' maps have
+  /// them.
+  double same_region_millis = 3;
+  double other_region_millis = 25;
+  /// Price of a kilobyte sent to another region, in milliseconds of a request's time.
+  double region_millis_per_kilobyte = 1.5;
+  /// Part of the engine time that a request takes which counts as cost to others.
+  double crowding = 0.5;
+  /// Price of reading a shared part where it is not held, against its reading time.
+  double reread = 0.5;
+  /// Cost of a certain failure, in objectives.
+  double failure = 3;
+  /// Advantage of the first home of a shared part, in milliseconds; decides between upstreams that
+  /// are alike, so that all instances read a part at the same place.
+  double home_millis = 40;
+  /// A request is refused if its first byte is expected later than this many objectives.
+  double refuse_past_objectives = 2;
+};
+
+/// The choice.
+struct placement {
+  upstream_id upstream;
+  double expected_millis = 0; ///< To the first byte at the caller.
+  double read_millis = 0;     ///< Of the engine's time.
+  std::uint32_t cached_tokens = 0;
+};
+
+/// Why nothing was chosen, and when to come back.
+struct placement_refusal {
+  enum class reason { no_upstream, too_late };
+
+  reason why = reason::no_upstream;
+  double expected_millis = 0;
+  milliseconds retry_after{0};
+};
+
+template <> struct enum_names<placement_refusal::reason> {
+  static constexpr std::array<enum_name<placement_refusal::reason>, 2> table{{
+      {placement_refusal::reason::no_upstream, "no_upstream"},
+      {placement_refusal::reason::too_late, "too_late"},
+  }};
+};
+
+/// Chooses among `candidates`, in any order.
+tl::expected<placement, placement_refusal>
+place_request(const placement_request& wanted, const std::vector<placement_candidate>& candidates,
+              const placement_weights& weights);
+
+} // namespace nutmegspur
--- a/src/include/nutmegspur/retry_budget.h
+++ b/src/include/nutmegspur/retry_budget.h
@@ -10,17 +10,55 @@
 
 namespace nutmegspur {
 
+/// How fast a bucket fills and how much it holds, in thousandths of a retry.
+struct retry_allowance {
+  std::int64_t earned_milli = 100;            ///< Earned by one fresh request.
+  std::int64_t floor_milli_per_second = 1000; ///< Always allowed.
+  std::int64_t most_milli = 20'000;           ///< Most that can be saved up.
+
+  bool operator==(const retry_allowance&) const = default;
+};
+
+/// A bound that holds for all instances together, over a sliding window.
+struct shared_retry_bound {
+  double ratio = 0;        ///< Retries for each fresh request.
+  std::uint32_t floor = 0; ///< Retries in a window beyond the ratio.
+  milliseconds window{10'000};
+};
+
+/// The part of `bound` for one of `instances`: each takes its share of the floor, spread over the
+/// window, and earns by its own fresh requests. What is saved up counts against the floor, so that
+/// a burst after a pause stays within it.
+inline retry_allowance
+allowance_of_instance(const shared_retry_bound& bound, std::size_t instances) {
+  constexpr double milli = 1000;
+  constexpr double millis_per_second = 1000;
+  constexpr double margin = 0.8; // Instances' counts and the judge's windows differ a little.
+  const double floor = bound.floor * milli * margin / std::max<double>(1, instances);
+  const double window_seconds = bound.window.count() / millis_per_second;
+  return {static_cast<std::int64_t>(bound.ratio * milli * margin),
+          static_cast<std::int64_t>(floor / 2 / window_seconds),
+          std::max<std::int64_t>(static_cast<std::int64_t>(floor / 2), 1000)};
+}
+
 /// A bucket of retries, filled by fresh work and by time.
 class retry_budget {
  public:
-  /// Retries earned by one fresh request, in thousandths.
-  static constexpr std::int64_t earned_milli = 100;
-  /// Retries a second that are always allowed, in thousandths.
-  static constexpr std::int64_t floor_milli_per_second = 1000;
-  /// Most that can be saved up, in thousandths.
-  static constexpr std::int64_t most_milli = 20'000;
+  retry_budget() = default;
+
+  explicit retry_budget(const retry_allowance& allowance)
+      : allowance_(allowance),
+        saved_milli_(std::min(first_saved_milli, allowance.most_milli)) {}
 
-  void on_fresh() { saved_milli_ = std::min(saved_milli_ + earned_milli, most_milli); }
+  /// Changes how the bucket fills; what is saved stays, up to the new most.
+  void set_allowance(const retry_allowance& allowance) {
+    allowance_ = allowance;
+    saved_milli_ = std::min(saved_milli_, allowance.most_milli);
+  }
+
+  void on_fresh() {
+    saved_milli_ = std::min(saved_milli_ + allowance_.earned_milli, allowance_.most_milli);
+  }
 
   /// Takes one retry, or says that there is none left.
   bool take(const moment& now) {
@@ -39,14 +77,17 @@
   void refill(const moment& now) {
     if (last_.time_since_epoch().count() != 0) {
       const std::int64_t passed = std::max<std::int64_t>((now.boot - last_).count(), 0);
-      const std::int64_t capped = std::min(passed, most_milli * micros_per_second);
+      const std::int64_t capped = std::min(passed, allowance_.most_milli * micros_per_second);
       saved_milli_ =
-          std::min(saved_milli_ + capped * floor_milli_per_second / micros_per_second, most_milli);
+          std::min(saved_milli_ + capped * allowance_.floor_milli_per_second / micros_per_second,
+                   allowance_.most_milli);
     }
     last_ = now.boot;
   }
 
-  std::int64_t saved_milli_ = 10 * one_retry_milli;
+  retry_allowance allowance_;
+  static constexpr std::int64_t first_saved_milli = 10 * one_retry_milli;
+  std::int64_t saved_milli_ = first_saved_milli;
   time_point last_{};
 };
 
--- /dev/null
+++ b/src/include/nutmegspur/wire_binding.h
@@ -0,0 +1,168 @@
+/// \file wire_binding.h
+/// How proxied traffic and its platform are spoken on the wire: the one interface that an adapter
+/// implements. It translates names and formats and decides nothing.
+///
+/// An adapter registers itself by name in `wire_registry`.
+#pragma once
+
+#include <nutmegspur/fleet_size.h>
+#include <nutmegspur/http_message.h>
+#include <nutmegspur/platform.h>
+#include <nutmegspur/plugin.h>
+#include <nutmegspur/prompt_cache_view.h>
+#include <nutmegspur/proxy_config.h>
+#include <nutmegspur/retry_budget.h>
+#include <nutmegspur/upstream_list.h>
+#include <nutmegspur/usage_windows.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nutmegspur {
+
+/// An IP number and a port.
+struct endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const endpoint&) const = default;
+};
+
+/// "address:port".
+std::string to_text(const endpoint& it);
+/// Reads "address:port"; empty if it is none.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+
+/// What an instance that proxies is told about itself and its platform.
+struct proxy_settings {
+  instance_id instance;
+  zone_id zone;
+  std::string region;
+  std::map<zone_id, std::string> regions; ///< Region of each availability zone.
+  endpoint caller_listen;
+  endpoint ready_listen;
+  endpoint peer_listen; ///< TCP and UDP.
+  std::vector<endpoint> seeds;
+  endpoint store;
+  endpoint platform_interface; ///< Takes usage reports and upstream orders.
+  bool reports_usage = false;
+  bool orders_upstreams = false;
+  milliseconds stop_limit{8'000};    ///< From SIGTERM to the end.
+  milliseconds duty_handover{3'000}; ///< Two holders' calls keep at least this distance.
+  milliseconds usage_window{5'000};
+  milliseconds usage_due{10'000}; ///< After the end of a window.
+  shared_retry_bound retries;
+  std::uint32_t max_descriptors = 1024;
+  std::uint32_t store_value_bytes = 1024U * 1024;
+};
+
+/// A caller's request, as its head says.
+struct caller_request {
+  std::string id;
+  std::string key;
+  std::optional<milliseconds> patience; ///< How long the caller will wait.
+  std::string model;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t output_tokens = 0;
+  std::vector<prompt_part> parts;
+  std::string last_event_id; ///< The caller goes on with a stream after this event.
+};
+
+/// What the proxy itself says to the upstream of an attempt.
+struct forward_fields {
+  upstream_id expected; ///< Another process at that address must not run the request.
+  team_id team;         ///< Empty on routes open to all.
+  milliseconds patience{0};
+  std::string last_event_id; ///< Resume after this event; empty to begin.
+  std::optional<int> rank;   ///< 0 is the most urgent, 9 the least.
+};
+
+/// What an upstream's answer says about itself.
+struct answer_marks {
+  bool not_run = false; ///< The upstream states that it did not run the request.
+  bool signed_by_upstream = false;
+  std::string request_id;
+  std::optional<int> weights_version;
+};
+
+/// A call to the store, the platform or an upstream.
+struct wire_call {
+  std::string method;
+  std::string target;
+  http_fields fields;
+  std::string body;
+};
+
+/// The answer to a waiting watch.
+struct watch_answer {
+  std::vector<kv_change> changes;
+  revision store;
+  bool compacted = false; ///< The history from there on is gone; the keys must be read anew.
+};
+
+/// An order to an engine to change its stage.
+struct stage_order {
+  upstream_id upstream;
+  engine_stage stage = engine_stage::decode;
+  instance_id holder;
+  fence authority;
+};
+
+/// One adapter.
+class wire_binding {
+ public:
+  wire_binding() = default;
+  wire_binding(const wire_binding&) = delete;
+  wire_binding& operator=(const wire_binding&) = delete;
+  virtual ~wire_binding() = default;
+
+  // Settings.
+  /// The environment variable that holds the path of the settings file.
+  [[nodiscard]] virtual std::string settings_variable() const = 0;
+  [[nodiscard]] virtual result<proxy_settings> parse_settings(std::string_view text) const = 0;
+
+  // Key-value service.
+  [[nodiscard]] virtual wire_call store_call(const platform_request& request) const = 0;
+  [[nodiscard]] virtual result<platform_answer>
+  store_answer(const platform_request& request, int status, std::string_view body) const = 0;
+  [[nodiscard]] virtual wire_call watch_call(std::string_view prefix, revision after,
+                                             milliseconds wait) const = 0;
+  [[nodiscard]] virtual result<watch_answer> watch_reply(int status,
+                                                         std::string_view body) const = 0;
+
+  // What operators and upstreams write there.
+  [[nodiscard]] virtual std::string config_key() const = 0;
+  [[nodiscard]] virtual result<proxy_config> parse_config(std::string_view value) const = 0;
+  /// Prefix of the upstreams' keys; the rest of a key is the upstream's id.
+  [[nodiscard]] virtual std::string upstream_prefix() const = 0;
+  [[nodiscard]] virtual result<listed_upstream> parse_upstream(std::string_view key,
+                                                               std::string_view value) const = 0;
+
+  // Requests and answers.
+  [[nodiscard]] virtual result<caller_request>
+  read_request(const http_request_head& head) const = 0;
+  /// The fields that an upstream is sent for `head`: the caller's, without those that only the
+  /// proxy may set, and the proxy's own.
+  [[nodiscard]] virtual http_fields forward(const http_request_head& head,
+                                            const forward_fields& own) const = 0;
+  [[nodiscard]] virtual answer_marks read_answer(const http_answer_head& head) const = 0;
+  /// Fields of the proxy's own answer to request `id`; `retry_after` only with "not run".
+  [[nodiscard]] virtual http_fields own_answer(std::string_view id,
+                                               std::optional<milliseconds> retry_after) const = 0;
+
+  // Duties.
+  [[nodiscard]] virtual wire_call usage_call(const usage_window& window, const instance_id& holder,
+                                             fence authority) const = 0;
+  [[nodiscard]] virtual wire_call fleet_call(const fleet_order& order, const instance_id& holder,
+                                             fence authority) const = 0;
+  [[nodiscard]] virtual order_result fleet_answer(int status) const = 0;
+  [[nodiscard]] virtual wire_call stage_call(const stage_order& order) const = 0;
+};
+
+using wire_registry = plugin_registry<wire_binding>;
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -0,0 +1,48 @@
+// The rules after an attempt has ended.
+#include <nutmegspur/attempt_rules.h>
+
+namespace nutmegspur {
+
+bool
+may_have_run(attempt_end end) {
+  return end != attempt_end::rejected && end != attempt_end::unreachable;
+}
+
+namespace {
+
+bool
+may_repeat(attempt_end end, const attempt_history& history) {
+  if (history.kind == route_kind::repeatable) {
+    return true;
+  }
+  if (history.kind == route_kind::stream && history.resumable) {
+    // A server error is the upstream's own answer to this request; a second run would be asked the
+    // same.
+    return end != attempt_end::server_error;
+  }
+  return !history.may_have_run && !may_have_run(end);
+}
+
+} // namespace
+
+next_step
+after_attempt(attempt_end end, const attempt_history& history) {
+  if (end == attempt_end::answered) {
+    return next_step::pass_on;
+  }
+  const bool attempts_left = history.sent < history.max_attempts;
+  const bool another = attempts_left && history.time_left && history.upstream_left &&
+                       (history.sent == 0 || history.budget_left);
+  if (another && may_repeat(end, history)) {
+    return next_step::retry;
+  }
+  if (history.answer_begun) {
+    return next_step::cut;
+  }
+  if (end == attempt_end::server_error) {
+    return next_step::pass_on;
+  }
+  return history.may_have_run || may_have_run(end) ? next_step::fail : next_step::refuse;
+}
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 31> catalogue{{
+constexpr std::array<log_event_info, 42> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -23,6 +23,10 @@
      "A setting is wrong; the process exits with status 2."},
     {log_event::ring_full, "ring_full", severity::warning,
      "A ring between two threads was full; the work behind it was refused."},
+    {log_event::settings_reloaded, "settings_reloaded", severity::info,
+     "The settings file was read anew."},
+    {log_event::log_dropped, "log_dropped", severity::warning,
+     "Log lines were dropped, because standard output did not take them."},
     {log_event::config_applied, "config_applied", severity::info,
      "A configuration revision is in force here."},
     {log_event::config_refused, "config_refused", severity::error,
@@ -40,6 +44,10 @@
      "What became of an order is known."},
     {log_event::order_refused, "order_refused", severity::warning,
      "An order was held back or refused."},
+    {log_event::fleet_ordered, "fleet_ordered", severity::info,
+     "A number of upstreams was ordered for an availability zone."},
+    {log_event::fleet_answered, "fleet_answered", severity::info,
+     "What the upstream interface made of an order is known."},
     {log_event::usage_sealed, "usage_sealed", severity::info, "A usage window was sealed."},
     {log_event::usage_reported, "usage_reported", severity::info,
      "The usage interface accepted a window."},
@@ -53,12 +61,24 @@
      "A request went on at another upstream."},
     {log_event::claim_conflict, "claim_conflict", severity::info,
      "A call was not run because its idempotency key was already claimed."},
+    {log_event::request_placed, "request_placed", severity::info,
+     "A request was sent to an upstream, with the inputs of the choice."},
+    {log_event::request_answered, "request_answered", severity::info,
+     "An upstream's answer was passed on whole."},
+    {log_event::request_retried, "request_retried", severity::info,
+     "An attempt ended without an answer, and another was decided."},
+    {log_event::caller_left, "caller_left", severity::info,
+     "The caller closed its connection; its attempt was cancelled."},
     {log_event::upstream_added, "upstream_added", severity::info, "An upstream is known."},
     {log_event::upstream_leaving, "upstream_leaving", severity::info,
      "An upstream is leaving and takes no new work."},
     {log_event::upstream_gone, "upstream_gone", severity::info, "An upstream is gone."},
     {log_event::upstream_failed, "upstream_failed", severity::warning,
      "An attempt failed at an upstream."},
+    {log_event::upstream_restarted, "upstream_restarted", severity::info,
+     "Another process is there under an upstream's id; nothing is known of it."},
+    {log_event::upstream_unreadable, "upstream_unreadable", severity::warning,
+     "An upstream's entry cannot be read; it names no upstream to use."},
     {log_event::peer_connected, "peer_connected", severity::info, "A peer connection stands."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
     {log_event::peer_rejected, "peer_rejected", severity::warning,
@@ -67,6 +87,8 @@
      "Calls to the platform fail."},
     {log_event::platform_reachable, "platform_reachable", severity::info,
      "Calls to the platform succeed again."},
+    {log_event::history_lost, "history_lost", severity::warning,
+     "The store has dropped the history that a watch needs; all keys are read anew."},
 }};
 
 const log_event_info&
@@ -91,9 +113,19 @@
   return text + '"';
 }
 
+log_sink&
+current_sink() {
+  static log_sink sink;
+  return sink;
+}
+
 void
 write_line(log_event number, std::span<const log_field> fields) {
   const std::string line = format_log_line(number, fields);
+  if (current_sink()) {
+    current_sink()(info_of(number).level, line);
+    return;
+  }
   switch (info_of(number).level) {
   case severity::info:
     LOG(INFO) << line;
@@ -109,6 +141,11 @@
 
 } // namespace
 
+void
+set_log_sink(log_sink sink) {
+  current_sink() = std::move(sink);
+}
+
 std::span<const log_event_info>
 log_catalogue() {
   return catalogue;
--- /dev/null
+++ b/src/libnutmegspur/load_view.cpp
@@ -0,0 +1,103 @@
+// Open work at upstreams.
+#include <nutmegspur/load_view.h>
+
+#include <algorithm>
+
+namespace nutmegspur {
+
+std::uint64_t
+load_view::on_sent(const moment& now, const upstream_id& id, double read_millis) {
+  const std::uint64_t number = ++last_number_;
+  own_work& work = own_[id];
+  work.open++;
+  if (work.waiting.empty()) {
+    work.front_since = now.boot;
+  }
+  work.waiting.push_back({number, read_millis});
+  sent_.emplace(number, id);
+  return number;
+}
+
+void
+load_view::on_read(const moment& now, std::uint64_t number) {
+  const auto sent = sent_.find(number);
+  if (sent == sent_.end()) {
+    return;
+  }
+  own_work& work = own_[sent->second];
+  const auto it = std::find_if(work.waiting.begin(), work.waiting.end(),
+                               [&](const auto& row) { return row.number == number; });
+  if (it == work.waiting.end()) {
+    return;
+  }
+  work.waiting.erase(it);
+  work.front_since = now.boot;
+}
+
+void
+load_view::on_ended(const moment& now, std::uint64_t number) {
+  on_read(now, number);
+  const auto sent = sent_.find(number);
+  if (sent == sent_.end()) {
+    return;
+  }
+  const auto it = own_.find(sent->second);
+  if (it != own_.end() && --it->second.open == 0) {
+    own_.erase(it);
+  }
+  sent_.erase(sent);
+}
+
+void
+load_view::on_peer(const moment& now, const instance_id& peer,
+                   std::vector<upstream_load_notice> loads) {
+  peer_work& work = peers_[peer];
+  work.heard = now.boot;
+  work.loads.clear();
+  for (auto& it : loads) {
+    work.loads.insert_or_assign(std::move(it.upstream), it.load);
+  }
+}
+
+upstream_load
+load_view::load_of(const moment& now, const own_work& work) {
+  upstream_load sum{work.open, 0};
+  for (const auto& it : work.waiting) {
+    sum.backlog_millis += it.read_millis;
+  }
+  if (!work.waiting.empty()) {
+    const std::chrono::duration<double, std::milli> passed = now.boot - work.front_since;
+    sum.backlog_millis -= std::min(passed.count(), work.waiting.front().read_millis);
+  }
+  return sum;
+}
+
+upstream_load
+load_view::total(const moment& now, const upstream_id& id) const {
+  upstream_load sum;
+  if (const auto it = own_.find(id); it != own_.end()) {
+    sum = load_of(now, it->second);
+  }
+  for (const auto& [peer, work] : peers_) {
+    if (now.boot - work.heard > peer_lifetime) {
+      continue;
+    }
+    if (const auto it = work.loads.find(id); it != work.loads.end()) {
+      sum.open += it->second.open;
+      sum.backlog_millis += it->second.backlog_millis;
+    }
+  }
+  return sum;
+}
+
+std::vector<upstream_load_notice>
+load_view::own(const moment& now) const {
+  std::vector<upstream_load_notice> all;
+  all.reserve(own_.size());
+  for (const auto& [id, work] : own_) {
+    all.push_back({id, load_of(now, work)});
+  }
+  return all;
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -0,0 +1,130 @@
+// Peers' datagrams, as msgpack arrays.
+#include <nutmegspur/peer_notice.h>
+
+#include <msgpack.hpp>
+
+namespace nutmegspur {
+
+namespace {
+
+/// First element of each datagram; a new layout gets a new number.
+constexpr int layout = 1;
+constexpr std::size_t element_count = 10;
+
+template <class Packer>
+void
+pack_usage(Packer& out, const std::vector<usage_window>& windows) {
+  out.pack_array(static_cast<std::uint32_t>(windows.size()));
+  for (const auto& it : windows) {
+    out.pack_array(2);
+    out.pack(it.number);
+    out.pack_map(static_cast<std::uint32_t>(it.counts.size()));
+    for (const auto& [team, n] : it.counts) {
+      out.pack(team.value);
+      out.pack(n);
+    }
+  }
+}
+
+usage_window
+read_usage(const msgpack::object& from) {
+  const auto row = from.as<std::vector<msgpack::object>>();
+  usage_window window;
+  window.number = row.at(0).as<std::int64_t>();
+  for (const auto& [team, n] : row.at(1).as<std::map<std::string, std::uint64_t>>()) {
+    window.counts.emplace(team_id{team}, n);
+  }
+  return window;
+}
+
+upstream_load_notice
+read_load(const msgpack::object& from) {
+  const auto row = from.as<std::vector<msgpack::object>>();
+  return {upstream_id{row.at(0).as<std::string>()},
+          {row.at(1).as<std::uint32_t>(), row.at(2).as<double>()}};
+}
+
+cached_part_notice
+read_placed(const msgpack::object& from) {
+  const auto row = from.as<std::vector<msgpack::object>>();
+  return {upstream_id{row.at(0).as<std::string>()},
+          {row.at(1).as<std::uint64_t>(), row.at(2).as<std::uint32_t>()}};
+}
+
+peer_notice
+read_notice(const msgpack::object& from) {
+  const auto row = from.as<std::vector<msgpack::object>>();
+  peer_notice it;
+  it.sender = instance_id{row.at(1).as<std::string>()};
+  it.started_ms = row.at(2).as<std::int64_t>();
+  it.sequence = row.at(3).as<std::uint64_t>();
+  it.config_version = row.at(4).as<std::int64_t>();
+  it.store = revision{row.at(5).as<std::int64_t>()};
+  it.store_reachable = row.at(6).as<bool>();
+  for (const auto& load : row.at(7).as<std::vector<msgpack::object>>()) {
+    it.loads.push_back(read_load(load));
+  }
+  for (const auto& placed : row.at(8).as<std::vector<msgpack::object>>()) {
+    it.placed.push_back(read_placed(placed));
+  }
+  for (const auto& window : row.at(9).as<std::vector<msgpack::object>>()) {
+    it.usage.push_back(read_usage(window));
+  }
+  return it;
+}
+
+} // namespace
+
+std::string
+pack_notice(const peer_notice& it) {
+  msgpack::sbuffer buf;
+  msgpack::packer<msgpack::sbuffer> out{buf};
+  out.pack_array(element_count);
+  out.pack(layout);
+  out.pack(it.sender.value);
+  out.pack(it.started_ms);
+  out.pack(it.sequence);
+  out.pack(it.config_version);
+  out.pack(it.store.value);
+  out.pack(it.store_reachable);
+  out.pack_array(static_cast<std::uint32_t>(it.loads.size()));
+  for (const auto& load : it.loads) {
+    out.pack_array(3);
+    out.pack(load.upstream.value);
+    out.pack(load.load.open);
+    out.pack(load.load.backlog_millis);
+  }
+  out.pack_array(static_cast<std::uint32_t>(it.placed.size()));
+  for (const auto& placed : it.placed) {
+    out.pack_array(3);
+    out.pack(placed.upstream.value);
+    out.pack(placed.part.chain);
+    out.pack(placed.part.tokens);
+  }
+  pack_usage(out, it.usage);
+  return {buf.data(), buf.size()};
+}
+
+result<peer_notice>
+unpack_notice(std::string_view bytes) {
+  const auto bad = [](const std::string& why) {
+    return fail({error_code::invalid_argument, step::peer_call, "", "no notice: " + why});
+  };
+  if (bytes.size() > max_notice_bytes) {
+    return bad("too long");
+  }
+  // The library throws; nothing leaves this function but a result.
+  try {
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object& top = handle.get();
+    if (top.type != msgpack::type::ARRAY || top.via.array.size != element_count ||
+        top.via.array.ptr[0].as<int>() != layout) {
+      return bad("unknown layout");
+    }
+    return read_notice(top);
+  } catch (const std::exception& ec) {
+    return bad(ec.what());
+  }
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/prompt_cache_view.cpp
@@ -0,0 +1,118 @@
+// Belief about the prompt parts that engines hold.
+#include <nutmegspur/prompt_cache_view.h>
+
+#include <functional>
+
+namespace nutmegspur {
+
+namespace {
+
+/// The finalizer of SplitMix64 (Steele, Lea and Flood, 2014): spreads all bits of `n`.
+std::uint64_t
+mix(std::uint64_t n) {
+  n += 0x9E3779B97F4A7C15ULL;
+  n = (n ^ (n >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+  n = (n ^ (n >> 27U)) * 0x94D049BB133111EBULL;
+  return n ^ (n >> 31U);
+}
+
+/// FNV-1a, 64 bits; unlike std::hash, the same in every process.
+std::uint64_t
+hash_text(std::string_view text) {
+  std::uint64_t hash = 0xCBF29CE484222325ULL;
+  for (const auto byte : text) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001B3ULL;
+  }
+  return hash;
+}
+
+} // namespace
+
+std::uint32_t
+prompt_shape::shared_tokens() const {
+  std::uint32_t sum = 0;
+  for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
+    sum += parts[n].tokens;
+  }
+  return sum;
+}
+
+std::vector<chained_part>
+chain_parts(const std::string& model, const std::vector<prompt_part>& parts) {
+  std::vector<chained_part> chained;
+  chained.reserve(parts.size());
+  std::uint64_t chain = hash_text(model);
+  for (const auto& it : parts) {
+    chain = mix(chain ^ mix(it.id));
+    chained.push_back({chain, it.tokens});
+  }
+  return chained;
+}
+
+std::uint64_t
+home_weight(std::uint64_t chain, const upstream_id& upstream) {
+  return mix(chain ^ hash_text(upstream.value));
+}
+
+std::uint32_t
+prompt_cache_view::cached_tokens(const upstream_id& upstream, const prompt_shape& prompt) const {
+  const auto engine = engines_.find(upstream);
+  if (engine == engines_.end()) {
+    return 0;
+  }
+  std::uint32_t sum = 0;
+  for (const auto& it : prompt.parts) {
+    if (!engine->second.parts.contains(it.chain)) {
+      break;
+    }
+    sum += it.tokens;
+  }
+  return sum;
+}
+
+std::vector<chained_part>
+prompt_cache_view::on_placed(const upstream_id& upstream, const std::vector<chained_part>& parts,
+                             std::uint64_t capacity) {
+  std::vector<chained_part> added;
+  engine_cache& cache = engines_[upstream];
+  for (const auto& it : parts) {
+    const auto held = cache.parts.find(it.chain);
+    if (held != cache.parts.end()) {
+      cache.used.splice(cache.used.end(), cache.used, held->second.used);
+      continue;
+    }
+    cache.used.push_back(it.chain);
+    cache.parts.emplace(it.chain, held_part{it.tokens, std::prev(cache.used.end())});
+    cache.tokens += it.tokens;
+    added.push_back(it);
+  }
+  while (capacity > 0 && cache.tokens > capacity && cache.used.size() > parts.size()) {
+    drop(cache, cache.used.front());
+  }
+  return added;
+}
+
+void
+prompt_cache_view::on_not_read(const upstream_id& upstream,
+                               const std::vector<chained_part>& parts) {
+  const auto engine = engines_.find(upstream);
+  if (engine == engines_.end()) {
+    return;
+  }
+  for (const auto& it : parts) {
+    drop(engine->second, it.chain);
+  }
+}
+
+void
+prompt_cache_view::drop(engine_cache& cache, std::uint64_t chain) {
+  const auto it = cache.parts.find(chain);
+  if (it == cache.parts.end()) {
+    return;
+  }
+  cache.tokens -= it->second.tokens;
+  cache.used.erase(it->second.used);
+  cache.parts.erase(it);
+}
+
+} // namespace nutmegspur
--- a/src/nutmegspur/main.cpp
+++ b/src/nutmegspur/main.cpp
@@ -1,6 +1,7 @@
 // The program `nutmegspur`: picks the command.
 #include "ctl.h"
 #include "entry.h"
+#include "proxy.h"
 
 #include <iostream>
 #include <string>
@@ -12,6 +13,7 @@
 
 commands:
   entry     serve callers on this instance (the daemon)
+  proxy     route requests by host and path on this instance (the daemon on a platform)
   ctl       the operators' client: resources, keys, drains, status
   version   print the version
 
@@ -31,6 +33,9 @@
   if (args.front() == "entry") {
     return static_cast<int>(nutmegspur::run_entry(rest));
   }
+  if (args.front() == "proxy") {
+    return static_cast<int>(nutmegspur::run_proxy(rest));
+  }
   if (args.front() == "ctl") {
     return nutmegspur::run_ctl(rest);
   }
--- /dev/null
+++ b/src/nutmegspur/proxy.cpp
@@ -0,0 +1,166 @@
+// The proxying daemon: reads its settings, runs the loop, obeys signals.
+#include "proxy.h"
+
+#include "log_writer.h"
+#include "proxy_node.h"
+
+#include <cxxopts.hpp>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace nutmegspur {
+
+namespace {
+
+constexpr milliseconds log_flush_period{100};
+
+cxxopts::Options
+describe_options() {
+  cxxopts::Options options{"nutmegspur proxy",
+                           "Routes requests by host and path on one entry instance.\n"
+                           "The platform's adapter names the environment variable with the path "
+                           "of its settings file.\n"};
+  const placement_weights weights;
+  const fleet_policy fleet;
+  auto add = options.add_options();
+  add("h,help", "show this page");
+  add("check", "check the settings and exit: 0 if they are good, 2 if not");
+  add("platform", "adapter of the platform's wire format",
+      cxxopts::value<std::string>()->default_value("fleet_http"));
+  add("settings-file", "path of the settings file, in place of the adapter's variable",
+      cxxopts::value<std::string>());
+  add("refuse-past-objectives",
+      "refuse a request whose first byte is expected later than this many objectives",
+      cxxopts::value<double>()->default_value(std::to_string(weights.refuse_past_objectives)));
+  add("on-demand-share", "on-demand upstreams of a zone, as a share of the most it may have",
+      cxxopts::value<double>()->default_value(std::to_string(fleet.on_demand_share)));
+  add("fleet-share", "upstreams of a zone in all, as a share of the most it may have",
+      cxxopts::value<double>()->default_value(std::to_string(fleet.total_share)));
+  return options;
+}
+
+result<proxy_settings>
+read_settings(const std::string& path, const wire_binding& wire) {
+  std::ifstream file{path};
+  if (!file) {
+    return fail({error_code::not_found, step::settings_parse, "",
+                 "the settings file '" + path + "' cannot be read"});
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return wire.parse_settings(text.str());
+}
+
+/// Checks a share given as a flag.
+result<void>
+check_share(const char* flag, double value) {
+  if (value > 0 && value <= 1) {
+    return {};
+  }
+  return fail({error_code::invalid_argument, step::settings_parse, "",
+               std::string{"--"} + flag + " must be over 0 and at most 1"});
+}
+
+exit_status
+run_node(const std::string& path, const wire_binding& wire, const proxy_settings& settings,
+         const proxy::proxy_options& options) {
+  std::signal(SIGPIPE, SIG_IGN);
+  http1::event_loop loop;
+  proxy::log_writer writer{STDOUT_FILENO};
+  set_log_sink([&writer](severity, const std::string& line) {
+    writer.add(http1::event_loop::now().wall, line);
+  });
+  loop.every(log_flush_period, [&writer](const moment&) {
+    writer.flush();
+    if (const auto n = writer.take_dropped(); n > 0) {
+      log(log_event::log_dropped, {{"lines", std::to_string(n)}});
+    }
+  });
+  exit_status status = exit_status::ok;
+  {
+    proxy::proxy_node node{loop, wire, settings, options};
+    loop.on_signal(SIGTERM, [&node] { node.stop(); });
+    loop.on_signal(SIGINT, [&node] { node.stop(); });
+    loop.on_signal(SIGHUP, [&] {
+      const auto anew = read_settings(path, wire);
+      if (anew) {
+        node.reload(*anew);
+      } else {
+        log(log_event::settings_rejected, anew.error());
+      }
+    });
+    const auto started = node.start();
+    if (started) {
+      log(log_event::process_started, {{"instance", settings.instance.value},
+                                       {"zone", settings.zone.value},
+                                       {"callers", to_text(settings.caller_listen)},
+                                       {"store", to_text(settings.store)}});
+      loop.run();
+    } else {
+      log(log_event::settings_rejected, started.error());
+      status = exit_status::failed;
+    }
+  }
+  writer.flush();
+  set_log_sink({});
+  return status;
+}
+
+} // namespace
+
+exit_status
+run_proxy(std::span<const std::string> args) {
+  cxxopts::Options options = describe_options();
+  std::vector<const char*> argv{"nutmegspur proxy"};
+  for (const auto& it : args) {
+    argv.push_back(it.c_str());
+  }
+  const auto complain = [](const std::string& text) {
+    std::cerr << "nutmegspur proxy: " << text << '\n';
+    return exit_status::usage;
+  };
+  cxxopts::ParseResult parsed;
+  proxy::proxy_options chosen;
+  try {
+    parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return exit_status::ok;
+    }
+    chosen.weights.refuse_past_objectives = parsed["refuse-past-objectives"].as<double>();
+    chosen.fleet.on_demand_share = parsed["on-demand-share"].as<double>();
+    chosen.fleet.total_share = parsed["fleet-share"].as<double>();
+  } catch (const cxxopts::exceptions::exception& ec) {
+    return complain(std::string{ec.what()} + "; see --help");
+  }
+  for (const auto& verdict : {check_share("on-demand-share", chosen.fleet.on_demand_share),
+                              check_share("fleet-share", chosen.fleet.total_share)}) {
+    if (!verdict) {
+      return complain(verdict.error().message);
+    }
+  }
+  const auto wire = wire_registry::instance().make(parsed["platform"].as<std::string>());
+  if (!wire) {
+    return complain(wire.error().message);
+  }
+  const char* variable = std::getenv((*wire)->settings_variable().c_str());
+  const std::string path = parsed.count("settings-file") > 0
+                               ? parsed["settings-file"].as<std::string>()
+                               : std::string{variable == nullptr ? "" : variable};
+  const auto settings = read_settings(path, **wire);
+  if (!settings) {
+    return complain(settings.error().message);
+  }
+  if (parsed.count("check") > 0) {
+    std::cout << "settings are good\n";
+    return exit_status::ok;
+  }
+  return run_node(path, **wire, *settings, chosen);
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/proxy/duty_holder.h
@@ -0,0 +1,82 @@
+/// \file duty_holder.h
+/// The duties that one instance has at a time: usage reports, orders of upstreams, and stages of
+/// engines. They are bound to a lease in the store; the fence is the revision at which it was
+/// taken.
+///
+/// Invariants: nothing is sent without authority that outlasts the call; after a change of holder
+/// nothing is sent until the former holder's calls must have ended; a window is sealed in the store
+/// before it is reported, so that no two reports of it differ.
+#pragma once
+
+#include "http_client.h"
+#include "peer_group.h"
+#include "proxy_state.h"
+#include "store_link.h"
+
+#include <nutmegspur/zone_lease.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace nutmegspur::proxy {
+
+class duty_holder {
+ public:
+  duty_holder(proxy_state& state, http1::http_client& client, store_link& store, peer_group& peers);
+  ~duty_holder();
+  duty_holder(const duty_holder&) = delete;
+  duty_holder& operator=(const duty_holder&) = delete;
+
+  void start();
+  /// Gives the lease up once no call is under way.
+  void stop();
+
+  [[nodiscard]] bool released() const { return lease_.released(); }
+
+ private:
+  enum class seal_phase {
+    unread, ///< What a former holder sealed last is not known yet.
+    idle,
+    sealing,
+    sealed, ///< `sealed_` is in the store and is to be reported.
+    reporting,
+  };
+
+  /// What an answer to a duty's call is given to: the status, or empty if there was none.
+  using call_result = std::function<void(std::optional<int>)>;
+
+  void step(const event& ev);
+  void carry_out(const action_list& actions);
+  void tick(const moment& now);
+  /// The authority that lasts for another call, if there is one and the handover has passed.
+  [[nodiscard]] std::optional<authority> authority_for_call(const moment& now);
+  void send(const endpoint& to, const wire_call& call, call_result on_result);
+
+  void report_usage(const moment& now, const authority& by);
+  void read_sealed();
+  void seal(const usage_window& window, const authority& by);
+  void report(const authority& by);
+  void order_fleet(const moment& now, const authority& by);
+  void order_stages(const moment& now, const authority& by);
+
+  proxy_state& state_;
+  http1::http_client& client_;
+  store_link& store_;
+  peer_group& peers_;
+  zone_lease lease_;
+  fence held_; ///< Of the authority that the members below belong to.
+  time_point held_since_{};
+  seal_phase phase_ = seal_phase::unread;
+  usage_window sealed_;
+  time_point next_report_{};
+  fleet_orders fleet_;
+  std::map<upstream_id, time_point> next_stage_order_;
+  std::map<std::uint64_t, std::unique_ptr<http1::client_call>> calls_;
+  std::uint64_t last_call_ = 0;
+  timer_id timer_;
+};
+
+} // namespace nutmegspur::proxy
--- /dev/null
+++ b/src/proxy/proxy_node.cpp
@@ -0,0 +1,166 @@
+// The parts of an instance, put together.
+#include "proxy_node.h"
+
+#include <algorithm>
+
+namespace nutmegspur::proxy {
+
+namespace {
+
+/// Connections kept and opened to one upstream, at most: all instances share what it accepts.
+constexpr std::size_t upstream_connections = 48;
+constexpr std::size_t platform_connections = 32;
+/// The balancer takes an instance out after two probes, a second apart, that say no.
+constexpr milliseconds balancer_lag{2'600};
+/// Left of the stop's limit for the end itself.
+constexpr milliseconds stop_margin{900};
+constexpr milliseconds stop_poll{50};
+
+std::int64_t
+unix_millis(const moment& now) {
+  return std::chrono::duration_cast<milliseconds>(now.wall.time_since_epoch()).count();
+}
+
+caller_limits
+internal_limits() {
+  return {};
+}
+
+} // namespace
+
+proxy_node::proxy_node(http1::event_loop& loop, const wire_binding& wire, proxy_settings settings,
+                       proxy_options options)
+    : loop_(loop), started_ms_(unix_millis(http1::event_loop::now())),
+      state_(loop, wire, std::move(settings), options),
+      upstream_client_(loop, {upstream_connections}),
+      platform_client_(loop, {platform_connections}),
+      store_(state_, platform_client_, {[this](const registered_instance& entry, bool present) {
+               peers_.on_instance(entry, present);
+             }},
+             started_ms_),
+      peers_(state_, platform_client_, store_, started_ms_),
+      duties_(state_, platform_client_, store_, peers_),
+      caller_server_(
+          loop,
+          {[this](http1::exchange_ptr it) { on_request(std::move(it)); },
+           [this] {
+             return state_.config == nullptr ? caller_limits{} : state_.config->config().limits;
+           },
+           [](int status, const std::string& why) {
+             log(log_event::request_refused, {{"status", std::to_string(status)}, {"why", why}});
+           }}),
+      ready_server_(loop, {[this](const http1::exchange_ptr& it) { on_probe(it); }, internal_limits,
+                           [](int, const std::string&) {}}),
+      peer_server_(loop, {[this](const http1::exchange_ptr& it) { on_peer_request(it); },
+                          internal_limits, [](int, const std::string&) {}}) {}
+
+proxy_node::~proxy_node() = default;
+
+result<void>
+proxy_node::start() {
+  const auto& settings = state_.settings;
+  for (auto* it : {&caller_server_, &ready_server_, &peer_server_}) {
+    const endpoint& at = it == &caller_server_  ? settings.caller_listen
+                         : it == &ready_server_ ? settings.ready_listen
+                                                : settings.peer_listen;
+    if (const auto listening = it->listen(at); !listening) {
+      return listening;
+    }
+  }
+  if (const auto started = peers_.start(); !started) {
+    return started;
+  }
+  store_.start();
+  duties_.start();
+  return {};
+}
+
+bool
+proxy_node::ready() const {
+  return state_.config != nullptr && state_.upstreams_known && !state_.stopping;
+}
+
+void
+proxy_node::on_request(http1::exchange_ptr caller) {
+  auto flow = std::make_unique<request_flow>(
+      state_, upstream_client_, std::move(caller), [this](request_flow* done) {
+        // On a later turn, since it is still further up the stack.
+        loop_.once(duration{0}, [this, done](const moment&) { flows_.erase(done); });
+      });
+  auto* key = flow.get();
+  flows_.emplace(key, std::move(flow));
+  key->start();
+}
+
+void
+proxy_node::on_probe(const http1::exchange_ptr& caller) {
+  constexpr int ok = 200;
+  constexpr int unavailable = 503;
+  const bool now_ready = ready();
+  if (now_ready && !was_ready_) {
+    log(log_event::process_ready, {{"config", std::to_string(state_.config->config().version)}});
+  }
+  was_ready_ = now_ready;
+  caller->reply(now_ready ? ok : unavailable, "", {}, "");
+}
+
+void
+proxy_node::on_peer_request(const http1::exchange_ptr& caller) {
+  constexpr int ok = 200;
+  constexpr int not_found = 404;
+  http_fields fields;
+  if (caller->head().path() == "/store-copy") {
+    fields.add("Content-Type", "application/msgpack");
+    caller->reply(ok, "", fields, pack_copy(store_.copy()));
+  } else if (caller->head().path() == "/metrics") {
+    state_.metrics.get_gauge("nutmegspur_requests_open")
+        .set(static_cast<std::int64_t>(flows_.size()));
+    state_.metrics.get_gauge("nutmegspur_upstream_connections_opened")
+        .set(static_cast<std::int64_t>(upstream_client_.opened()));
+    fields.add("Content-Type", "text/plain; version=0.0.4");
+    caller->reply(ok, "", fields, state_.metrics.render());
+  } else {
+    caller->reply(not_found, "", {}, "");
+  }
+}
+
+void
+proxy_node::stop() {
+  if (state_.stopping) {
+    return;
+  }
+  state_.stopping = true;
+  stop_began_ = http1::event_loop::now().boot;
+  log(log_event::process_stopping, {{"requests", std::to_string(flows_.size())}});
+  duties_.stop();
+  store_.sign_off();
+  loop_.once(balancer_lag, [this](const moment&) { caller_server_.drain(); });
+  loop_.every(stop_poll, [this](const moment&) { finish_stop(); });
+}
+
+void
+proxy_node::finish_stop() {
+  const moment now = http1::event_loop::now();
+  const auto passed = now.boot - stop_began_;
+  const bool idle = flows_.empty() && caller_server_.busy() == 0;
+  if (passed < balancer_lag + milliseconds{400}) {
+    return;
+  }
+  if (idle || passed >= state_.settings.stop_limit - stop_margin) {
+    peers_.tell_all(now);
+    log(log_event::process_stopped, {{"requests", std::to_string(flows_.size())}});
+    loop_.stop();
+  }
+}
+
+void
+proxy_node::reload(const proxy_settings& settings) {
+  state_.settings.retries = settings.retries;
+  state_.settings.stop_limit = settings.stop_limit;
+  state_.settings.seeds = settings.seeds;
+  state_.settings.regions = settings.regions;
+  state_.share_retries();
+  log(log_event::settings_reloaded, {{"instance", settings.instance.value}});
+}
+
+} // namespace nutmegspur::proxy
--- /dev/null
+++ b/src/proxy/proxy_node.h
@@ -0,0 +1,60 @@
+/// \file proxy_node.h
+/// One proxying instance: its listeners, its links to the store and to peers, its duties, and the
+/// requests in work.
+#pragma once
+
+#include "duty_holder.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "log_writer.h"
+#include "peer_group.h"
+#include "proxy_state.h"
+#include "request_flow.h"
+#include "store_link.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace nutmegspur::proxy {
+
+class proxy_node {
+ public:
+  proxy_node(http1::event_loop& loop, const wire_binding& wire, proxy_settings settings,
+             proxy_options options);
+  proxy_node(const proxy_node&) = delete;
+  proxy_node& operator=(const proxy_node&) = delete;
+  ~proxy_node();
+
+  /// Opens all listeners and begins.
+  result<void> start();
+  /// Begins a graceful stop; the loop is stopped when it is done.
+  void stop();
+  /// Takes what may change while running from settings read anew.
+  void reload(const proxy_settings& settings);
+
+ private:
+  void on_request(http1::exchange_ptr caller);
+  void on_probe(const http1::exchange_ptr& caller);
+  void on_peer_request(const http1::exchange_ptr& caller);
+  void finish_stop();
+  [[nodiscard]] bool ready() const;
+
+  http1::event_loop& loop_;
+  std::int64_t started_ms_;
+  proxy_state state_;
+  http1::http_client upstream_client_;
+  http1::http_client platform_client_;
+  store_link store_;
+  peer_group peers_;
+  duty_holder duties_;
+  http1::http_server caller_server_;
+  http1::http_server ready_server_;
+  http1::http_server peer_server_;
+  std::unordered_map<request_flow*, std::unique_ptr<request_flow>> flows_;
+  time_point stop_began_{};
+  bool was_ready_ = false;
+};
+
+} // namespace nutmegspur::proxy
--- /dev/null
+++ b/src/proxy/proxy_state.cpp
@@ -0,0 +1,90 @@
+// Changes of the shared state, each with its log line.
+#include "proxy_state.h"
+
+namespace nutmegspur::proxy {
+
+bool
+proxy_state::apply_config(proxy_config next, std::string_view source) {
+  if (config != nullptr && next.version <= config->config().version) {
+    return false;
+  }
+  const std::string before = config == nullptr ? "none" : std::to_string(config->config().version);
+  log(log_event::config_applied, {{"version", std::to_string(next.version)},
+                                  {"before", before},
+                                  {"source", std::string{source}},
+                                  {"routes", std::to_string(next.routes.size())},
+                                  {"teams", std::to_string(next.teams.size())}});
+  config = std::make_shared<const route_table>(std::move(next));
+  metrics.get_gauge("nutmegspur_config_version").set(config->config().version);
+  return true;
+}
+
+void
+proxy_state::on_upstream_change(const upstream_id& id, upstream_change how,
+                                std::string_view source) {
+  log_event number = log_event::upstream_added;
+  switch (how) {
+  case upstream_change::none:
+  case upstream_change::updated:
+    return;
+  case upstream_change::added:
+    break;
+  case upstream_change::restarted:
+    number = log_event::upstream_restarted;
+    break;
+  case upstream_change::leaving:
+    number = log_event::upstream_leaving;
+    break;
+  case upstream_change::removed:
+    number = log_event::upstream_gone;
+    break;
+  }
+  if (how == upstream_change::restarted || how == upstream_change::removed) {
+    caches.forget(id);
+    health.forget(id);
+  }
+  const auto* it = upstreams.find(id);
+  log(number, {{"upstream", id.value},
+               {"source", std::string{source}},
+               {"zone", it == nullptr ? "" : it->zone.value},
+               {"stage", it == nullptr ? "" : std::string{to_name(it->stage)}},
+               {"reclaimable", it != nullptr && it->reclaimable ? "yes" : "no"}});
+}
+
+retry_budget&
+proxy_state::retries_of(const service_id& service) {
+  const auto it = retry_budgets.find(service);
+  if (it != retry_budgets.end()) {
+    return it->second;
+  }
+  const auto allowance = allowance_of_instance(settings.retries, live_peers + 1);
+  return retry_budgets.emplace(service, retry_budget{allowance}).first->second;
+}
+
+void
+proxy_state::share_retries() {
+  const auto allowance = allowance_of_instance(settings.retries, live_peers + 1);
+  for (auto& [service, budget] : retry_budgets) {
+    budget.set_allowance(allowance);
+  }
+}
+
+std::uint64_t
+proxy_state::cache_tokens_of(const upstream_id& id) const {
+  const auto* it = upstreams.find(id);
+  const auto* service =
+      it == nullptr || config == nullptr ? nullptr : config->find_service(it->service);
+  return service != nullptr && service->engine ? service->engine->cache_tokens : 0;
+}
+
+distance
+proxy_state::distance_to(const zone_id& zone) const {
+  if (zone == settings.zone) {
+    return distance::same_zone;
+  }
+  const auto it = settings.regions.find(zone);
+  const bool same = it != settings.regions.end() && it->second == settings.region;
+  return same ? distance::same_region : distance::other_region;
+}
+
+} // namespace nutmegspur::proxy
--- /dev/null
+++ b/src/proxy/proxy_state.h
@@ -0,0 +1,75 @@
+/// \file proxy_state.h
+/// What the parts of a proxying instance share: its settings, the configuration in force, and the
+/// views of upstreams, load and caches. All of it lives on the loop's thread.
+#pragma once
+
+#include "event_loop.h"
+
+#include <nutmegspur/engine_calibration.h>
+#include <nutmegspur/event_log.h>
+#include <nutmegspur/load_view.h>
+#include <nutmegspur/metrics.h>
+#include <nutmegspur/placement.h>
+#include <nutmegspur/prompt_cache_view.h>
+#include <nutmegspur/retry_budget.h>
+#include <nutmegspur/upstream_health.h>
+#include <nutmegspur/upstream_list.h>
+#include <nutmegspur/usage_windows.h>
+#include <nutmegspur/wire_binding.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace nutmegspur::proxy {
+
+/// What the operator of this process may choose.
+struct proxy_options {
+  placement_weights weights;
+  fleet_policy fleet;
+};
+
+struct proxy_state {
+  proxy_state(http1::event_loop& on, const wire_binding& spoken, proxy_settings given,
+              proxy_options chosen)
+      : loop(on), wire(spoken), settings(std::move(given)), options(chosen),
+        usage(settings.instance, settings.usage_window) {}
+
+  http1::event_loop& loop;
+  const wire_binding& wire;
+  proxy_settings settings;
+  proxy_options options;
+
+  /// Null until one is known. Replaced as a whole, and only by a greater version.
+  std::shared_ptr<const route_table> config;
+  upstream_list upstreams;
+  upstream_health health;
+  load_view loads;
+  prompt_cache_view caches;
+  std::map<service_id, engine_calibration> calibrations;
+  std::map<service_id, retry_budget> retry_budgets;
+  usage_windows usage;
+  metric_registry metrics;
+  /// Parts placed lately, with the time until which peers are told.
+  std::deque<std::pair<time_point, cached_part_notice>> placed;
+
+  /// Other instances heard lately.
+  std::size_t live_peers = 0;
+  bool upstreams_known = false;
+  bool stopping = false;
+
+  /// Takes a configuration if it is newer than the one in force; false if it is not.
+  bool apply_config(proxy_config config, std::string_view source);
+  /// One change of the list, from the store or from a peer.
+  void on_upstream_change(const upstream_id& id, upstream_change how, std::string_view source);
+  [[nodiscard]] retry_budget& retries_of(const service_id& service);
+  /// After the number of instances or the bound has changed.
+  void share_retries();
+  /// Tokens that the engine `id` can hold; 0 if that is not known.
+  [[nodiscard]] std::uint64_t cache_tokens_of(const upstream_id& id) const;
+  [[nodiscard]] distance distance_to(const zone_id& zone) const;
+};
+
+} // namespace nutmegspur::proxy
--- /dev/null
+++ b/src/proxy/request_flow.h
@@ -0,0 +1,111 @@
+/// \file request_flow.h
+/// One caller's request from its arrival to its final answer: it is matched to a route and a team,
+/// placed, sent, tried again where that is allowed, and its answer is passed on as it comes.
+///
+/// Invariant: the caller gets exactly one final answer, or its connection is broken off. The
+/// decisions are those of place_request() and after_attempt(); this class feeds and obeys them.
+#pragma once
+
+#include "event_splitter.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "proxy_state.h"
+
+#include <nutmegspur/attempt_rules.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace nutmegspur::proxy {
+
+class request_flow {
+ public:
+  request_flow(proxy_state& state, http1::http_client& client, http1::exchange_ptr caller,
+               std::function<void(request_flow*)> on_done);
+  request_flow(const request_flow&) = delete;
+  request_flow& operator=(const request_flow&) = delete;
+  ~request_flow();
+
+  /// Begins; may already end within.
+  void start();
+
+ private:
+  /// Of the attempt in work.
+  struct attempt {
+    std::unique_ptr<http1::client_call> call;
+    listed_upstream upstream;
+    placement chosen;
+    moment sent_at{};
+    std::uint64_t load = 0; ///< Its number in the load view.
+    std::vector<chained_part> new_parts;
+    bool alone = false; ///< The engine had nothing else to read when it was sent.
+    bool read = false;  ///< The first byte of its answer's body has come.
+    http_answer_head head;
+    answer_marks marks;
+    std::string body;
+    event_splitter events;
+  };
+
+  // Before an upstream is asked.
+  bool admit();
+  void place();
+  [[nodiscard]] std::vector<placement_candidate> candidates() const;
+  [[nodiscard]] placement_request wanted() const;
+  void send(const placement& chosen);
+  [[nodiscard]] std::string request_bytes(const attempt& to) const;
+  [[nodiscard]] milliseconds attempt_limit() const;
+
+  // What an attempt tells.
+  void on_head(const http_answer_head& head);
+  void on_body(std::string_view bytes);
+  void on_call_end(http1::call_end how);
+  void pass_events();
+  void pass_event(const std::string& event);
+  void note_first_byte();
+  void note_ran(const moment& when);
+
+  // After an attempt, and the end.
+  void end_attempt(attempt_end how);
+  void pass_answer();
+  void refuse(std::string_view why, milliseconds retry_after, double expected_millis);
+  void fail(int status, std::string_view why);
+  void cut(std::string_view why);
+  void answer_error(int status, std::string_view why);
+  void on_gone();
+  void on_deadline();
+  void finish(int status);
+
+  [[nodiscard]] duration left() const;
+
+  [[nodiscard]] bool streaming() const { return route_->kind == route_kind::stream; }
+
+  [[nodiscard]] std::string elapsed_text() const;
+
+  proxy_state& state_;
+  http1::http_client& client_;
+  http1::exchange_ptr caller_;
+  std::function<void(request_flow*)> on_done_;
+
+  std::shared_ptr<const route_table> config_; ///< The one in force on arrival.
+  const proxy_route* route_ = nullptr;
+  const proxy_service* service_ = nullptr;
+  service_id service_name_;
+  team_id team_;
+  caller_request request_;
+  prompt_shape prompt_;
+  time_point deadline_{};
+  timer_id deadline_timer_;
+  timer_id silence_timer_;
+
+  std::optional<attempt> attempt_;
+  std::set<upstream_id> tried_;
+  attempt_history history_;
+  std::string last_event_id_; ///< Of the last event passed on.
+  bool counted_ = false;      ///< In the usage.
+  bool done_ = false;
+};
+
+} // namespace nutmegspur::proxy
