--- a/src/include/nutmegspur/engine_calibration.h
+++ b/src/include/nutmegspur/engine_calibration.h
@@ -8,9 +8,19 @@
 
 namespace nutmegspur {
 
+/// A line: milliseconds to the first token over prompt tokens that are read.
+struct engine_line {
+  double slope = 0; ///< Milliseconds for a token.
+  double fixed = 0; ///< Milliseconds.
+};
+
 /// The fitted line of one service's engines.
 class engine_calibration {
  public:
+  /// Until enough was measured, `guess` stands.
+  explicit engine_calibration(const engine_line& guess)
+      : slope_(guess.slope), fixed_(guess.fixed) {}
+
   /// Learns from an engine that had nothing to read before: `tokens` read, `millis` to the first
   /// token.
   void learn(std::uint32_t tokens, double millis);
@@ -22,10 +32,8 @@
   [[nodiscard]] double fixed_millis() const { return fixed_; }
 
  private:
-  /// Before anything was measured: 25 prompt tokens a millisecond, the pace of a 70-billion
-  /// parameter model that reads prompts between tokens on one accelerator group.
-  double slope_ = 0.04;
-  double fixed_ = 60;
+  double slope_;
+  double fixed_;
   // Decayed sums of weight, x, y, x*x and x*y.
   double weight_ = 0;
   double sum_x_ = 0;
--- a/src/include/nutmegspur/placement.h
+++ b/src/include/nutmegspur/placement.h
@@ -31,15 +31,23 @@
 /// What is known of one upstream at this moment.
 struct placement_candidate {
   upstream_id id;
-  distance away = distance::same_zone;
-  std::uint32_t open = 0;  ///< Requests that it works on or holds.
-  std::uint32_t slots = 1; ///< Requests that it works on at once.
+  zone_id zone;
+  std::string region;
+  distance away = distance::same_zone; ///< From this instance.
+  std::uint32_t open = 0;              ///< Requests that it works on or holds.
+  std::uint32_t slots = 1;             ///< Requests that it works on at once.
   double backlog_millis = 0;
   std::uint32_t cached_tokens = 0; ///< Leading prompt tokens that it is believed to hold.
   double failure_share = 0;
   std::uint64_t home_weight = 0; ///< As the home of the shared part; 0 if nothing is shared.
 };
 
+/// How fast engines of a kind are.
+struct engine_pace {
+  double fixed_millis = 0;     ///< To the first token, or to the end of the reading.
+  double millis_per_token = 0; ///< Of prompt that is read.
+};
+
 /// What is asked for.
 struct placement_request {
   double objective_millis = 0;
@@ -48,9 +56,11 @@
   bool engine = false;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t shared_tokens = 0;
-  double fixed_millis = 0;     ///< Of the engine, to the first token.
-  double millis_per_token = 0; ///< Of the engine's reading.
-  double service_millis = 0;   ///< Usual work of a plain service's request.
+  double gap_objective_millis = 0; ///< Longest pause between events that is on time.
+  double service_millis = 0;       ///< Usual work of a plain service's request.
+  engine_pace mixed;               ///< Of engines that read prompts and make tokens.
+  engine_pace reader;              ///< Of engines that only read prompts.
+  double transfer_millis_per_token = 0; ///< Between engines of a zone.
 };
 
 /// Weights of the decision.
@@ -67,6 +77,13 @@
   double reread = 0.5;
   /// Cost of a certain failure, in objectives.
   double failure = 3;
+  /// Moves between zones and between regions take so much longer than in a zone.
+  double zone_transfer_factor = 2;
+  double region_transfer_factor = 10;
+  /// Cost of a long read at an engine that makes tokens: for each stream there, and for those that
+  /// come, in objectives. Such a read is longer than this share of the allowed pause.
+  double stall_per_stream = 0.5;
+  double stall_share_of_gap = 0.5;
   /// Advantage of the first home of a shared part, in milliseconds; decides between upstreams that
   /// are alike, so that all instances read a part at the same place.
   double home_millis = 40;
@@ -74,12 +91,14 @@
   double refuse_past_objectives = 2;
 };
 
-/// The choice.
+/// The choice: one upstream, or an engine that reads the prompt before another makes the tokens.
 struct placement {
-  upstream_id upstream;
-  double expected_millis = 0; ///< To the first byte at the caller.
-  double read_millis = 0;     ///< Of the engine's time.
-  std::uint32_t cached_tokens = 0;
+  upstream_id upstream;            ///< Answers the caller.
+  double expected_millis = 0;      ///< To the first byte at the caller.
+  double read_millis = 0;          ///< Of `upstream`'s time.
+  std::uint32_t cached_tokens = 0; ///< Where the prompt is read.
+  upstream_id reader;              ///< Reads the prompt first; empty if `upstream` does.
+  double reader_millis = 0;        ///< Of the reader's time.
 };
 
 /// Why nothing was chosen, and when to come back.
@@ -98,9 +117,14 @@
   }};
 };
 
-/// Chooses among `candidates`, in any order.
-tl::expected<placement, placement_refusal>
-place_request(const placement_request& wanted, const std::vector<placement_candidate>& candidates,
-              const placement_weights& weights);
+/// Upstreams that may be chosen, in any order.
+struct placement_field {
+  std::vector<placement_candidate> runners; ///< Plain upstreams, or engines that make tokens.
+  std::vector<placement_candidate> readers; ///< Engines that only read prompts.
+};
+
+tl::expected<placement, placement_refusal> place_request(const placement_request& wanted,
+                                                         const placement_field& field,
+                                                         const placement_weights& weights);
 
 } // namespace nutmegspur
--- a/src/include/nutmegspur/retry_budget.h
+++ b/src/include/nutmegspur/retry_budget.h
@@ -47,8 +47,7 @@
   retry_budget() = default;
 
   explicit retry_budget(const retry_allowance& allowance)
-      : allowance_(allowance),
-        saved_milli_(std::min(first_saved_milli, allowance.most_milli)) {}
+      : allowance_(allowance), saved_milli_(std::min(first_saved_milli, allowance.most_milli)) {}
 
   /// Changes how the bucket fills; what is saved stays, up to the new most.
   void set_allowance(const retry_allowance& allowance) {
--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -72,13 +72,21 @@
   std::string last_event_id; ///< The caller goes on with a stream after this event.
 };
 
+/// The memory of a prompt that an engine has read and keeps for another one to fetch, once.
+struct prompt_handle {
+  endpoint at; ///< The engine that keeps it.
+  std::string id;
+};
+
 /// What the proxy itself says to the upstream of an attempt.
 struct forward_fields {
   upstream_id expected; ///< Another process at that address must not run the request.
   team_id team;         ///< Empty on routes open to all.
   milliseconds patience{0};
-  std::string last_event_id; ///< Resume after this event; empty to begin.
-  std::optional<int> rank;   ///< 0 is the most urgent, 9 the least.
+  std::string last_event_id;         ///< Resume after this event; empty to begin.
+  std::optional<int> rank;           ///< 0 is the most urgent, 9 the least.
+  bool read_only = false;            ///< Only read the prompt, and keep it for another engine.
+  std::optional<prompt_handle> from; ///< Go on from this memory.
 };
 
 /// What an upstream's answer says about itself.
@@ -154,6 +162,11 @@
   [[nodiscard]] virtual http_fields own_answer(std::string_view id,
                                                std::optional<milliseconds> retry_after) const = 0;
 
+  /// The handle's id in the answer of an engine that has read a prompt.
+  [[nodiscard]] virtual result<std::string> read_handle(std::string_view body) const = 0;
+  /// Frees the memory of a handle that nobody will fetch.
+  [[nodiscard]] virtual wire_call free_call(const prompt_handle& handle) const = 0;
+
   // Duties.
   [[nodiscard]] virtual wire_call usage_call(const usage_window& window, const instance_id& holder,
                                              fence authority) const = 0;
--- a/src/libnutmegspur/placement.cpp
+++ b/src/libnutmegspur/placement.cpp
@@ -12,10 +12,12 @@
 constexpr double least_retry_millis = 100;
 constexpr double most_retry_millis = 2'000;
 
+/// Least unfairness between equal engines: a stream there slows the next one a little.
+constexpr double millis_per_open_stream = 1;
+
 struct scored {
+  placement choice;
   double cost = 0;
-  double expected = 0;
-  double read = 0;
 };
 
 double
@@ -31,80 +33,164 @@
   return weights.other_region_millis;
 }
 
+/// What it costs to send the request's bytes to `it`, and that it may fail there.
 double
-transfer_cost(const placement_request& wanted, const placement_candidate& it,
-              const placement_weights& weights) {
-  if (it.away != distance::other_region) {
-    return 0;
+sending_cost(const placement_request& wanted, const placement_candidate& it,
+             const placement_weights& weights) {
+  double cost =
+      network_millis(it, weights) + weights.failure * it.failure_share * wanted.objective_millis;
+  if (it.away == distance::other_region) {
+    cost += weights.region_millis_per_kilobyte * wanted.body_bytes / bytes_per_kilobyte;
   }
-  return weights.region_millis_per_kilobyte * wanted.body_bytes / bytes_per_kilobyte;
+  return cost;
+}
+
+std::uint32_t
+missing(std::uint32_t tokens, std::uint32_t cached) {
+  return tokens - std::min(tokens, cached);
+}
+
+/// Requests past the batch wait for a place; each is taken to need a turn of its own.
+double
+batch_wait(const placement_candidate& it, double turn_millis) {
+  return it.open < it.slots ? 0 : (it.open - it.slots + 1.0) * turn_millis / it.slots;
+}
+
+/// The cost of reading the prompt at `it`, beyond the time until it is done.
+double
+reading_cost(const placement_request& wanted, const placement_candidate& it,
+             const engine_pace& pace, std::uint64_t best_home, const placement_weights& weights) {
+  const double read = missing(wanted.prompt_tokens, it.cached_tokens) * pace.millis_per_token;
+  const double reread = missing(wanted.shared_tokens, it.cached_tokens) * pace.millis_per_token;
+  const bool home = it.home_weight != 0 && it.home_weight == best_home;
+  return weights.crowding * read + weights.reread * reread - (home ? weights.home_millis : 0);
 }
 
 scored
-score_engine(const placement_request& wanted, const placement_candidate& it,
-             const placement_weights& weights) {
-  const std::uint32_t unread =
-      wanted.prompt_tokens - std::min(wanted.prompt_tokens, it.cached_tokens);
-  const std::uint32_t shared_unread =
-      wanted.shared_tokens - std::min(wanted.shared_tokens, it.cached_tokens);
+score_mixed_engine(const placement_request& wanted, const placement_candidate& it,
+                   std::uint64_t best_home, const placement_weights& weights) {
+  const double read =
+      missing(wanted.prompt_tokens, it.cached_tokens) * wanted.mixed.millis_per_token;
   scored result;
-  result.read = unread * wanted.millis_per_token;
-  // Requests past the batch wait for a place; each is taken to need a turn of its own.
-  const double waiting =
-      it.open >= it.slots ? (it.open - it.slots + 1) * wanted.fixed_millis / it.slots : 0;
-  result.expected = it.backlog_millis + waiting + result.read + wanted.fixed_millis;
-  result.cost = result.expected + weights.crowding * result.read +
-                weights.reread * shared_unread * wanted.millis_per_token;
+  result.choice.upstream = it.id;
+  result.choice.cached_tokens = it.cached_tokens;
+  result.choice.read_millis = read;
+  result.choice.expected_millis = it.backlog_millis + batch_wait(it, wanted.mixed.fixed_millis) +
+                                  read + wanted.mixed.fixed_millis + network_millis(it, weights);
+  result.cost = result.choice.expected_millis + sending_cost(wanted, it, weights) -
+                network_millis(it, weights) + millis_per_open_stream * it.open +
+                reading_cost(wanted, it, wanted.mixed, best_home, weights);
+  if (read > weights.stall_share_of_gap * wanted.gap_objective_millis) {
+    result.cost += weights.stall_per_stream * wanted.objective_millis * (1.0 + it.open);
+  }
   return result;
 }
 
 scored
-score_service(const placement_request& wanted, const placement_candidate& it) {
-  const double turns = it.open < it.slots ? 0 : (it.open - it.slots + 1.0) / it.slots;
+score_service(const placement_request& wanted, const placement_candidate& it,
+              const placement_weights& weights) {
   scored result;
-  result.expected = wanted.service_millis * (1 + turns);
+  result.choice.upstream = it.id;
+  result.choice.expected_millis =
+      wanted.service_millis + batch_wait(it, wanted.service_millis) + network_millis(it, weights);
   // Among upstreams with free slots the emptier one goes first.
-  result.cost = result.expected + wanted.service_millis * it.open / it.slots / 2;
+  result.cost = result.choice.expected_millis + sending_cost(wanted, it, weights) -
+                network_millis(it, weights) + wanted.service_millis * it.open / it.slots / 2;
   return result;
 }
 
+double
+transfer_millis(const placement_request& wanted, const placement_candidate& from,
+                const placement_candidate& to, const placement_weights& weights) {
+  const double in_zone = wanted.prompt_tokens * wanted.transfer_millis_per_token;
+  if (from.zone == to.zone) {
+    return in_zone;
+  }
+  return in_zone *
+         (from.region == to.region ? weights.zone_transfer_factor : weights.region_transfer_factor);
+}
+
+scored
+score_split(const placement_request& wanted, const placement_candidate& reader,
+            const placement_candidate& runner, std::uint64_t best_home,
+            const placement_weights& weights) {
+  const double read =
+      missing(wanted.prompt_tokens, reader.cached_tokens) * wanted.reader.millis_per_token;
+  const double move = transfer_millis(wanted, reader, runner, weights);
+  scored result;
+  result.choice.upstream = runner.id;
+  result.choice.reader = reader.id;
+  result.choice.reader_millis = read;
+  result.choice.cached_tokens = reader.cached_tokens;
+  result.choice.expected_millis = reader.backlog_millis + wanted.reader.fixed_millis + read +
+                                  network_millis(reader, weights) + move + runner.backlog_millis +
+                                  batch_wait(runner, wanted.mixed.fixed_millis) +
+                                  network_millis(runner, weights);
+  result.cost = result.choice.expected_millis + sending_cost(wanted, reader, weights) +
+                sending_cost(wanted, runner, weights) - network_millis(reader, weights) -
+                network_millis(runner, weights) + move + millis_per_open_stream * runner.open +
+                reading_cost(wanted, reader, wanted.reader, best_home, weights);
+  return result;
+}
+
+std::uint64_t
+first_home(const std::vector<placement_candidate>& all) {
+  std::uint64_t best = 0;
+  for (const auto& it : all) {
+    best = std::max(best, it.home_weight);
+  }
+  return best;
+}
+
+void
+keep_better(std::optional<scored>& best, const scored& it) {
+  if (!best || it.cost < best->cost) {
+    best = it;
+  }
+}
+
+std::optional<scored>
+best_choice(const placement_request& wanted, const placement_field& field,
+            const placement_weights& weights) {
+  std::optional<scored> best;
+  const std::uint64_t runner_home = first_home(field.runners);
+  for (const auto& it : field.runners) {
+    keep_better(best, wanted.engine ? score_mixed_engine(wanted, it, runner_home, weights)
+                                    : score_service(wanted, it, weights));
+  }
+  if (!wanted.engine) {
+    return best;
+  }
+  const std::uint64_t reader_home = first_home(field.readers);
+  for (const auto& reader : field.readers) {
+    for (const auto& runner : field.runners) {
+      keep_better(best, score_split(wanted, reader, runner, reader_home, weights));
+    }
+  }
+  return best;
+}
+
 } // namespace
 
 tl::expected<placement, placement_refusal>
-place_request(const placement_request& wanted, const std::vector<placement_candidate>& candidates,
+place_request(const placement_request& wanted, const placement_field& field,
               const placement_weights& weights) {
-  const auto home =
-      std::max_element(candidates.begin(), candidates.end(),
-                       [](const auto& a, const auto& b) { return a.home_weight < b.home_weight; });
-  std::optional<placement> best;
-  double best_cost = 0;
-  for (const auto& it : candidates) {
-    scored score = wanted.engine ? score_engine(wanted, it, weights) : score_service(wanted, it);
-    score.expected += network_millis(it, weights);
-    score.cost += network_millis(it, weights) + transfer_cost(wanted, it, weights) +
-                  weights.failure * it.failure_share * wanted.objective_millis;
-    if (it.home_weight != 0 && it.home_weight == home->home_weight) {
-      score.cost -= weights.home_millis;
-    }
-    if (!best || score.cost < best_cost) {
-      best = placement{it.id, score.expected, score.read, it.cached_tokens};
-      best_cost = score.cost;
-    }
-  }
+  const auto best = best_choice(wanted, field, weights);
   if (!best) {
     return tl::unexpected(
         placement_refusal{placement_refusal::reason::no_upstream, 0,
                           milliseconds{static_cast<int>(least_retry_millis) * 5}});
   }
+  const double expected = best->choice.expected_millis;
   const double bound =
       std::min(wanted.remaining_millis, wanted.objective_millis * weights.refuse_past_objectives);
-  if (best->expected_millis > bound) {
-    const double excess = best->expected_millis - wanted.objective_millis;
+  if (expected > bound) {
+    const double excess = expected - wanted.objective_millis;
     return tl::unexpected(placement_refusal{
-        placement_refusal::reason::too_late, best->expected_millis,
+        placement_refusal::reason::too_late, expected,
         milliseconds{static_cast<int>(std::clamp(excess, least_retry_millis, most_retry_millis))}});
   }
-  return *best;
+  return best->choice;
 }
 
 } // namespace nutmegspur
--- a/src/nutmegspur/proxy.cpp
+++ b/src/nutmegspur/proxy.cpp
@@ -41,6 +41,12 @@
       cxxopts::value<double>()->default_value(std::to_string(fleet.on_demand_share)));
   add("fleet-share", "upstreams of a zone in all, as a share of the most it may have",
       cxxopts::value<double>()->default_value(std::to_string(fleet.total_share)));
+  add("reader-share", "part of a zone's engines that only read prompts; 0 for none",
+      cxxopts::value<double>()->default_value(std::to_string(proxy::proxy_options{}.reader_share)));
+  add("crowding", "part of the engine time of a request that counts as cost to others",
+      cxxopts::value<double>()->default_value(std::to_string(weights.crowding)));
+  add("reread", "price of reading a shared part again, against its reading time",
+      cxxopts::value<double>()->default_value(std::to_string(weights.reread)));
   return options;
 }
 
@@ -135,6 +141,9 @@
     chosen.weights.refuse_past_objectives = parsed["refuse-past-objectives"].as<double>();
     chosen.fleet.on_demand_share = parsed["on-demand-share"].as<double>();
     chosen.fleet.total_share = parsed["fleet-share"].as<double>();
+    chosen.reader_share = parsed["reader-share"].as<double>();
+    chosen.weights.crowding = parsed["crowding"].as<double>();
+    chosen.weights.reread = parsed["reread"].as<double>();
   } catch (const cxxopts::exceptions::exception& ec) {
     return complain(std::string{ec.what()} + "; see --help");
   }
--- /dev/null
+++ b/src/proxy/call_set.h
@@ -0,0 +1,46 @@
+/// \file call_set.h
+/// Single calls to the platform, to upstreams and to peers, whose owner wants the whole answer or
+/// the reason why there is none. Ends all of them with itself.
+#pragma once
+
+#include "http_client.h"
+
+#include <nutmegspur/wire_binding.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace nutmegspur::proxy {
+
+/// How a single call ended.
+struct call_outcome {
+  http1::call_end end = http1::call_end::unreachable;
+  int status = 0; ///< Meaningful where `end` is `whole`, as is the body.
+  std::string body;
+  moment asked_at{};
+
+  [[nodiscard]] bool whole() const { return end == http1::call_end::whole; }
+};
+
+class call_set {
+ public:
+  using handler = std::function<void(const call_outcome&)>;
+
+  call_set(http1::event_loop& loop, http1::http_client& client) : loop_(loop), client_(client) {}
+
+  /// Sends `call` once. `on_end` comes after at most `limit`, on a later turn of the loop.
+  void send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end);
+
+  [[nodiscard]] bool empty() const { return calls_.empty(); }
+
+ private:
+  http1::event_loop& loop_;
+  http1::http_client& client_;
+  std::map<std::uint64_t, std::unique_ptr<http1::client_call>> calls_;
+  std::uint64_t last_number_ = 0;
+};
+
+} // namespace nutmegspur::proxy
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -20,8 +20,6 @@
 /// Instances have told their counts of a window by this time after its end.
 constexpr milliseconds usage_settle{2'500};
 constexpr milliseconds report_retry{700};
-/// An engine whose stage does not change is ordered again after this.
-constexpr milliseconds stage_repeat{8'000};
 
 std::string
 to_record(const usage_window& window) {
@@ -52,11 +50,12 @@
 
 duty_holder::duty_holder(proxy_state& state, http1::http_client& client, store_link& store,
                          peer_group& peers)
-    : state_(state), client_(client), store_(store), peers_(peers),
+    : state_(state), store_(store), peers_(peers),
       lease_({state.settings.instance, duties_name, lease_ttl},
              {[this] { return peers_.rank(http1::event_loop::now()); },
               [this] { return !calls_.empty(); }}),
-      fleet_(state.options.fleet) {}
+      fleet_(state.options.fleet), stages_(state.options.reader_share), calls_(state.loop, client) {
+}
 
 duty_holder::~duty_holder() {
   state_.loop.cancel(timer_);
@@ -107,7 +106,6 @@
     held_since_ = now.boot;
     phase_ = seal_phase::unread;
     fleet_.reset();
-    next_stage_order_.clear();
   }
   // The former holder's last call has ended, and its turn is over, once the handover has passed.
   if (now.boot - held_since_ < state_.settings.duty_handover || by->until - now.boot < call_limit) {
@@ -135,24 +133,9 @@
 
 void
 duty_holder::send(const endpoint& to, const wire_call& call, call_result on_result) {
-  const std::uint64_t number = ++last_call_;
-  const auto status = std::make_shared<std::optional<int>>();
-  http_fields fields = call.fields;
-  fields.add("Host", to_text(to));
-  http1::call_options options;
-  options.limit = call_limit;
-  options.connect_limit = call_limit;
-  calls_[number] =
-      client_.start(to, format_request(call.method, call.target, fields, call.body),
-                    {{},
-                     [status](const http_answer_head& head) { *status = head.status; },
-                     {},
-                     [this, number, status, on_result](http1::call_end how) {
-                       http1::discard(state_.loop, std::move(calls_[number]));
-                       calls_.erase(number);
-                       on_result(how == http1::call_end::whole ? *status : std::nullopt);
-                     }},
-                    options);
+  calls_.send(to, call, call_limit, [tell = std::move(on_result)](const call_outcome& ended) {
+    tell(ended.whole() ? std::optional{ended.status} : std::nullopt);
+  });
 }
 
 void
@@ -285,31 +268,38 @@
 
 void
 duty_holder::order_stages(const moment& now, const authority& by) {
-  // Engines that read prompts only would move each prompt's memory to another engine; engines that
-  // do both find shared parts in their own. All are ordered to the same stage, so no two orders to
-  // an engine ever conflict.
   for (const auto& service : state_.config->config().services) {
     if (!service.engine) {
       continue;
     }
+    std::map<zone_id, std::vector<const listed_upstream*>> zones;
     for (const auto* it : state_.upstreams.usable_of(service.name)) {
-      auto& next = next_stage_order_[it->id];
-      if (it->stage != engine_stage::prefill || now.boot < next) {
-        continue;
+      zones[it->zone].push_back(it);
+    }
+    for (const auto& [zone, engines] : zones) {
+      for (const auto& change : stages_.step(now, engines)) {
+        order_stage(change, by);
       }
-      next = now.boot + stage_repeat;
-      const stage_order order{it->id, engine_stage::decode, state_.settings.instance, by.number};
-      log(log_event::order_sent, {{"upstream", it->id.value},
-                                  {"stage", std::string{to_name(order.stage)}},
-                                  {"fence", std::to_string(by.number.value)}});
-      send({it->address, it->port}, state_.wire.stage_call(order),
-           [id = it->id](std::optional<int> status) {
-             log(log_event::order_resolved,
-                 {{"upstream", id.value},
-                  {"status", status ? std::to_string(*status) : "no answer"}});
-           });
     }
   }
 }
 
+void
+duty_holder::order_stage(const stage_change& change, const authority& by) {
+  const auto* upstream = state_.upstreams.usable(change.upstream);
+  if (upstream == nullptr) {
+    return;
+  }
+  const stage_order order{change.upstream, change.wanted, state_.settings.instance, by.number};
+  log(log_event::order_sent, {{"upstream", change.upstream.value},
+                              {"zone", upstream->zone.value},
+                              {"stage", std::string{to_name(change.wanted)}},
+                              {"fence", std::to_string(by.number.value)}});
+  send({upstream->address, upstream->port}, state_.wire.stage_call(order),
+       [id = change.upstream](std::optional<int> status) {
+         log(log_event::order_resolved,
+             {{"upstream", id.value}, {"status", status ? std::to_string(*status) : "no answer"}});
+       });
+}
+
 } // namespace nutmegspur::proxy
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -8,11 +8,12 @@
 /// before it is reported, so that no two reports of it differ.
 #pragma once
 
-#include "http_client.h"
+#include "call_set.h"
 #include "peer_group.h"
 #include "proxy_state.h"
 #include "store_link.h"
 
+#include <nutmegspur/stage_plan.h>
 #include <nutmegspur/zone_lease.h>
 
 #include <cstdint>
@@ -61,9 +62,9 @@
   void report(const authority& by);
   void order_fleet(const moment& now, const authority& by);
   void order_stages(const moment& now, const authority& by);
+  void order_stage(const stage_change& change, const authority& by);
 
   proxy_state& state_;
-  http1::http_client& client_;
   store_link& store_;
   peer_group& peers_;
   zone_lease lease_;
@@ -73,9 +74,8 @@
   usage_window sealed_;
   time_point next_report_{};
   fleet_orders fleet_;
-  std::map<upstream_id, time_point> next_stage_order_;
-  std::map<std::uint64_t, std::unique_ptr<http1::client_call>> calls_;
-  std::uint64_t last_call_ = 0;
+  stage_plan stages_;
+  call_set calls_;
   timer_id timer_;
 };
 
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -21,7 +21,7 @@
 
 peer_group::peer_group(proxy_state& state, http1::http_client& client, store_link& store,
                        std::int64_t started_ms)
-    : state_(state), client_(client), store_(store), started_ms_(started_ms),
+    : state_(state), calls_(state.loop, client), store_(store), started_ms_(started_ms),
       socket_(state.loop,
               [this](std::string_view bytes, const endpoint& from) { on_datagram(bytes, from); }) {}
 
@@ -215,34 +215,21 @@
 
 void
 peer_group::ask_for_copy(const instance_id& name, const endpoint& at) {
-  if (copy_call_ != nullptr) {
+  if (!calls_.empty()) {
     return;
   }
-  copy_body_.clear();
-  http_fields fields;
-  fields.add("Host", to_text(at));
-  http1::call_options options;
-  options.limit = copy_limit;
-  copy_call_ =
-      client_.start(at, format_request("GET", "/store-copy", fields, ""),
-                    {{},
-                     {},
-                     [this](std::string_view bytes) { copy_body_.append(bytes); },
-                     [this, name](http1::call_end how) {
-                       http1::discard(state_.loop, std::move(copy_call_));
-                       copy_call_ = nullptr;
-                       const auto copy =
-                           how == http1::call_end::whole
-                               ? unpack_copy(copy_body_)
-                               : result<store_copy>{fail({error_code::unavailable, step::peer_call,
-                                                          name.value, "no answer"})};
-                       if (!copy) {
-                         log(log_event::peer_rejected, copy.error());
-                         return;
-                       }
-                       store_.take_copy(*copy, name);
-                     }},
-                    options);
+  calls_.send(
+      at, {"GET", "/store-copy", {}, {}}, copy_limit, [this, name](const call_outcome& ended) {
+        const auto copy = ended.whole()
+                              ? unpack_copy(ended.body)
+                              : result<store_copy>{fail({error_code::unavailable, step::peer_call,
+                                                         name.value, "no answer"})};
+        if (!copy) {
+          log(log_event::peer_rejected, copy.error());
+          return;
+        }
+        store_.take_copy(*copy, name);
+      });
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -3,7 +3,7 @@
 /// their copy of the store while this one cannot reach it.
 #pragma once
 
-#include "http_client.h"
+#include "call_set.h"
 #include "proxy_state.h"
 #include "store_link.h"
 
@@ -52,7 +52,7 @@
   [[nodiscard]] bool live(const moment& now, const peer& it) const;
 
   proxy_state& state_;
-  http1::http_client& client_;
+  call_set calls_;
   store_link& store_;
   std::int64_t started_ms_;
   http1::udp_socket socket_;
@@ -60,8 +60,6 @@
   std::uint64_t sequence_ = 0;
   time_point next_tell_{};
   std::optional<instance_id> usage_holder_;
-  std::unique_ptr<http1::client_call> copy_call_;
-  std::string copy_body_;
 };
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -33,7 +33,7 @@
     : loop_(loop), started_ms_(unix_millis(http1::event_loop::now())),
       state_(loop, wire, std::move(settings), options),
       upstream_client_(loop, {upstream_connections}),
-      platform_client_(loop, {platform_connections}),
+      platform_client_(loop, {platform_connections}), aside_(loop, upstream_client_),
       store_(state_, platform_client_, {[this](const registered_instance& entry, bool present) {
                peers_.on_instance(entry, present);
              }},
@@ -83,7 +83,7 @@
 void
 proxy_node::on_request(http1::exchange_ptr caller) {
   auto flow = std::make_unique<request_flow>(
-      state_, upstream_client_, std::move(caller), [this](request_flow* done) {
+      state_, upstream_client_, aside_, std::move(caller), [this](request_flow* done) {
         // On a later turn, since it is still further up the stack.
         loop_.once(duration{0}, [this, done](const moment&) { flows_.erase(done); });
       });
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -46,6 +46,7 @@
   proxy_state state_;
   http1::http_client upstream_client_;
   http1::http_client platform_client_;
+  call_set aside_;
   store_link store_;
   peer_group peers_;
   duty_holder duties_;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -25,10 +25,19 @@
 
 namespace nutmegspur::proxy {
 
+/// How fast a service's engines are, by what they do.
+struct engine_calibrations {
+  /// Before anything was measured: 25 and 50 prompt tokens a millisecond, the pace of a model of
+  /// 70 billion parameters on a group of current accelerators, with and without tokens between.
+  engine_calibration mixed{{0.04, 60}};
+  engine_calibration reader{{0.02, 50}};
+};
+
 /// What the operator of this process may choose.
 struct proxy_options {
   placement_weights weights;
   fleet_policy fleet;
+  double reader_share = 0.5; ///< Part of a zone's engines that only read prompts.
 };
 
 struct proxy_state {
@@ -48,7 +57,7 @@
   upstream_health health;
   load_view loads;
   prompt_cache_view caches;
-  std::map<service_id, engine_calibration> calibrations;
+  std::map<service_id, engine_calibrations> calibrations;
   std::map<service_id, retry_budget> retry_budgets;
   usage_windows usage;
   metric_registry metrics;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -52,9 +52,10 @@
 
 } // namespace
 
-request_flow::request_flow(proxy_state& state, http1::http_client& client,
+request_flow::request_flow(proxy_state& state, http1::http_client& client, call_set& aside,
                            http1::exchange_ptr caller, std::function<void(request_flow*)> on_done)
-    : state_(state), client_(client), caller_(std::move(caller)), on_done_(std::move(on_done)) {}
+    : state_(state), client_(client), aside_(aside), caller_(std::move(caller)),
+      on_done_(std::move(on_done)) {}
 
 request_flow::~request_flow() {
   state_.loop.cancel(deadline_timer_);
@@ -128,29 +129,42 @@
   return true;
 }
 
-std::vector<placement_candidate>
+placement_candidate
+request_flow::candidate(const moment& now, const listed_upstream& it) const {
+  const upstream_load load = state_.loads.total(now, it.id);
+  const std::uint64_t chain = prompt_.shared_chain();
+  placement_candidate to;
+  to.id = it.id;
+  to.zone = it.zone;
+  if (const auto region = state_.settings.regions.find(it.zone);
+      region != state_.settings.regions.end()) {
+    to.region = region->second;
+  }
+  to.away = state_.distance_to(it.zone);
+  to.open = load.open;
+  to.slots = it.slots;
+  to.backlog_millis = load.backlog_millis;
+  to.cached_tokens = state_.caches.cached_tokens(it.id, prompt_);
+  to.failure_share = state_.health.failure_share(it.id);
+  to.home_weight = chain == 0 ? 0 : home_weight(chain, it.id);
+  return to;
+}
+
+placement_field
 request_flow::candidates() const {
-  std::vector<placement_candidate> all;
+  placement_field field;
   const moment now = http1::event_loop::now();
-  const std::uint64_t chain = prompt_.shared_chain();
   for (const auto* it : state_.upstreams.usable_of(service_name_)) {
-    if (it->stage == engine_stage::prefill || tried_.contains(it->id) ||
-        !state_.health.allows(now, it->id)) {
+    if (tried_.contains(it->id) || !state_.health.allows(now, it->id)) {
       continue;
     }
-    const upstream_load load = state_.loads.total(now, it->id);
-    placement_candidate to;
-    to.id = it->id;
-    to.away = state_.distance_to(it->zone);
-    to.open = load.open;
-    to.slots = it->slots;
-    to.backlog_millis = load.backlog_millis;
-    to.cached_tokens = state_.caches.cached_tokens(it->id, prompt_);
-    to.failure_share = state_.health.failure_share(it->id);
-    to.home_weight = chain == 0 ? 0 : home_weight(chain, it->id);
-    all.push_back(to);
+    if (it->stage != engine_stage::prefill) {
+      field.runners.push_back(candidate(now, *it));
+    } else if (!split_failed_ && !history_.answer_begun) {
+      field.readers.push_back(candidate(now, *it));
+    }
   }
-  return all;
+  return field;
 }
 
 placement_request
@@ -162,25 +176,28 @@
   to.engine = service_ != nullptr && service_->engine.has_value();
   to.prompt_tokens = prompt_.prompt_tokens;
   to.shared_tokens = prompt_.shared_tokens();
+  to.gap_objective_millis = static_cast<double>(route_->gap_objective.count());
   to.service_millis = usual_service_millis;
   if (to.engine) {
-    const auto& line = state_.calibrations[service_name_];
-    to.fixed_millis = line.fixed_millis();
-    to.millis_per_token = line.read_millis(1);
+    const auto& pace = state_.calibrations[service_name_];
+    to.mixed = {pace.mixed.fixed_millis(), pace.mixed.read_millis(1)};
+    to.reader = {pace.reader.fixed_millis(), pace.reader.read_millis(1)};
+    to.transfer_millis_per_token = service_->engine->transfer_millis_per_token;
   }
   return to;
 }
 
 void
 request_flow::place() {
-  auto all = candidates();
-  if (all.empty() && !tried_.empty() && route_->kind == route_kind::repeatable) {
+  auto field = candidates();
+  if (field.runners.empty() && !tried_.empty() && route_->kind == route_kind::repeatable) {
     tried_.clear();
-    all = candidates();
+    field = candidates();
   }
-  const auto chosen = place_request(wanted(), all, state_.options.weights);
+  const auto chosen = place_request(wanted(), field, state_.options.weights);
   if (chosen) {
-    send(*chosen);
+    plan_ = *chosen;
+    begin_plan();
     return;
   }
   const auto& refusal = chosen.error();
@@ -193,6 +210,25 @@
   }
 }
 
+void
+request_flow::begin_plan() {
+  const bool split = !plan_.reader.empty();
+  log(log_event::request_placed, {{"request", request_.id},
+                                  {"route", route_->name},
+                                  {"upstream", plan_.upstream.value},
+                                  {"reader", plan_.reader.value},
+                                  {"attempt", std::to_string(history_.sent + 1)},
+                                  {"expected_ms", rounded(plan_.expected_millis)},
+                                  {"prompt", std::to_string(prompt_.prompt_tokens)},
+                                  {"cached", std::to_string(plan_.cached_tokens)},
+                                  {"config", std::to_string(config_->config().version)}});
+  if (split) {
+    send(task::reading, plan_.reader, plan_.reader_millis);
+  } else {
+    send(task::whole, plan_.upstream, plan_.read_millis);
+  }
+}
+
 milliseconds
 request_flow::attempt_limit() const {
   const auto rest = std::chrono::ceil<milliseconds>(left());
@@ -215,19 +251,23 @@
       std::chrono::floor<milliseconds>(http1::event_loop::now().boot - caller_->arrived().boot);
   own.patience = std::max(patience - passed, milliseconds{1});
   own.last_event_id = history_.answer_begun ? last_event_id_ : "";
+  own.read_only = to.asked == task::reading;
+  if (to.asked == task::going_on) {
+    own.from = handle_;
+  }
   const http_fields fields = state_.wire.forward(caller_->head(), own);
   return format_request(caller_->head().method, caller_->head().target, fields, caller_->body());
 }
 
 void
-request_flow::send(const placement& chosen) {
-  const auto* upstream = state_.upstreams.usable(chosen.upstream);
+request_flow::send(task asked, const upstream_id& to, double read_millis) {
+  const auto* upstream = state_.upstreams.usable(to);
   attempt& it = attempt_.emplace();
+  it.asked = asked;
   it.upstream = *upstream;
-  it.chosen = chosen;
   it.sent_at = http1::event_loop::now();
   it.alone = state_.loads.total(it.sent_at, it.upstream.id).backlog_millis <= 0;
-  it.load = state_.loads.on_sent(it.sent_at, it.upstream.id, chosen.read_millis);
+  it.load = state_.loads.on_sent(it.sent_at, it.upstream.id, read_millis);
   state_.health.on_sent(it.sent_at, it.upstream.id);
   if (service_ != nullptr && service_->engine) {
     it.new_parts =
@@ -237,15 +277,9 @@
                                  cached_part_notice{it.upstream.id, part});
     }
   }
-  tried_.insert(it.upstream.id);
-  log(log_event::request_placed, {{"request", request_.id},
-                                  {"route", route_->name},
-                                  {"upstream", it.upstream.id.value},
-                                  {"attempt", std::to_string(history_.sent + 1)},
-                                  {"expected_ms", rounded(chosen.expected_millis)},
-                                  {"prompt", std::to_string(prompt_.prompt_tokens)},
-                                  {"cached", std::to_string(chosen.cached_tokens)},
-                                  {"config", std::to_string(config_->config().version)}});
+  if (asked != task::reading) {
+    tried_.insert(it.upstream.id);
+  }
   http1::call_options options;
   options.limit = attempt_limit();
   options.is_ours = [this](const http_answer_head& head) {
@@ -253,7 +287,7 @@
     return marks.request_id.empty() || marks.request_id == request_.id;
   };
   it.call = client_.start({it.upstream.address, it.upstream.port}, request_bytes(it),
-                          {[this] { history_.sent++; },
+                          {[this] { history_.sent += attempt_->asked == task::reading ? 0 : 1; },
                            [this](const http_answer_head& head) { on_head(head); },
                            [this](std::string_view bytes) { on_body(bytes); },
                            [this](http1::call_end how) { on_call_end(how); }},
@@ -272,6 +306,9 @@
 request_flow::on_head(const http_answer_head& head) {
   attempt_->head = head;
   attempt_->marks = state_.wire.read_answer(head);
+  if (attempt_->asked == task::going_on) {
+    handle_.reset(); // Taken, or gone.
+  }
   if (!streaming() && !attempt_->marks.not_run) {
     note_ran(attempt_->sent_at);
   }
@@ -289,13 +326,24 @@
   if (it.marks.not_run || it.head.status >= 300 || !streaming()) {
     return;
   }
-  note_ran(now);
-  if (it.alone && service_ != nullptr && service_->engine && !history_.answer_begun) {
-    const std::chrono::duration<double, std::milli> passed = now.boot - it.sent_at.boot;
-    const std::uint32_t unread =
-        prompt_.prompt_tokens - std::min(prompt_.prompt_tokens, it.chosen.cached_tokens);
-    state_.calibrations[service_name_].learn(unread, passed.count());
+  learn_pace(now);
+  if (it.asked != task::reading) {
+    note_ran(now);
+  }
+}
+
+void
+request_flow::learn_pace(const moment& now) {
+  const attempt& it = *attempt_;
+  if (!it.alone || service_ == nullptr || !service_->engine || it.asked == task::going_on ||
+      history_.answer_begun || state_.distance_to(it.upstream.zone) != distance::same_zone) {
+    return;
   }
+  const std::chrono::duration<double, std::milli> passed = now.boot - it.sent_at.boot;
+  const std::uint32_t unread =
+      prompt_.prompt_tokens - std::min(prompt_.prompt_tokens, plan_.cached_tokens);
+  auto& pace = state_.calibrations[service_name_];
+  (it.asked == task::reading ? pace.reader : pace.mixed).learn(unread, passed.count());
 }
 
 void
@@ -363,7 +411,8 @@
   constexpr int first_redirect = 300;
   if (it.marks.not_run) {
     end_attempt(attempt_end::rejected);
-  } else if (it.head.status < first_redirect && !it.marks.signed_by_upstream) {
+  } else if (it.asked != task::reading && it.head.status < first_redirect &&
+             !it.marks.signed_by_upstream) {
     end_attempt(attempt_end::malformed);
   } else if (it.head.status >= first_server_error) {
     end_attempt(attempt_end::server_error);
@@ -398,7 +447,7 @@
 } // namespace
 
 void
-request_flow::end_attempt(attempt_end how) {
+request_flow::close_attempt(attempt_end how) {
   attempt& it = *attempt_;
   const moment now = http1::event_loop::now();
   state_.loads.on_ended(now, it.load);
@@ -406,7 +455,9 @@
     state_.caches.on_not_read(it.upstream.id, it.new_parts);
   }
   if (const auto result = health_result(how)) {
-    state_.health.on_result(now, it.upstream.id, *result);
+    // A prompt that cannot be fetched is the fault of the engine that was to keep it.
+    const bool lost_handle = it.asked == task::going_on && how == attempt_end::rejected;
+    state_.health.on_result(now, lost_handle ? reader_ : it.upstream.id, *result);
   }
   if (how != attempt_end::answered) {
     client_.forget({it.upstream.address, it.upstream.port});
@@ -416,6 +467,93 @@
                                      {"status", std::to_string(it.head.status)},
                                      {"elapsed_ms", elapsed_text()}});
   }
+}
+
+void
+request_flow::end_reading(attempt_end how) {
+  close_attempt(how);
+  attempt& it = *attempt_;
+  std::string handle;
+  if (how == attempt_end::answered) {
+    const auto read = state_.wire.read_handle(it.body);
+    if (!read) {
+      log(log_event::upstream_failed, read.error(), {{"request", request_.id}});
+    }
+    handle = read.value_or("");
+  }
+  if (!handle.empty()) {
+    reader_ = it.upstream.id;
+    handle_ = prompt_handle{{it.upstream.address, it.upstream.port}, handle};
+    http1::discard(state_.loop, std::move(it.call));
+    attempt_.reset();
+    go_on();
+    return;
+  }
+  // Reading is not running: nothing has run. A call that was turned away counts as an attempt.
+  split_failed_ = true;
+  history_.sent += how == attempt_end::unreachable ? 0 : 1;
+  http1::discard(state_.loop, std::move(it.call));
+  attempt_.reset();
+  const bool allowed = how == attempt_end::unreachable ||
+                       (history_.sent < history_.max_attempts &&
+                        state_.retries_of(service_name_).take(http1::event_loop::now()));
+  if (allowed && left() > least_attempt_time) {
+    place();
+  } else {
+    refuse(to_name(how), retry_after_rejection, 0);
+  }
+}
+
+void
+request_flow::go_on() {
+  const moment now = http1::event_loop::now();
+  const auto* planned = state_.upstreams.usable(plan_.upstream);
+  if (planned != nullptr && planned->stage != engine_stage::prefill &&
+      state_.health.allows(now, plan_.upstream)) {
+    send(task::going_on, plan_.upstream, 0);
+    return;
+  }
+  // The engine that was to go on has left meanwhile: any other may, the nearest first.
+  const listed_upstream* reader = state_.upstreams.find(reader_);
+  const listed_upstream* best = nullptr;
+  for (const auto* it : state_.upstreams.usable_of(service_name_)) {
+    if (it->stage == engine_stage::prefill || !state_.health.allows(now, it->id)) {
+      continue;
+    }
+    const bool nearer = reader != nullptr && it->zone == reader->zone &&
+                        (best == nullptr || best->zone != reader->zone);
+    if (best == nullptr || nearer) {
+      best = it;
+    }
+  }
+  if (best == nullptr) {
+    refuse("no_upstream", retry_after_rejection, 0);
+    return;
+  }
+  send(task::going_on, best->id, 0);
+}
+
+void
+request_flow::free_handle() {
+  if (!handle_) {
+    return;
+  }
+  constexpr milliseconds free_limit{1'000};
+  aside_.send(handle_->at, state_.wire.free_call(*handle_), free_limit, {});
+  handle_.reset();
+}
+
+void
+request_flow::end_attempt(attempt_end how) {
+  if (attempt_->asked == task::reading) {
+    end_reading(how);
+    return;
+  }
+  close_attempt(how);
+  attempt& it = *attempt_;
+  // Another prompt read apart would count as an attempt by itself.
+  split_failed_ = split_failed_ || it.asked == task::going_on;
+  const moment now = http1::event_loop::now();
   history_.time_left = left() > least_attempt_time;
   history_.upstream_left = !state_.upstreams.usable_of(service_name_).empty();
   history_.budget_left = true;
@@ -537,7 +675,8 @@
   }
   if (history_.answer_begun) {
     cut("deadline");
-  } else if (history_.may_have_run || (attempt_ && attempt_->call && attempt_->call->sent())) {
+  } else if (history_.may_have_run || (attempt_ && attempt_->asked != task::reading &&
+                                       attempt_->call && attempt_->call->sent())) {
     fail(504, "deadline");
   } else {
     refuse("deadline", retry_after_rejection, 0);
@@ -557,6 +696,7 @@
     state_.loads.on_ended(now, attempt_->load);
     http1::discard(state_.loop, std::move(attempt_->call));
   }
+  free_handle();
   const std::string route_kind_name =
       route_ == nullptr ? "none" : std::string{to_name(route_->kind)};
   state_.metrics
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -6,6 +6,7 @@
 /// decisions are those of place_request() and after_attempt(); this class feeds and obeys them.
 #pragma once
 
+#include "call_set.h"
 #include "event_splitter.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -23,8 +24,8 @@
 
 class request_flow {
  public:
-  request_flow(proxy_state& state, http1::http_client& client, http1::exchange_ptr caller,
-               std::function<void(request_flow*)> on_done);
+  request_flow(proxy_state& state, http1::http_client& client, call_set& aside,
+               http1::exchange_ptr caller, std::function<void(request_flow*)> on_done);
   request_flow(const request_flow&) = delete;
   request_flow& operator=(const request_flow&) = delete;
   ~request_flow();
@@ -33,11 +34,18 @@
   void start();
 
  private:
+  /// What an upstream is asked for.
+  enum class task {
+    whole,    ///< The answer.
+    reading,  ///< Only to read the prompt and to keep it.
+    going_on, ///< The answer, from a prompt that was read elsewhere.
+  };
+
   /// Of the attempt in work.
   struct attempt {
+    task asked = task::whole;
     std::unique_ptr<http1::client_call> call;
     listed_upstream upstream;
-    placement chosen;
     moment sent_at{};
     std::uint64_t load = 0; ///< Its number in the load view.
     std::vector<chained_part> new_parts;
@@ -52,9 +60,11 @@
   // Before an upstream is asked.
   bool admit();
   void place();
-  [[nodiscard]] std::vector<placement_candidate> candidates() const;
+  [[nodiscard]] placement_field candidates() const;
+  [[nodiscard]] placement_candidate candidate(const moment& now, const listed_upstream& it) const;
   [[nodiscard]] placement_request wanted() const;
-  void send(const placement& chosen);
+  void send(task asked, const upstream_id& to, double read_millis);
+  void begin_plan();
   [[nodiscard]] std::string request_bytes(const attempt& to) const;
   [[nodiscard]] milliseconds attempt_limit() const;
 
@@ -65,9 +75,14 @@
   void pass_events();
   void pass_event(const std::string& event);
   void note_first_byte();
+  void learn_pace(const moment& now);
   void note_ran(const moment& when);
 
   // After an attempt, and the end.
+  void end_reading(attempt_end how);
+  void go_on();
+  void free_handle();
+  void close_attempt(attempt_end how);
   void end_attempt(attempt_end how);
   void pass_answer();
   void refuse(std::string_view why, milliseconds retry_after, double expected_millis);
@@ -86,6 +101,7 @@
 
   proxy_state& state_;
   http1::http_client& client_;
+  call_set& aside_; ///< Calls that outlive the request.
   http1::exchange_ptr caller_;
   std::function<void(request_flow*)> on_done_;
 
@@ -100,7 +116,11 @@
   timer_id deadline_timer_;
   timer_id silence_timer_;
 
+  placement plan_;
   std::optional<attempt> attempt_;
+  std::optional<prompt_handle> handle_; ///< A prompt that was read for this request.
+  upstream_id reader_;                  ///< Who read it.
+  bool split_failed_ = false;           ///< Readers are not asked again.
   std::set<upstream_id> tried_;
   attempt_history history_;
   std::string last_event_id_; ///< Of the last event passed on.
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -39,7 +39,8 @@
 
 store_link::store_link(proxy_state& state, http1::http_client& client, hooks events,
                        std::int64_t started_ms)
-    : state_(state), client_(client), events_(std::move(events)), started_ms_(started_ms) {}
+    : state_(state), calls_(state.loop, client), events_(std::move(events)),
+      started_ms_(started_ms) {}
 
 store_link::~store_link() {
   state_.loop.cancel(tick_timer_);
@@ -69,49 +70,22 @@
 void
 store_link::call(const call_id& id, const platform_request& request, milliseconds limit,
                  reply_handler on_reply) {
-  const wire_call wire = state_.wire.store_call(request);
-  const std::uint64_t number = ++last_call_;
-
-  struct pending {
-    platform_request request;
-    reply_handler on_reply;
-    moment asked_at;
-    int status = 0;
-    std::string body;
-  };
-
-  auto held = std::make_shared<pending>();
-  held->request = request;
-  held->on_reply = std::move(on_reply);
-  held->asked_at = http1::event_loop::now();
-  const auto on_end = [this, id, number, held](http1::call_end how) {
-    platform_reply reply{id, kv_range_reply{}, held->asked_at.boot};
-    if (how == http1::call_end::whole) {
-      reply.answer = state_.wire.store_answer(held->request, held->status, held->body);
-    } else {
-      const bool unsent = how == http1::call_end::unreachable;
-      reply.answer = fail({error_code::unavailable, step::platform_call, "store",
-                           unsent ? "no connection" : "no answer",
-                           unsent ? outcome::not_run : outcome::unknown});
-    }
-    http1::discard(state_.loop, std::move(calls_[number]));
-    calls_.erase(number);
-    if (held->on_reply) {
-      held->on_reply(reply);
-    }
-  };
-  http_fields fields = wire.fields;
-  fields.add("Host", to_text(state_.settings.store));
-  http1::call_options options;
-  options.limit = limit;
-  options.connect_limit = limit;
-  calls_[number] = client_.start(
-      state_.settings.store, format_request(wire.method, wire.target, fields, wire.body),
-      {{},
-       [held](const http_answer_head& head) { held->status = head.status; },
-       [held](std::string_view bytes) { held->body.append(bytes); },
-       on_end},
-      options);
+  calls_.send(state_.settings.store, state_.wire.store_call(request), limit,
+              [this, id, request, tell = std::move(on_reply)](const call_outcome& ended) {
+                platform_reply reply{id, kv_range_reply{}, ended.asked_at.boot};
+                if (ended.whole()) {
+                  reply.answer = state_.wire.store_answer(request, ended.status, ended.body);
+                } else {
+                  const bool unsent = ended.end == http1::call_end::unreachable;
+                  reply.answer =
+                      fail({error_code::unavailable, step::platform_call, "store",
+                            unsent ? "no connection" : "no answer",
+                            unsent ? nutmegspur::outcome::not_run : nutmegspur::outcome::unknown});
+                }
+                if (tell) {
+                  tell(reply);
+                }
+              });
 }
 
 void
@@ -211,28 +185,15 @@
 void
 store_link::watch() {
   // Everything is watched in one call: operators' and upstreams' keys and the instances' own.
-  const wire_call wire = state_.wire.watch_call("", copy_.store, watch_wait);
-  http_fields fields = wire.fields;
-  fields.add("Host", to_text(state_.settings.store));
-  http1::call_options options;
-  options.limit = watch_limit;
-  watch_body_.clear();
-  watch_status_ = 0;
-  http1::discard(state_.loop, std::move(watch_call_));
-  watch_call_ =
-      client_.start(state_.settings.store, format_request(wire.method, wire.target, fields, ""),
-                    {{},
-                     [this](const http_answer_head& head) { watch_status_ = head.status; },
-                     [this](std::string_view bytes) { watch_body_.append(bytes); },
-                     [this](http1::call_end how) {
-                       if (how == http1::call_end::whole) {
-                         on_watch(watch_status_, watch_body_);
-                         return;
-                       }
-                       set_reachable(false, "watch ended");
-                       state_.loop.once(retry_pause, [this](const moment&) { watch(); });
-                     }},
-                    options);
+  calls_.send(state_.settings.store, state_.wire.watch_call("", copy_.store, watch_wait),
+              watch_limit, [this](const call_outcome& ended) {
+                if (ended.whole()) {
+                  on_watch(ended.status, ended.body);
+                  return;
+                }
+                set_reachable(false, "watch ended");
+                state_.loop.once(retry_pause, [this](const moment&) { watch(); });
+              });
 }
 
 void
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -5,7 +5,7 @@
 /// Invariant: what was learnt is never undone by older news; revisions decide.
 #pragma once
 
-#include "http_client.h"
+#include "call_set.h"
 #include "proxy_state.h"
 
 #include <functional>
@@ -78,7 +78,7 @@
   void renew_registration();
 
   proxy_state& state_;
-  http1::http_client& client_;
+  call_set calls_;
   hooks events_;
   std::int64_t started_ms_;
   store_copy copy_;
@@ -87,11 +87,6 @@
   std::vector<upstream_id> present_; ///< Upstreams seen by the read under way.
   std::map<std::string, registered_instance> instances_;
   bool reachable_ = true;
-  std::unique_ptr<http1::client_call> watch_call_;
-  std::string watch_body_;
-  int watch_status_ = 0;
-  std::map<std::uint64_t, std::unique_ptr<http1::client_call>> calls_;
-  std::uint64_t last_call_ = 0;
   lease_id registration_;
   bool registering_ = false;
   timer_id tick_timer_;
