--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// The store's keys hold one lease for all duties, under this name in place of a zone's.
-const zone_id duties_name{"fleet"};
 constexpr const char* sealed_key = "usage/sealed";
 constexpr seconds lease_ttl{3};
 constexpr milliseconds tick_time{100};
@@ -51,7 +49,7 @@
 duty_holder::duty_holder(proxy_state& state, http1::http_client& client, store_link& store,
                          peer_group& peers)
     : state_(state), store_(store), peers_(peers),
-      lease_({state.settings.instance, duties_name, lease_ttl},
+      lease_({state.settings.instance, duties_zone, lease_ttl},
              {[this] { return peers_.rank(http1::event_loop::now()); },
               [this] { return !calls_.empty(); }}),
       fleet_(state.options.fleet), stages_(state.options.reader_share), calls_(state.loop, client) {
@@ -117,7 +115,6 @@
 void
 duty_holder::tick(const moment& now) {
   step(nutmegspur::tick{});
-  peers_.set_usage_holder(lease_.seen_holder());
   const auto by = authority_for_call(now);
   if (!by || state_.stopping || state_.config == nullptr) {
     return;
@@ -189,7 +186,7 @@
 duty_holder::seal(const usage_window& window, const authority& by) {
   phase_ = seal_phase::sealing;
   kv_txn txn;
-  txn.conditions.push_back({zone_lease_key(duties_name), revision{by.number.value}});
+  txn.conditions.push_back({zone_lease_key(duties_zone), revision{by.number.value}});
   txn.writes.push_back({sealed_key, to_record(window), lease_id{}});
   store_.call({duty::usage, 0}, txn, call_limit, [this, window](const platform_reply& reply) {
     const bool sealed = reply.answer && std::get<kv_txn_reply>(*reply.answer).applied;
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -1,6 +1,8 @@
 // Datagrams between instances, and copies of the store from peers.
 #include "peer_group.h"
 
+#include <nutmegspur/zone_lease.h>
+
 #include <algorithm>
 
 namespace nutmegspur::proxy {
@@ -131,15 +133,12 @@
   peer_notice it = notice(now);
   it.usage = windows;
   const std::string bytes = pack_notice(it);
-  // The holder, and the first live peer in its place should it be lost.
-  const auto holder = usage_holder_ ? peers_.find(*usage_holder_) : peers_.end();
-  if (holder != peers_.end()) {
-    socket_.send(holder->second.at, bytes);
-  }
+  // The holder, and those who may take the duty over: they must have the counts by then.
+  unsigned candidates = 0;
   for (const auto& [name, row] : peers_) {
-    if (live(now, row) && (!usage_holder_ || name != *usage_holder_)) {
+    const bool candidate = live(now, row) && candidates++ < zone_lease::max_candidates;
+    if (candidate || name == usage_holder_) {
       socket_.send(row.at, bytes);
-      break;
     }
   }
 }
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -25,6 +25,9 @@
 
 namespace nutmegspur::proxy {
 
+/// The store's lease on the duties of the whole system stands under this name in a zone's place.
+inline const zone_id duties_zone{"fleet"};
+
 /// How fast a service's engines are, by what they do.
 struct engine_calibrations {
   /// Before anything was measured: 25 and 50 prompt tokens a millisecond, the pace of a model of
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -2,6 +2,7 @@
 #include "store_link.h"
 
 #include <nutmegspur/json_reader.h>
+#include <nutmegspur/records.h>
 
 #include <msgpack.hpp>
 
@@ -227,6 +228,12 @@
     apply_upstream(change, source);
   } else if (change.key.starts_with(instance_prefix)) {
     apply_instance(change);
+  } else if (change.key == zone_lease_key(duties_zone)) {
+    const auto record = change.value ? parse_zone_lease(*change.value)
+                                     : result<zone_lease_record>{zone_lease_record{}};
+    if (record) {
+      events_.on_duties_holder(change.value ? std::optional{record->holder} : std::nullopt);
+    }
   }
 }
 
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -37,6 +37,8 @@
   struct hooks {
     /// Another instance registered (true) or vanished (false).
     std::function<void(const registered_instance&, bool)> on_instance;
+    /// Who holds the lease on the duties; empty if nobody does.
+    std::function<void(const std::optional<instance_id>&)> on_duties_holder;
   };
 
   store_link(proxy_state& state, http1::http_client& client, hooks events, std::int64_t started_ms);
