--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -32,6 +32,18 @@
                std::string{"cannot listen: "} + uv_strerror(rc)});
 }
 
+/// libuv tells of an end as soon as a poll shows the hang-up behind a partial read, also where that
+/// hang-up is a reset; only another read tells the two apart.
+bool
+ends_cleanly(uv_stream_t* stream) {
+  int fd = -1;
+  if (uv_fileno(as_handle(stream), &fd) != 0) {
+    return false;
+  }
+  char byte = 0;
+  return recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
+}
+
 /// A write that the system did not take at once.
 struct queued_write {
   uv_write_t request{};
@@ -160,7 +172,7 @@
     return;
   }
   if (n < 0) {
-    it->owner->end(n == UV_EOF ? stream_end::closed : stream_end::reset);
+    it->owner->end(n == UV_EOF && ends_cleanly(stream) ? stream_end::closed : stream_end::reset);
     return;
   }
   it->owner->events_.on_data({buf->base, static_cast<std::size_t>(n)});
