--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -9,7 +9,7 @@
 
 /// First element of each datagram; a new layout gets a new number.
 constexpr int layout = 1;
-constexpr std::size_t element_count = 10;
+constexpr std::size_t element_count = 11;
 
 template <class Packer>
 void
@@ -61,13 +61,14 @@
   it.config_version = row.at(4).as<std::int64_t>();
   it.store = revision{row.at(5).as<std::int64_t>()};
   it.store_reachable = row.at(6).as<bool>();
-  for (const auto& load : row.at(7).as<std::vector<msgpack::object>>()) {
+  it.wall = wall_time{microseconds{row.at(7).as<std::int64_t>()}};
+  for (const auto& load : row.at(8).as<std::vector<msgpack::object>>()) {
     it.loads.push_back(read_load(load));
   }
-  for (const auto& placed : row.at(8).as<std::vector<msgpack::object>>()) {
+  for (const auto& placed : row.at(9).as<std::vector<msgpack::object>>()) {
     it.placed.push_back(read_placed(placed));
   }
-  for (const auto& window : row.at(9).as<std::vector<msgpack::object>>()) {
+  for (const auto& window : row.at(10).as<std::vector<msgpack::object>>()) {
     it.usage.push_back(read_usage(window));
   }
   return it;
@@ -87,6 +88,7 @@
   out.pack(it.config_version);
   out.pack(it.store.value);
   out.pack(it.store_reachable);
+  out.pack(it.wall.time_since_epoch().count());
   out.pack_array(static_cast<std::uint32_t>(it.loads.size()));
   for (const auto& load : it.loads) {
     out.pack_array(3);
--- /dev/null
+++ b/src/libnutmegspur/wall_clock_vote.cpp
@@ -0,0 +1,27 @@
+// The median of the instances' clocks.
+#include <nutmegspur/wall_clock_vote.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace nutmegspur {
+
+void
+wall_clock_vote::on_peer(const moment& now, const instance_id& peer, wall_time its_wall) {
+  peers_[peer] = {now.boot, its_wall.time_since_epoch() - now.boot.time_since_epoch()};
+}
+
+moment
+wall_clock_vote::agreed(const moment& now) const {
+  std::vector<microseconds> votes{now.wall.time_since_epoch() - now.boot.time_since_epoch()};
+  for (const auto& [peer, it] : peers_) {
+    if (now.boot - it.heard < reading_lifetime) {
+      votes.push_back(it.wall_at_boot_zero);
+    }
+  }
+  const auto middle = votes.begin() + static_cast<std::ptrdiff_t>(votes.size() / 2);
+  std::nth_element(votes.begin(), middle, votes.end());
+  return {now.boot, wall_time{now.boot.time_since_epoch() + *middle}};
+}
+
+} // namespace nutmegspur
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -72,6 +72,7 @@
   it.sender = state_.settings.instance;
   it.started_ms = started_ms_;
   it.sequence = ++sequence_;
+  it.wall = now.wall;
   it.config_version = state_.config == nullptr ? 0 : state_.config->config().version;
   it.store = store_.copy().store;
   it.store_reachable = store_.reachable();
@@ -88,7 +89,7 @@
 void
 peer_group::tell_all(const moment& now) {
   peer_notice it = notice(now);
-  it.usage = state_.usage.own(now.wall);
+  it.usage = state_.usage.own(state_.clock.agreed(now).wall);
   const std::string bytes = pack_notice(it);
   for (const auto& [name, row] : peers_) {
     socket_.send(row.at, bytes);
@@ -125,8 +126,8 @@
 
 void
 peer_group::tell_usage(const moment& now) {
-  state_.usage.trim(now.wall);
-  const auto windows = state_.usage.own(now.wall);
+  state_.usage.trim(state_.clock.agreed(now).wall);
+  const auto windows = state_.usage.own(state_.clock.agreed(now).wall);
   if (windows.empty()) {
     return;
   }
@@ -137,7 +138,7 @@
   unsigned candidates = 0;
   for (const auto& [name, row] : peers_) {
     const bool candidate = live(now, row) && candidates++ < zone_lease::max_candidates;
-    if (candidate || name == usage_holder_) {
+    if (candidate || !usage_holder_ || name == *usage_holder_) {
       socket_.send(row.at, bytes);
     }
   }
@@ -167,6 +168,7 @@
   it.started_ms = read->started_ms;
   it.last_sequence = read->sequence;
   it.heard = now.boot;
+  state_.clock.on_peer(now, read->sender, read->wall);
   it.config_version = read->config_version;
   it.store = read->store;
   it.store_reachable = read->store_reachable;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -15,6 +15,7 @@
 #include <nutmegspur/upstream_health.h>
 #include <nutmegspur/upstream_list.h>
 #include <nutmegspur/usage_windows.h>
+#include <nutmegspur/wall_clock_vote.h>
 #include <nutmegspur/wire_binding.h>
 
 #include <deque>
@@ -63,6 +64,7 @@
   std::map<service_id, engine_calibrations> calibrations;
   std::map<service_id, retry_budget> retry_budgets;
   usage_windows usage;
+  wall_clock_vote clock; ///< What windows of usage go by.
   metric_registry metrics;
   /// Parts placed lately, with the time until which peers are told.
   std::deque<std::pair<time_point, cached_part_notice>> placed;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -298,7 +298,7 @@
 request_flow::note_ran(const moment& when) {
   if (!counted_ && !team_.empty()) {
     counted_ = true;
-    state_.usage.count(team_, when.wall);
+    state_.usage.count(team_, state_.clock.agreed(when).wall);
   }
 }
 
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -109,10 +109,11 @@
 
 void
 store_link::read_all() {
-  reads_left_ = 3;
+  reads_left_ = 4;
   reading_from_ = revision{std::numeric_limits<std::int64_t>::max()};
   present_.clear();
   read_config();
+  read_duties_holder();
   read_range(state_.wire.upstream_prefix(), state_.wire.upstream_prefix());
   read_range(instance_prefix, instance_prefix);
 }
@@ -122,9 +123,7 @@
   call({duty::config, 0}, kv_range{state_.wire.config_key(), ""}, read_limit,
        [this](const platform_reply& reply) {
          if (!reply.answer) {
-           set_reachable(false, reply.answer.error().message);
-           reads_left_ = -1;
-           retry_later();
+           abandon_read(reply.answer.error().message);
            return;
          }
          const auto& range = std::get<kv_range_reply>(*reply.answer);
@@ -136,17 +135,40 @@
        });
 }
 
+void
+store_link::read_duties_holder() {
+  call({duty::config, 0}, kv_range{zone_lease_key(duties_zone), ""}, read_limit,
+       [this](const platform_reply& reply) {
+         if (!reply.answer) {
+           abandon_read(reply.answer.error().message);
+           return;
+         }
+         const auto& range = std::get<kv_range_reply>(*reply.answer);
+         if (range.pairs.empty()) {
+           events_.on_duties_holder(std::nullopt);
+         }
+         for (const auto& it : range.pairs) {
+           apply({it.key, it.value, it.created, it.modified}, "read");
+         }
+         range_done();
+       });
+}
+
+void
+store_link::abandon_read(std::string_view why) {
+  set_reachable(false, why);
+  if (reads_left_ > 0) {
+    reads_left_ = -1;
+    retry_later();
+  }
+}
+
 void
 store_link::read_range(const std::string& prefix, const std::string& from) {
   call({duty::config, 0}, kv_range{from, prefix_end(prefix)}, read_limit,
        [this, prefix](const platform_reply& reply) {
          if (!reply.answer) {
-           // The read of the configuration starts everything anew; this part only ends.
-           set_reachable(false, reply.answer.error().message);
-           if (reads_left_ > 0) {
-             reads_left_ = -1;
-             retry_later();
-           }
+           abandon_read(reply.answer.error().message);
            return;
          }
          on_range(prefix, std::get<kv_range_reply>(*reply.answer));
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -62,6 +62,9 @@
  private:
   void read_all();
   void read_config();
+  void read_duties_holder();
+  /// A part of a whole read failed: all of it is read anew, once.
+  void abandon_read(std::string_view why);
   void read_range(const std::string& prefix, const std::string& from);
   void on_range(const std::string& prefix, const kv_range_reply& reply);
   void range_done();
