--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -24,8 +24,8 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    listen(fd_, 8);
+    EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    EXPECT_EQ(listen(fd_, 8), 0);
     socklen_t n = sizeof address;
     getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &n);
     at_ = {"127.0.0.1", ntohs(address.sin_port)};
@@ -81,7 +81,7 @@
 /// Runs one call against `serve`, which has the accepted connection.
 template <class Serve>
 call_record
-run_call(Serve serve, call_options options = {}) {
+run_call(Serve serve, const call_options& options = {}) {
   raw_listener listener;
   std::thread server{[&] {
     const int fd = listener.accept_one();
@@ -102,7 +102,7 @@
                                 record.end = how;
                                 loop.stop();
                               }},
-                             std::move(options));
+                             options);
     loop.once(patience, [&](const moment&) { loop.stop(); });
     loop.run();
     discard(loop, std::move(call));
@@ -171,7 +171,7 @@
                       "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 3\r\n\r\nnew");
         close(fd);
       },
-      std::move(options));
+      options);
   EXPECT_EQ(it.end, call_end::whole);
   EXPECT_EQ(it.body, "new");
 }
--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -45,7 +45,7 @@
   void begin(int status, std::string_view reason, const http_fields& fields);
   void write(std::string_view piece);
   void finish();
-  /// Breaks the connection off, so that what was sent does not look whole.
+  /// Closes the connection without the last chunk, so that what was sent does not look whole.
   void abort();
   /// Bytes of the answer that the caller has not taken yet.
   [[nodiscard]] std::size_t unsent() const;
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -183,7 +183,8 @@
 void
 server_connection::break_off() {
   current_.reset();
-  stream_->abort();
+  // A plain close: the missing last chunk shows that the answer is not whole, and a reset would
+  // take from the caller what it has not read yet.
   close();
 }
 
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -57,6 +57,7 @@
   uv_tcp_t tcp{};
   tcp_stream* owner = nullptr;
   uv_connect_t connecting{};
+  uv_shutdown_t closing{};
 };
 
 tcp_stream::tcp_stream(event_loop& loop) : loop_(loop), handle_(new handle) {
@@ -75,14 +76,11 @@
     return;
   }
   // A close drops what is queued, so the queue is written out first.
-  auto* request = new uv_shutdown_t;
-  request->data = handle_;
   const auto on_shutdown = [](uv_shutdown_t* done, int) {
-    close_handle(static_cast<handle*>(done->data));
-    delete done;
+    close_handle(static_cast<handle*>(done->handle->data));
   };
-  if (uv_shutdown(request, reinterpret_cast<uv_stream_t*>(&handle_->tcp), on_shutdown) != 0) {
-    delete request;
+  if (uv_shutdown(&handle_->closing, reinterpret_cast<uv_stream_t*>(&handle_->tcp), on_shutdown) !=
+      0) {
     close_handle(handle_);
   }
 }
--- a/src/include/nutmegspur/peer_notice.h
+++ b/src/include/nutmegspur/peer_notice.h
@@ -22,7 +22,7 @@
 struct peer_notice {
   instance_id sender;
   std::int64_t started_ms = 0; ///< Of the sender's process; tells a restart.
-  wall_time wall{};               ///< The sender's time of day.
+  wall_time wall{};            ///< The sender's time of day.
   std::uint64_t sequence = 0;  ///< Grows within a process; older notices are dropped.
   std::int64_t config_version = 0;
   revision store; ///< How far the sender has followed the store.
--- a/src/include/nutmegspur/placement.h
+++ b/src/include/nutmegspur/placement.h
@@ -60,7 +60,7 @@
   double service_millis = 0;       ///< Usual work of a plain service's request.
   engine_pace mixed;               ///< Of engines that read prompts and make tokens.
   engine_pace reader;              ///< Of engines that only read prompts.
-  engine_pace mover; ///< Of fetching a read prompt within a zone, to the first token.
+  engine_pace mover;               ///< Of fetching a read prompt within a zone, to the first token.
 };
 
 /// Weights of the decision.
--- a/src/include/nutmegspur/retry_budget.h
+++ b/src/include/nutmegspur/retry_budget.h
@@ -34,8 +34,9 @@
   constexpr double milli = 1000;
   constexpr double millis_per_second = 1000;
   constexpr double margin = 0.8; // Instances' counts and the judge's windows differ a little.
-  const double floor = bound.floor * milli * margin / std::max<double>(1, instances);
-  const double window_seconds = bound.window.count() / millis_per_second;
+  const auto shares = static_cast<double>(std::max<std::size_t>(1, instances));
+  const double floor = bound.floor * milli * margin / shares;
+  const double window_seconds = static_cast<double>(bound.window.count()) / millis_per_second;
   return {static_cast<std::int64_t>(bound.ratio * milli * margin),
           static_cast<std::int64_t>(floor / 2 / window_seconds),
           std::max<std::int64_t>(static_cast<std::int64_t>(floor / 2), 1000)};
--- a/src/libnutmegspur/placement.cpp
+++ b/src/libnutmegspur/placement.cpp
@@ -122,11 +122,10 @@
   result.choice.reader = reader.id;
   result.choice.reader_millis = read;
   result.choice.cached_tokens = reader.cached_tokens;
-  result.choice.expected_millis = reader.backlog_millis + wanted.reader.fixed_millis + read +
-                                  network_millis(reader, weights) + move + wanted.mover.fixed_millis +
-                                  runner.backlog_millis +
-                                  batch_wait(runner, wanted.mixed.fixed_millis) +
-                                  network_millis(runner, weights);
+  result.choice.expected_millis =
+      reader.backlog_millis + wanted.reader.fixed_millis + read + network_millis(reader, weights) +
+      move + wanted.mover.fixed_millis + runner.backlog_millis +
+      batch_wait(runner, wanted.mixed.fixed_millis) + network_millis(runner, weights);
   result.cost = result.choice.expected_millis + sending_cost(wanted, reader, weights) +
                 sending_cost(wanted, runner, weights) - network_millis(reader, weights) -
                 network_millis(runner, weights) + move + millis_per_open_stream * runner.open +
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -142,7 +142,8 @@
     read_sealed();
     break;
   case seal_phase::idle:
-    if (const auto number = state_.usage.due(state_.clock.agreed(now).wall, usage_settle, sealed_.number)) {
+    if (const auto number =
+            state_.usage.due(state_.clock.agreed(now).wall, usage_settle, sealed_.number)) {
       seal(state_.usage.total(*number), by);
     }
     break;
@@ -221,8 +222,10 @@
     }
     log(log_event::usage_rejected, {{"window", std::to_string(sealed_.number)},
                                     {"status", status ? std::to_string(*status) : "no answer"}});
-    const bool too_old = state_.usage.number_at(state_.clock.agreed(http1::event_loop::now()).wall) - sealed_.number >
-                         usage_windows::kept_windows;
+    const bool too_old =
+        state_.usage.number_at(state_.clock.agreed(http1::event_loop::now()).wall) -
+            sealed_.number >
+        usage_windows::kept_windows;
     phase_ = too_old ? seal_phase::idle : seal_phase::sealed;
   });
 }
--- /dev/null
+++ b/testsuite/lib/platform_standin.py
@@ -0,0 +1,359 @@
+"""A stand-in for the users' platform: store, duties' interface and workers, as one process.
+
+It speaks the platform's published protocol, keeps a record of all that reaches it, and misbehaves
+when told to. `Platform` runs it in a thread of a test; `python3 platform_standin.py` runs it alone.
+Only the standard library is needed.
+"""
+
+import argparse
+import asyncio
+import base64
+import itertools
+import json
+import threading
+import time
+import urllib.parse
+
+LOOPBACK = "127.0.0.1"
+HEARTBEAT_S = 0.5
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.path, _, query = target.partition("?")
+        self.target = target
+        self.query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        self.headers = headers  # Names in lower case.
+        self.body = body
+
+
+async def read_request(reader):
+    """The next request of a connection, or None at its end."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    method, target, _ = head[0].split(" ", 2)
+    headers = {}
+    for line in head[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Request(method, target, headers, body)
+
+
+def answer(status, body=b"", headers=None):
+    if isinstance(body, (dict, list)):
+        body = json.dumps(body).encode()
+    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def serve(port, handle):
+    """Listens; `handle(request, writer)` gives the bytes of an answer, or None to cut."""
+
+    async def connection(reader, writer):
+        try:
+            while (request := await read_request(reader)) is not None:
+                reply = await handle(request, writer)
+                if reply is None:
+                    writer.transport.abort()
+                    return
+                writer.write(reply)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(connection, LOOPBACK, port)
+
+
+class Store:
+    """The key-value service: one revision counter, leases, watches."""
+
+    def __init__(self):
+        self.revision = 10
+        self.items = {}
+        self.history = []
+        self.oldest = 0
+        self.leases = {}
+        self.numbers = itertools.count(7000)
+        self.changed = asyncio.Condition()
+        self.down = False  # Refuses everything.
+        self.lose_answers = False  # Carries writes out and cuts the answer.
+        self.calls = 0
+
+    def item(self, key):
+        value, revision, created, lease = self.items[key]
+        return {"key": key, "value": base64.b64encode(value).decode(), "revision": revision,
+                "created_rev": created, "lease": lease}
+
+    def put(self, key, value, lease=0):
+        created = self.items[key][2] if key in self.items else self.revision
+        self.items[key] = (value, self.revision, created, lease)
+        self.history.append(self.item(key))
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.history.append({"key": key, "revision": self.revision, "tombstone": True})
+
+    async def write(self, puts=(), removals=()):
+        """A change by the operator or a worker."""
+        async with self.changed:
+            self.revision += 1
+            for key, value in puts:
+                self.put(key, value)
+            for key in removals:
+                self.remove(key)
+            self.changed.notify_all()
+
+    def compact(self):
+        self.oldest = self.revision
+        self.history.clear()
+
+    async def expire(self):
+        while True:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            gone = [it for it, (_, ends) in self.leases.items() if ends < now]
+            for lease in gone:
+                del self.leases[lease]
+                await self.end_keys(lease)
+
+    async def end_keys(self, lease):
+        await self.write(removals=[key for key, it in self.items.items() if it[3] == lease])
+
+    async def handle(self, request, _writer):
+        self.calls += 1
+        if self.down:
+            return answer(503)
+        parts = request.path.strip("/").split("/")
+        reply = await getattr(self, parts[0].replace("-", "_"))(request, parts[1:])
+        if self.lose_answers and parts[0] == "kv-txn":
+            return None
+        return reply
+
+    async def kv_key(self, request, _parts):
+        key = request.query["key"]
+        if key not in self.items:
+            return answer(404, {"store_revision": self.revision})
+        return answer(200, {**self.item(key), "store_revision": self.revision})
+
+    async def kv_range(self, request, _parts):
+        page = 5  # Small, so that paging is tested.
+        keys = sorted(key for key in self.items if key.startswith(request.query["path_prefix"])
+                      and key > request.query.get("after", ""))
+        return answer(200, {"items": [self.item(key) for key in keys[:page]],
+                            "more_pages": len(keys) > page, "store_revision": self.revision})
+
+    async def kv_watch(self, request, _parts):
+        after = int(request.query["after"])
+        ends = time.monotonic() + int(request.query["wait_ms"]) / 1000
+        if after < self.oldest:
+            return answer(410)
+        while True:
+            events = [it for it in self.history if it["revision"] > after
+                      and it["key"].startswith(request.query["path_prefix"])]
+            left = ends - time.monotonic()
+            if events or left <= 0 or self.down:
+                return answer(200, {"events": events, "store_revision": self.revision})
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+    async def kv_txn(self, request, _parts):
+        body = json.loads(request.body)
+        for row in body["expected"]:
+            held = self.items[row["key"]][1] if row["key"] in self.items else 0
+            if held != row["revision"]:
+                return answer(412, {"items": []})
+        if any(row["lease"] and row["lease"] not in self.leases for row in body["writes"]):
+            return answer(404)
+        async with self.changed:
+            self.revision += 1
+            for row in body["writes"]:
+                self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+            for key in body["remove"]:
+                self.remove(key)
+            self.changed.notify_all()
+        return answer(200, {"revision": self.revision})
+
+    async def kv_lease(self, request, _parts):
+        ttl = json.loads(request.body)["ttl_ms"]
+        lease = next(self.numbers)
+        self.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+        return answer(200, {"lease": lease, "ttl_ms": ttl})
+
+    async def kv_keep(self, _request, parts):
+        lease = int(parts[0])
+        if lease not in self.leases:
+            return answer(404, {})
+        ttl = self.leases[lease][0]
+        self.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+        return answer(200, {"ttl_ms": ttl})
+
+    async def kv_lease_end(self, _request, parts):
+        if self.leases.pop(int(parts[0]), None) is not None:
+            await self.end_keys(int(parts[0]))
+        return answer(200, {})
+
+
+class Worker:
+    """One worker. `misbehave` maps a request id to what is done to it."""
+
+    def __init__(self, name, service, zone, port, stage=None):
+        self.name, self.service, self.zone, self.port, self.stage = name, service, zone, port, stage
+        self.state = "ready"
+        self.arrived = []  # Every request.
+        self.ran = []  # Ids of requests that ran.
+        self.orders = []
+        self.handles = set()
+        self.misbehave = {}
+        self.born = int(time.time() * 1000)
+        self.beats = 0
+        self.server = None
+
+    def entry(self):
+        self.beats += 1
+        it = {"service": self.service, "address": f"{LOOPBACK}:{self.port}", "zone": self.zone,
+              "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
+              "sequence": self.beats, "born": self.born}
+        if self.stage:
+            it["stage"] = self.stage
+        return json.dumps(it).encode()
+
+    async def beat(self, store):
+        while True:
+            if not store.down:
+                await store.write(puts=[("servers/" + self.name, self.entry())])
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def handle(self, request, writer):
+        if request.path == "/order":
+            self.orders.append(json.loads(request.body))
+            self.stage = self.orders[-1]["stage"]
+            return answer(202)
+        if request.path.startswith("/kv-handle/"):
+            self.handles.discard(request.path.split("/")[-1])
+            return answer(200)
+        self.arrived.append(request)
+        number = request.headers.get("x-request-id", "")
+        if request.headers.get("x-expect-instance") != self.name:
+            return answer(421, headers={"X-Instance-Id": self.name})
+        how = self.misbehave.pop(number, "")
+        if how == "reject":
+            return answer(503, headers={"X-Not-Executed": "1", "X-Request-Id": number})
+        if request.headers.get("x-serving-stage") == "prefill":
+            self.handles.add("h" + number)
+            return answer(200, {"kv_handle": "h" + number, "tokens": 1, "version": 1})
+        self.ran.append(number)
+        if how == "reset":
+            return None
+        if how == "slow":
+            await asyncio.sleep(1.0)
+        headers = {"X-Request-Id": number, "X-Response-Stamp": f"{self.name}.{number}"}
+        if how == "error":
+            return answer(500, b"broken", headers)
+        if "x-prompt-prefix" in request.headers:
+            return await self.stream(request, writer, headers, how)
+        body = json.dumps({"path": request.target, "size": len(request.body), "worker": self.name})
+        return answer(200, body.encode(), headers)
+
+    async def stream(self, request, writer, headers, how):
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        first = int(request.headers.get("last-event-id", "0") or "0") + 1
+        for number in range(first, 11):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if how == "cut" and number == 5:
+                event = event[:7]  # Ends in the middle of an event.
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            if how == "cut" and number == 5:
+                return None
+            await asyncio.sleep(0.01)
+        return b"0\r\n\r\n"
+
+
+class Cloud:
+    """Takes usage reports and orders of workers; keeps them."""
+
+    def __init__(self):
+        self.usage = []
+        self.scale = []
+
+    async def handle(self, request, _writer):
+        call = {**json.loads(request.body), "holder": request.headers["x-duty-holder"],
+                "fence": int(request.headers["x-fencing-token"])}
+        (self.usage if request.path == "/usage" else self.scale).append(call)
+        return answer(200, {})
+
+
+class Platform:
+    """All of it, on a loop in a thread of its own."""
+
+    def __init__(self, store_port, cloud_port):
+        self.store_port, self.cloud_port = store_port, cloud_port
+        self.loop = asyncio.new_event_loop()
+        self.workers = {}
+        self.tasks = {}
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.run(self.open())
+
+    def run(self, coroutine):
+        """Runs on the loop and waits for the result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
+
+    async def open(self):
+        self.store = Store()
+        self.cloud = Cloud()
+        self.store_server = await serve(self.store_port, self.store.handle)
+        self.cloud_server = await serve(self.cloud_port, self.cloud.handle)
+        self.expiry = self.loop.create_task(self.store.expire())
+
+    def add_worker(self, name, service, zone, port, stage=None):
+        worker = Worker(name, service, zone, port, stage)
+
+        async def start():
+            worker.server = await serve(port, worker.handle)
+            self.tasks[name] = self.loop.create_task(worker.beat(self.store))
+
+        self.run(start())
+        self.workers[name] = worker
+        return worker
+
+    def write(self, key, value):
+        self.run(self.store.write(puts=[(key, json.dumps(value).encode())]))
+
+    def put_config(self, config):
+        self.write("op/config", config)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
+    parser.add_argument("--store", type=int, required=True, help="port of the store")
+    parser.add_argument("--cloud", type=int, required=True, help="port of the duties' interface")
+    parser.add_argument("--worker", action="append", default=[], metavar="NAME:SERVICE:ZONE:PORT[:STAGE]")
+    parser.add_argument("--config", help="file with the configuration to write first")
+    args = parser.parse_args()
+    platform = Platform(args.store, args.cloud)
+    for it in args.worker:
+        name, service, zone, port, *stage = it.split(":")
+        platform.add_worker(name, service, zone, int(port), *stage)
+    if args.config:
+        with open(args.config, encoding="utf-8") as file:
+            platform.put_config(json.load(file))
+    print("listening", flush=True)
+    platform.thread.join()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testsuite/lib/proxied_system.py
@@ -0,0 +1,140 @@
+"""A small system on the users' platform: a stand-in of it, workers, and proxying instances as
+separate processes."""
+
+import http.client
+import itertools
+import json
+import signal
+
+import platform_standin
+import processes
+
+REPORT_WINDOW_S = 1
+
+
+def example_config(version=1):
+    """Two services; a stream that may be resumed, one that may not, and plain routes."""
+    def route(name, kind, service, **more):
+        return {"name": name, "host": "a.example", "path_prefix": f"/{name}/", "kind": kind,
+                "timeout_ms": 8000, "target_latency_ms": 4000, "priority": 1, "service": service,
+                "max_attempts": 1, "public": False, "sticky": False, "resumable": False, **more}
+
+    return {
+        "version": version,
+        "routes": [
+            route("read", "safe", "app", max_attempts=2),
+            route("pay", "unsafe", "app"),
+            route("chat", "streaming", "llm", sticky=True, gap_aim_ms=500),
+            route("resume", "streaming", "llm", sticky=True, resumable=True, max_attempts=2,
+                  gap_aim_ms=500),
+            route("open", "safe", "app", public=True),
+        ],
+        "services": [
+            {"name": "app", "health_path": "/health", "max_connections": 50},
+            {"name": "llm", "health_path": "/health", "max_connections": 50,
+             "engine": {"slots": 8, "kv_capacity_tokens": 100000, "stage_switch_s": 1}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+        "tenants": [{"name": "team-1", "api_keys": ["key-1"]},
+                    {"name": "team-2", "api_keys": ["key-2"]}],
+    }
+
+
+class ProxiedSystem:
+    """Ends just the processes that it started."""
+
+    def __init__(self, build_dir, instances=3, extra_args=()):
+        self.system = processes.System(build_dir)
+        self.platform = platform_standin.Platform(processes.free_port(), processes.free_port())
+        self.ports = {}
+        self.extra_args = list(extra_args)
+        self.numbers = itertools.count(1)
+        for n in range(1, instances + 1):
+            self.ports[f"front-{n}"] = {it: processes.free_port() for it in ("front", "ready", "control")}
+        for n in (1, 2):
+            self.platform.add_worker(f"app-{n}", "app", f"z-{n}", processes.free_port())
+            self.platform.add_worker(f"run-{n}", "llm", f"z-{n}", processes.free_port(), "decode")
+            self.platform.add_worker(f"prep-{n}", "llm", f"z-{n}", processes.free_port(), "prefill")
+
+    def settings(self, name):
+        at = {what: f"{processes.LOOPBACK}:{port}" for what, port in self.ports[name].items()}
+        return {
+            "node_name": name, "ip": processes.LOOPBACK, "zone": "z-1", "region": "r-1",
+            "zones": {"z-1": "r-1", "z-2": "r-2"}, "listen": at,
+            "seeds": [f"{processes.LOOPBACK}:{it['control']}" for it in self.ports.values()],
+            "platform": {"address": f"{processes.LOOPBACK}:{self.platform.store_port}"},
+            "cloud": {"address": f"{processes.LOOPBACK}:{self.platform.cloud_port}",
+                      "duties": ["usage_report", "autoscale"]},
+            "bounds": {"grace_s": 8, "lease_ms": 3000, "report_window_s": REPORT_WINDOW_S,
+                       "usage_late_s": 10, "retry_budget_ratio": 0.2, "budget_min_retries": 54,
+                       "budget_window_s": 10},
+        }
+
+    def start(self, name):
+        path = self.system.logs / f"{name}.json"
+        path.write_text(json.dumps(self.settings(name)))
+        self.system.start(name, "nutmegspur", ["proxy", "--settings-file", str(path), *self.extra_args])
+
+    def start_all(self, config=None):
+        self.platform.put_config(config or example_config())
+        for name in self.ports:
+            self.start(name)
+        for name in self.ports:
+            self.wait_ready(name)
+
+    def ready(self, name):
+        return processes.status_of(self.ports[name]["ready"], "/ready") == 200
+
+    def wait_ready(self, name):
+        processes.wait_until(f"{name} to be ready", lambda: self.system.running(name) and self.ready(name))
+
+    def signal(self, name, number):
+        self.system.processes[name].send_signal(number)
+
+    def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        self.system.processes[name].wait()
+
+    def worker(self, name):
+        return self.platform.workers[name]
+
+    def new_id(self):
+        return f"{next(self.numbers):016x}"
+
+    def send(self, route, number=None, key="key-1", method="POST", entry="front-1", headers=None,
+             body=b"hello", timeout_s=30.0):
+        """One request on a connection of its own. Its answer has `whole`: whether its end came."""
+        number = number or self.new_id()
+        all_headers = {"Host": "a.example", "X-Request-Id": number, "X-Deadline-Ms": "8000",
+                       "X-Api-Key": key, **(headers or {})}
+        if route in ("chat", "resume"):
+            all_headers.update({"X-Model-Name": "m", "X-Token-Usage": "4000,20",
+                                "X-Prompt-Prefix": f"aa:3000,{number[:8]}:1000"})
+        connection = http.client.HTTPConnection(processes.LOOPBACK, self.ports[entry]["front"], timeout=timeout_s)
+        try:
+            connection.request(method, f"/{route}/x?y=1", body=body, headers=all_headers)
+            reply = connection.getresponse()
+            whole = True
+            try:
+                text = reply.read()
+            except (http.client.IncompleteRead, ConnectionError) as ec:
+                text = getattr(ec, "partial", b"")
+                whole = False
+            answer = processes.Answer(reply.status, {k.lower(): v for k, v in reply.getheaders()}, text.decode())
+            answer.whole = whole
+            answer.number = number
+            return answer
+        finally:
+            connection.close()
+
+    def runs(self, number):
+        """How many workers ran the request."""
+        return sum(it.ran.count(number) for it in self.platform.workers.values())
+
+    def arrivals(self, number):
+        return [(it.name, request) for it in self.platform.workers.values()
+                for request in it.arrived if request.headers.get("x-request-id") == number]
+
+    def stop(self):
+        self.system.stop()
