--- a/src/include/nutmegspur/placement.h
+++ b/src/include/nutmegspur/placement.h
@@ -12,7 +12,9 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace nutmegspur {
@@ -91,6 +93,17 @@
   double refuse_past_objectives = 2;
 };
 
+/// Names of the weights, as settings give them.
+struct placement_weight_name {
+  std::string_view name;
+  double placement_weights::*member;
+};
+
+std::span<const placement_weight_name> placement_weight_names();
+
+/// Changes weights as "name=value,..." says; an error names what is not known or no number.
+result<void> set_weights(std::string_view text, placement_weights& to);
+
 /// The choice: one upstream, or an engine that reads the prompt before another makes the tokens.
 struct placement {
   upstream_id upstream;            ///< Answers the caller.
--- a/src/libnutmegspur/placement.cpp
+++ b/src/libnutmegspur/placement.cpp
@@ -2,6 +2,8 @@
 #include <nutmegspur/placement.h>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace nutmegspur {
 
@@ -133,6 +135,20 @@
   return result;
 }
 
+constexpr std::array<placement_weight_name, 11> weight_names{{
+    {"same_region_millis", &placement_weights::same_region_millis},
+    {"other_region_millis", &placement_weights::other_region_millis},
+    {"region_millis_per_kilobyte", &placement_weights::region_millis_per_kilobyte},
+    {"crowding", &placement_weights::crowding},
+    {"reread", &placement_weights::reread},
+    {"failure", &placement_weights::failure},
+    {"zone_transfer_factor", &placement_weights::zone_transfer_factor},
+    {"region_transfer_factor", &placement_weights::region_transfer_factor},
+    {"stall_per_stream", &placement_weights::stall_per_stream},
+    {"stall_share_of_gap", &placement_weights::stall_share_of_gap},
+    {"home_millis", &placement_weights::home_millis},
+}};
+
 std::uint64_t
 first_home(const std::vector<placement_candidate>& all) {
   std::uint64_t best = 0;
@@ -172,6 +188,39 @@
 
 } // namespace
 
+std::span<const placement_weight_name>
+placement_weight_names() {
+  return weight_names;
+}
+
+result<void>
+set_weights(std::string_view text, placement_weights& to) {
+  const auto bad = [](std::string_view piece, const char* why) {
+    return fail({error_code::invalid_argument, step::settings_parse, "",
+                 "weight '" + std::string{piece} + "' " + why});
+  };
+  while (!text.empty()) {
+    const std::string_view piece = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(text.size(), piece.size() + 1));
+    const auto sign = piece.find('=');
+    const std::string_view name = piece.substr(0, sign);
+    const auto* it = std::find_if(weight_names.begin(), weight_names.end(),
+                                  [&](const auto& row) { return row.name == name; });
+    if (it == weight_names.end()) {
+      return bad(piece, "is not known");
+    }
+    const std::string_view digits =
+        sign == std::string_view::npos ? std::string_view{} : piece.substr(sign + 1);
+    double value = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    if (ec != std::errc{} || end != digits.data() + digits.size() || value < 0) {
+      return bad(piece, "is no number from 0");
+    }
+    to.*(it->member) = value;
+  }
+  return {};
+}
+
 tl::expected<placement, placement_refusal>
 place_request(const placement_request& wanted, const placement_field& field,
               const placement_weights& weights) {
--- a/src/libnutmegspur/placement_test.cpp
+++ b/src/libnutmegspur/placement_test.cpp
@@ -103,6 +103,16 @@
   EXPECT_EQ(chosen.error().why, placement_refusal::reason::no_upstream);
 }
 
+TEST(placement_weights, are_set_by_name) {
+  placement_weights weights;
+  ASSERT_TRUE(set_weights("reread=0.75,home_millis=10", weights));
+  EXPECT_DOUBLE_EQ(weights.reread, 0.75);
+  EXPECT_DOUBLE_EQ(weights.home_millis, 10);
+  EXPECT_FALSE(set_weights("unheard_of=1", weights));
+  EXPECT_FALSE(set_weights("reread=-1", weights));
+  EXPECT_FALSE(set_weights("reread", weights));
+}
+
 TEST(placement, plain_requests_go_to_the_emptier_upstream_of_the_zone) {
   placement_request wanted;
   wanted.objective_millis = 200;
--- a/src/nutmegspur/proxy.cpp
+++ b/src/nutmegspur/proxy.cpp
@@ -19,6 +19,18 @@
 
 constexpr milliseconds log_flush_period{100};
 
+std::string
+weights_help() {
+  std::string text = "weights of placement, as name=value,...; the names and what stands without:";
+  const placement_weights usual;
+  for (const auto& it : placement_weight_names()) {
+    std::ostringstream value;
+    value << usual.*(it.member);
+    text += " " + std::string{it.name} + "=" + value.str();
+  }
+  return text;
+}
+
 cxxopts::Options
 describe_options() {
   cxxopts::Options options{"nutmegspur proxy",
@@ -43,10 +55,7 @@
       cxxopts::value<double>()->default_value(std::to_string(fleet.total_share)));
   add("reader-share", "part of a zone's engines that only read prompts; 0 for none",
       cxxopts::value<double>()->default_value(std::to_string(proxy::proxy_options{}.reader_share)));
-  add("crowding", "part of the engine time of a request that counts as cost to others",
-      cxxopts::value<double>()->default_value(std::to_string(weights.crowding)));
-  add("reread", "price of reading a shared part again, against its reading time",
-      cxxopts::value<double>()->default_value(std::to_string(weights.reread)));
+  add("weights", weights_help(), cxxopts::value<std::string>()->default_value(""));
   return options;
 }
 
@@ -142,12 +151,11 @@
     chosen.fleet.on_demand_share = parsed["on-demand-share"].as<double>();
     chosen.fleet.total_share = parsed["fleet-share"].as<double>();
     chosen.reader_share = parsed["reader-share"].as<double>();
-    chosen.weights.crowding = parsed["crowding"].as<double>();
-    chosen.weights.reread = parsed["reread"].as<double>();
   } catch (const cxxopts::exceptions::exception& ec) {
     return complain(std::string{ec.what()} + "; see --help");
   }
-  for (const auto& verdict : {check_share("on-demand-share", chosen.fleet.on_demand_share),
+  for (const auto& verdict : {set_weights(parsed["weights"].as<std::string>(), chosen.weights),
+                              check_share("on-demand-share", chosen.fleet.on_demand_share),
                               check_share("fleet-share", chosen.fleet.total_share)}) {
     if (!verdict) {
       return complain(verdict.error().message);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -22,6 +22,11 @@
 /// Peers are told of a placed part for so long: three notices.
 constexpr milliseconds placed_notice_time{350};
 
+double
+to_millis(duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
 std::string
 rounded(double millis) {
   return std::to_string(static_cast<std::int64_t>(millis));
@@ -69,9 +74,7 @@
 
 std::string
 request_flow::elapsed_text() const {
-  const std::chrono::duration<double, std::milli> passed =
-      http1::event_loop::now().boot - caller_->arrived().boot;
-  return rounded(passed.count());
+  return rounded(to_millis(http1::event_loop::now().boot - caller_->arrived().boot));
 }
 
 void
@@ -171,7 +174,7 @@
 request_flow::wanted() const {
   placement_request to;
   to.objective_millis = static_cast<double>(route_->objective.count());
-  to.remaining_millis = std::chrono::duration<double, std::milli>(left()).count();
+  to.remaining_millis = to_millis(left());
   to.body_bytes = static_cast<double>(caller_->body().size());
   to.engine = service_ != nullptr && service_->engine.has_value();
   to.prompt_tokens = prompt_.prompt_tokens;
@@ -392,6 +395,13 @@
   if (!id.empty()) {
     last_event_id_ = id;
   }
+  const time_point now = http1::event_loop::now().boot;
+  if (first_event_at_ == time_point{}) {
+    first_event_at_ = now;
+  } else {
+    longest_gap_ = std::max(longest_gap_, now - last_event_at_);
+  }
+  last_event_at_ = now;
   caller_->write(event);
 }
 
@@ -612,10 +622,19 @@
   log(log_event::request_answered, {{"request", request_.id},
                                     {"upstream", it.upstream.id.value},
                                     {"status", std::to_string(status)},
+                                    {"first_event_ms", first_event_text()},
+                                    {"longest_gap_ms", rounded(to_millis(longest_gap_))},
                                     {"elapsed_ms", elapsed_text()}});
   finish(status);
 }
 
+std::string
+request_flow::first_event_text() const {
+  return first_event_at_ == time_point{}
+             ? ""
+             : rounded(to_millis(first_event_at_ - caller_->arrived().boot));
+}
+
 void
 request_flow::refuse(std::string_view why, milliseconds retry_after, double expected_millis) {
   constexpr int unavailable = 503;
@@ -710,10 +729,17 @@
       .get_counter("nutmegspur_requests_total",
                    {{"kind", route_kind_name}, {"status", std::to_string(status)}})
       .add();
-  const std::chrono::duration<double> passed = now.boot - caller_->arrived().boot;
-  state_.metrics.get_histogram("nutmegspur_request_seconds", {{"team", team_.value}})
-      .observe(passed.count());
+  if (first_event_at_ != time_point{}) {
+    observe_seconds("nutmegspur_first_event_seconds", first_event_at_ - caller_->arrived().boot);
+  }
+  observe_seconds("nutmegspur_request_seconds", now.boot - caller_->arrived().boot);
   on_done_(this);
 }
 
+void
+request_flow::observe_seconds(const char* name, duration span) {
+  state_.metrics.get_histogram(name, {{"team", team_.value}})
+      .observe(std::chrono::duration<double>(span).count());
+}
+
 } // namespace nutmegspur::proxy
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -98,6 +98,8 @@
   [[nodiscard]] bool streaming() const { return route_->kind == route_kind::stream; }
 
   [[nodiscard]] std::string elapsed_text() const;
+  [[nodiscard]] std::string first_event_text() const;
+  void observe_seconds(const char* name, duration span);
 
   proxy_state& state_;
   http1::http_client& client_;
@@ -124,6 +126,9 @@
   std::set<upstream_id> tried_;
   attempt_history history_;
   std::string last_event_id_; ///< Of the last event passed on.
+  time_point first_event_at_{};
+  time_point last_event_at_{};
+  duration longest_gap_{0}; ///< Between two events passed on.
   bool counted_ = false;      ///< In the usage.
   bool done_ = false;
 };
