--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -134,6 +134,7 @@
   }
   state_.stopping = true;
   stop_began_ = http1::event_loop::now().boot;
+  state_.stop_at = stop_began_ + state_.settings.stop_limit - stop_margin;
   log(log_event::process_stopping, {{"requests", std::to_string(flows_.size())}});
   duties_.stop();
   store_.sign_off();
@@ -149,7 +150,7 @@
   if (passed < balancer_lag + milliseconds{400}) {
     return;
   }
-  if (idle || passed >= state_.settings.stop_limit - stop_margin) {
+  if (idle || now.boot >= state_.stop_at) {
     peers_.tell_all(now);
     log(log_event::process_stopped, {{"requests", std::to_string(flows_.size())}});
     loop_.stop();
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -76,7 +76,11 @@
   std::size_t live_peers = 0;
   bool upstreams_known = false;
   bool stopping = false;
+  /// While stopping: when the process ends at the latest.
+  time_point stop_at = time_point::max();
 
+  /// Whether a request that arrives now can be expected to be done before this process ends.
+  [[nodiscard]] bool takes_requests(const moment& now) const;
   /// Takes a configuration if it is newer than the one in force; false if it is not.
   bool apply_config(proxy_config config, std::string_view source);
   /// One change of the list, from the store or from a peer.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds retry_before_ready{500};
 /// Time to come back where an upstream turned the request away or could not be reached.
 constexpr milliseconds retry_after_rejection{150};
+/// Time to come back for who reaches an instance that is about to end: another one takes them.
+constexpr milliseconds retry_elsewhere{100};
 /// Bytes of an answer that a caller may leave unread before it is cut off.
 constexpr std::size_t most_unsent_bytes = 4UL * 1024 * 1024;
 /// An attempt with less time than this is not worth sending.
@@ -98,6 +100,10 @@
     refuse("no configuration yet", retry_before_ready, 0);
     return false;
   }
+  if (!state_.takes_requests(caller_->arrived())) {
+    refuse("stopping", retry_elsewhere, 0);
+    return false;
+  }
   route_ = config_->find_route(host_of(caller_->head()), caller_->head().path());
   if (route_ == nullptr) {
     answer_error(404, "no route");
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -129,7 +129,7 @@
   time_point first_event_at_{};
   time_point last_event_at_{};
   duration longest_gap_{0}; ///< Between two events passed on.
-  bool counted_ = false;      ///< In the usage.
+  bool counted_ = false;    ///< In the usage.
   bool done_ = false;
 };
 
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -212,6 +212,7 @@
         self.state = "ready"
         self.arrived = []  # Every request.
         self.ran = []  # Ids of requests that ran.
+        self.abandoned = []  # Ids of those whose connection was closed while they hung.
         self.orders = []
         self.handles = set()
         self.misbehave = {}
@@ -257,6 +258,11 @@
             return None
         if how == "slow":
             await asyncio.sleep(1.0)
+        if how == "hang":
+            while not writer.transport.is_closing():
+                await asyncio.sleep(0.01)
+            self.abandoned.append(number)
+            return None
         headers = {"X-Request-Id": number, "X-Response-Stamp": f"{self.name}.{number}"}
         if how == "error":
             return answer(500, b"broken", headers)
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -114,7 +114,10 @@
         connection = http.client.HTTPConnection(processes.LOOPBACK, self.ports[entry]["front"], timeout=timeout_s)
         try:
             connection.request(method, f"/{route}/x?y=1", body=body, headers=all_headers)
-            reply = connection.getresponse()
+            try:
+                reply = connection.getresponse()
+            except (http.client.HTTPException, ConnectionError):
+                return processes.Answer(0, {}, "")  # Closed without an answer.
             whole = True
             try:
                 text = reply.read()
