--- a/src/include/nutmegspur/placement.h
+++ b/src/include/nutmegspur/placement.h
@@ -42,6 +42,7 @@
   std::uint32_t cached_tokens = 0; ///< Leading prompt tokens that it is believed to hold.
   double failure_share = 0;
   std::uint64_t home_weight = 0; ///< As the home of the shared part; 0 if nothing is shared.
+  double preference = 0;         ///< Of this instance, from 0 (liked best) to 1.
 };
 
 /// How fast engines of a kind are.
@@ -74,7 +75,7 @@
   /// Price of a kilobyte sent to another region, in milliseconds of a request's time.
   double region_millis_per_kilobyte = 1.5;
   /// Part of the engine time that a request takes which counts as cost to others.
-  double crowding = 0.5;
+  double crowding = 1;
   /// Price of reading a shared part where it is not held, against its reading time.
   double reread = 0.5;
   /// Cost of a certain failure, in objectives.
@@ -85,7 +86,15 @@
   /// Cost of a long read at an engine that makes tokens: for each stream there, and for those that
   /// come, in objectives. Such a read is longer than this share of the allowed pause.
   double stall_per_stream = 0.5;
-  double stall_share_of_gap = 0.5;
+  double stall_share_of_gap = 0.3;
+  /// Cost of an upstream that this instance likes least. Instances like different ones, so that they
+  /// do not all run to the one that peers' word, which is a little old, shows as the emptiest.
+  double preference_millis = 20;
+  /// Cost of a stream that is open at an engine: the next one slows both a little.
+  double open_stream_millis = 1;
+  /// Cost of holding up the streams of an engine by reading between their tokens, for each of them,
+  /// against the time of the reading.
+  double hold_up = 0;
   /// Advantage of the first home of a shared part, in milliseconds; decides between upstreams that
   /// are alike, so that all instances read a part at the same place.
   double home_millis = 40;
--- a/src/include/nutmegspur/prompt_cache_view.h
+++ b/src/include/nutmegspur/prompt_cache_view.h
@@ -53,6 +53,9 @@
 /// (rendezvous hashing; Thaler and Ravishankar, 1998), so that instances agree without a message.
 std::uint64_t home_weight(std::uint64_t chain, const upstream_id& upstream);
 
+/// How little `instance` prefers `upstream`, from 0 to 1: uniform, and the same each time.
+double preference_rank(const instance_id& instance, const upstream_id& upstream);
+
 /// A part that was placed at an engine, as instances tell each other.
 struct cached_part_notice {
   upstream_id upstream;
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -3,6 +3,9 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace nutmegspur {
 
 namespace {
@@ -41,7 +44,7 @@
 read_load(const msgpack::object& from) {
   const auto row = from.as<std::vector<msgpack::object>>();
   return {upstream_id{row.at(0).as<std::string>()},
-          {row.at(1).as<std::uint32_t>(), row.at(2).as<double>()}};
+          {row.at(1).as<std::uint32_t>(), static_cast<double>(row.at(2).as<std::uint32_t>())}};
 }
 
 cached_part_notice
@@ -94,7 +97,7 @@
     out.pack_array(3);
     out.pack(load.upstream.value);
     out.pack(load.load.open);
-    out.pack(load.load.backlog_millis);
+    out.pack(static_cast<std::uint32_t>(std::lround(std::max(load.load.backlog_millis, 0.0))));
   }
   out.pack_array(static_cast<std::uint32_t>(it.placed.size()));
   for (const auto& placed : it.placed) {
--- a/src/libnutmegspur/placement.cpp
+++ b/src/libnutmegspur/placement.cpp
@@ -14,9 +14,6 @@
 constexpr double least_retry_millis = 100;
 constexpr double most_retry_millis = 2'000;
 
-/// Least unfairness between equal engines: a stream there slows the next one a little.
-constexpr double millis_per_open_stream = 1;
-
 struct scored {
   placement choice;
   double cost = 0;
@@ -39,8 +36,8 @@
 double
 sending_cost(const placement_request& wanted, const placement_candidate& it,
              const placement_weights& weights) {
-  double cost =
-      network_millis(it, weights) + weights.failure * it.failure_share * wanted.objective_millis;
+  double cost = network_millis(it, weights) + weights.preference_millis * it.preference +
+                weights.failure * it.failure_share * wanted.objective_millis;
   if (it.away == distance::other_region) {
     cost += weights.region_millis_per_kilobyte * wanted.body_bytes / bytes_per_kilobyte;
   }
@@ -80,8 +77,9 @@
   result.choice.expected_millis = it.backlog_millis + batch_wait(it, wanted.mixed.fixed_millis) +
                                   read + wanted.mixed.fixed_millis + network_millis(it, weights);
   result.cost = result.choice.expected_millis + sending_cost(wanted, it, weights) -
-                network_millis(it, weights) + millis_per_open_stream * it.open +
+                network_millis(it, weights) + weights.open_stream_millis * it.open +
                 reading_cost(wanted, it, wanted.mixed, best_home, weights);
+  result.cost += weights.hold_up * read * it.open;
   if (read > weights.stall_share_of_gap * wanted.gap_objective_millis) {
     result.cost += weights.stall_per_stream * wanted.objective_millis * (1.0 + it.open);
   }
@@ -130,12 +128,12 @@
       batch_wait(runner, wanted.mixed.fixed_millis) + network_millis(runner, weights);
   result.cost = result.choice.expected_millis + sending_cost(wanted, reader, weights) +
                 sending_cost(wanted, runner, weights) - network_millis(reader, weights) -
-                network_millis(runner, weights) + move + millis_per_open_stream * runner.open +
+                network_millis(runner, weights) + move + weights.open_stream_millis * runner.open +
                 reading_cost(wanted, reader, wanted.reader, best_home, weights);
   return result;
 }
 
-constexpr std::array<placement_weight_name, 11> weight_names{{
+constexpr std::array<placement_weight_name, 14> weight_names{{
     {"same_region_millis", &placement_weights::same_region_millis},
     {"other_region_millis", &placement_weights::other_region_millis},
     {"region_millis_per_kilobyte", &placement_weights::region_millis_per_kilobyte},
@@ -146,6 +144,9 @@
     {"region_transfer_factor", &placement_weights::region_transfer_factor},
     {"stall_per_stream", &placement_weights::stall_per_stream},
     {"stall_share_of_gap", &placement_weights::stall_share_of_gap},
+    {"preference_millis", &placement_weights::preference_millis},
+    {"open_stream_millis", &placement_weights::open_stream_millis},
+    {"hold_up", &placement_weights::hold_up},
     {"home_millis", &placement_weights::home_millis},
 }};
 
--- a/src/libnutmegspur/placement_test.cpp
+++ b/src/libnutmegspur/placement_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace nutmegspur {
 namespace {
 
@@ -79,6 +81,25 @@
   EXPECT_TRUE(chosen->reader.empty());
 }
 
+// Peers' word of load is a little old: with the same old word, instances must not all run to the
+// same engine.
+TEST(placement, instances_that_see_the_same_idle_engines_take_different_ones) {
+  std::set<upstream_id> taken;
+  for (const auto* instance : {"front-1", "front-2", "front-3", "front-4", "front-5", "front-6"}) {
+    placement_field field;
+    for (const auto* id : {"a", "b", "c", "d", "e", "f"}) {
+      auto it = engine(id);
+      it.preference = preference_rank(instance_id{instance}, it.id);
+      field.runners.push_back(it);
+    }
+    auto wanted = long_prompt();
+    wanted.prompt_tokens = 500;
+    wanted.shared_tokens = 0;
+    taken.insert(place_request(wanted, field, {})->upstream);
+  }
+  EXPECT_GE(taken.size(), 3U);
+}
+
 TEST(placement, memory_moves_within_a_zone_where_it_can) {
   auto near = engine("near");
   auto far = engine("far", "b");
--- a/src/libnutmegspur/prompt_cache_view.cpp
+++ b/src/libnutmegspur/prompt_cache_view.cpp
@@ -54,6 +54,14 @@
   return mix(chain ^ hash_text(upstream.value));
 }
 
+double
+preference_rank(const instance_id& instance, const upstream_id& upstream) {
+  constexpr unsigned dropped_bits = 11; // A double holds 53 bits without loss.
+  constexpr double range = 9007199254740992.0; // 2^53.
+  const std::uint64_t draw = home_weight(hash_text(instance.value), upstream) >> dropped_bits;
+  return static_cast<double>(draw) / range;
+}
+
 std::uint32_t
 prompt_cache_view::cached_tokens(const upstream_id& upstream, const prompt_shape& prompt) const {
   const auto engine = engines_.find(upstream);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -155,6 +155,7 @@
   to.backlog_millis = load.backlog_millis;
   to.cached_tokens = state_.caches.cached_tokens(it.id, prompt_);
   to.failure_share = state_.health.failure_share(it.id);
+  to.preference = preference_rank(state_.settings.instance, it.id);
   to.home_weight = chain == 0 ? 0 : home_weight(chain, it.id);
   return to;
 }
