--- a/src/libnutmegspur/prompt_cache_view.cpp
+++ b/src/libnutmegspur/prompt_cache_view.cpp
@@ -56,7 +56,7 @@
 
 double
 preference_rank(const instance_id& instance, const upstream_id& upstream) {
-  constexpr unsigned dropped_bits = 11; // A double holds 53 bits without loss.
+  constexpr unsigned dropped_bits = 11;        // A double holds 53 bits without loss.
   constexpr double range = 9007199254740992.0; // 2^53.
   const std::uint64_t draw = home_weight(hash_text(instance.value), upstream) >> dropped_bits;
   return static_cast<double>(draw) / range;
--- a/src/libnutmegspur/stage_plan_test.cpp
+++ b/src/libnutmegspur/stage_plan_test.cpp
@@ -10,6 +10,7 @@
 std::vector<listed_upstream>
 engines(std::size_t readers, std::size_t runners) {
   std::vector<listed_upstream> all;
+  all.reserve(readers + runners);
   for (std::size_t n = 0; n < readers + runners; ++n) {
     listed_upstream it;
     it.id = upstream_id{"e" + std::to_string(n)};
--- /dev/null
+++ b/src/proxy/caller_host.h
@@ -0,0 +1,14 @@
+/// \file caller_host.h
+/// The host that a request asks for.
+#pragma once
+
+#include <nutmegspur/http_message.h>
+
+#include <string>
+
+namespace nutmegspur::proxy {
+
+/// The `Host` field without its port, in lower case.
+std::string host_of(const http_request_head& head);
+
+} // namespace nutmegspur::proxy
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -19,8 +19,11 @@
 constexpr milliseconds watch_wait{1'000};
 constexpr milliseconds watch_limit{2'500};
 /// Pause between two watch calls: upstreams' heartbeats come all the time, and each call is paid
-/// for. News is at most this much later.
-constexpr milliseconds watch_pause{350};
+/// for. News is at most this much later; it grows with the instances, so that their calls together
+/// grow slowly, and stays under half of the seconds in which news must be everywhere.
+constexpr milliseconds watch_pause{300};
+constexpr milliseconds watch_pause_per_peer{20};
+constexpr milliseconds longest_watch_pause{1'500};
 /// Between tries while the store fails.
 constexpr milliseconds retry_pause{300};
 constexpr milliseconds read_limit{1'500};
@@ -237,7 +240,9 @@
     apply(it, "watch");
   }
   copy_.store = std::max(copy_.store, answer->store);
-  state_.loop.once(watch_pause, [this](const moment&) { watch(); });
+  const auto peers = static_cast<std::int64_t>(state_.live_peers);
+  state_.loop.once(std::min(watch_pause + watch_pause_per_peer * peers, longest_watch_pause),
+                   [this](const moment&) { watch(); });
 }
 
 void
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -20,6 +20,7 @@
 LOOPBACK = "127.0.0.1"
 START_LIMIT_S = 60.0  # Longest wait for a condition; a test's verdict does not depend on its length.
 POLL_PERIOD_S = 0.05
+given_ports = set()
 
 
 class Failure(Exception):
@@ -39,10 +40,19 @@
 
 
 def free_port():
-    """A port that nothing listens on just now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """A port that nothing uses just now, from below the range that outgoing connections are given
+    by default, so that none of them takes it before its server listens."""
+    while True:
+        port = secrets.choice(range(10_000, 32_000))
+        if port in given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
 
 
 class Answer:
