--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace nutmegspur::proxy {
 
--- a/src/proxy/log_writer.h
+++ b/src/proxy/log_writer.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace nutmegspur::proxy {
 
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -29,7 +29,7 @@
 
 result<void>
 peer_group::start() {
-  if (const auto bound = socket_.bind(state_.settings.peer_listen); !bound) {
+  if (auto bound = socket_.bind(state_.settings.peer_listen); !bound) {
     return bound;
   }
   state_.loop.every(tell_period, [this](const moment& now) { tell(now); });
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -66,11 +66,11 @@
     const endpoint& at = it == &caller_server_  ? settings.caller_listen
                          : it == &ready_server_ ? settings.ready_listen
                                                 : settings.peer_listen;
-    if (const auto listening = it->listen(at); !listening) {
+    if (auto listening = it->listen(at); !listening) {
       return listening;
     }
   }
-  if (const auto started = peers_.start(); !started) {
+  if (auto started = peers_.start(); !started) {
     return started;
   }
   store_.start();
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -207,9 +207,9 @@
                                   {"cached", std::to_string(plan_.cached_tokens)},
                                   {"config", std::to_string(config_->config().version)}});
   if (split) {
-    send(task::reading, plan_.reader, plan_.reader_millis);
+    send(attempt_task::reading, plan_.reader, plan_.reader_millis);
   } else {
-    send(task::whole, plan_.upstream, plan_.read_millis);
+    send(attempt_task::whole, plan_.upstream, plan_.read_millis);
   }
 }
 
@@ -225,7 +225,7 @@
 }
 
 std::string
-request_flow::request_bytes(const attempt& to) const {
+request_flow::request_bytes(const upstream_attempt& to) const {
   forward_fields own;
   own.expected = to.upstream.id;
   own.team = team_;
@@ -235,8 +235,8 @@
       std::chrono::floor<milliseconds>(http1::event_loop::now().boot - caller_->arrived().boot);
   own.patience = std::max(patience - passed, milliseconds{1});
   own.last_event_id = history_.answer_begun ? last_event_id_ : "";
-  own.read_only = to.asked == task::reading;
-  if (to.asked == task::going_on) {
+  own.read_only = to.asked == attempt_task::reading;
+  if (to.asked == attempt_task::going_on) {
     own.from = handle_;
   }
   const http_fields fields = state_.wire.forward(caller_->head(), own);
@@ -244,9 +244,9 @@
 }
 
 void
-request_flow::send(task asked, const upstream_id& to, double read_millis) {
+request_flow::send(attempt_task asked, const upstream_id& to, double read_millis) {
   const auto* upstream = state_.upstreams.usable(to);
-  attempt& it = attempt_.emplace();
+  upstream_attempt& it = attempt_.emplace();
   it.asked = asked;
   it.upstream = *upstream;
   it.sent_at = http1::event_loop::now();
@@ -261,7 +261,7 @@
                                  cached_part_notice{it.upstream.id, part});
     }
   }
-  if (asked != task::reading) {
+  if (asked != attempt_task::reading) {
     tried_.insert(it.upstream.id);
   }
   http1::call_options options;
@@ -270,12 +270,13 @@
     const auto marks = state_.wire.read_answer(head);
     return marks.request_id.empty() || marks.request_id == request_.id;
   };
-  it.call = client_.start({it.upstream.address, it.upstream.port}, request_bytes(it),
-                          {[this] { history_.sent += attempt_->asked == task::reading ? 0 : 1; },
-                           [this](const http_answer_head& head) { on_head(head); },
-                           [this](std::string_view bytes) { on_body(bytes); },
-                           [this](http1::call_end how) { on_call_end(how); }},
-                          options, caller_->head().method == "HEAD");
+  it.call =
+      client_.start({it.upstream.address, it.upstream.port}, request_bytes(it),
+                    {[this] { history_.sent += attempt_->asked == attempt_task::reading ? 0 : 1; },
+                     [this](const http_answer_head& head) { on_head(head); },
+                     [this](std::string_view bytes) { on_body(bytes); },
+                     [this](http1::call_end how) { on_call_end(how); }},
+                    options, caller_->head().method == "HEAD");
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -22,6 +22,29 @@
 
 namespace nutmegspur::proxy {
 
+/// What an upstream is asked for.
+enum class attempt_task {
+  whole,    ///< The answer.
+  reading,  ///< Only to read the prompt and to keep it.
+  going_on, ///< The answer, from a prompt that was read elsewhere.
+};
+
+/// Of the attempt in work.
+struct upstream_attempt {
+  attempt_task asked = attempt_task::whole;
+  std::unique_ptr<http1::client_call> call;
+  listed_upstream upstream;
+  moment sent_at{};
+  std::uint64_t load = 0; ///< Its number in the load view.
+  std::vector<chained_part> new_parts;
+  bool alone = false; ///< The engine had nothing else to read when it was sent.
+  bool read = false;  ///< The first byte of its answer's body has come.
+  http_answer_head head;
+  answer_marks marks;
+  std::string body;
+  event_splitter events;
+};
+
 class request_flow {
  public:
   request_flow(proxy_state& state, http1::http_client& client, call_set& aside,
@@ -34,38 +57,15 @@
   void start();
 
  private:
-  /// What an upstream is asked for.
-  enum class task {
-    whole,    ///< The answer.
-    reading,  ///< Only to read the prompt and to keep it.
-    going_on, ///< The answer, from a prompt that was read elsewhere.
-  };
-
-  /// Of the attempt in work.
-  struct attempt {
-    task asked = task::whole;
-    std::unique_ptr<http1::client_call> call;
-    listed_upstream upstream;
-    moment sent_at{};
-    std::uint64_t load = 0; ///< Its number in the load view.
-    std::vector<chained_part> new_parts;
-    bool alone = false; ///< The engine had nothing else to read when it was sent.
-    bool read = false;  ///< The first byte of its answer's body has come.
-    http_answer_head head;
-    answer_marks marks;
-    std::string body;
-    event_splitter events;
-  };
-
   // Before an upstream is asked.
   bool admit();
   void place();
   [[nodiscard]] placement_field candidates() const;
   [[nodiscard]] placement_candidate candidate(const moment& now, const listed_upstream& it) const;
   [[nodiscard]] placement_request wanted() const;
-  void send(task asked, const upstream_id& to, double read_millis);
+  void send(attempt_task asked, const upstream_id& to, double read_millis);
   void begin_plan();
-  [[nodiscard]] std::string request_bytes(const attempt& to) const;
+  [[nodiscard]] std::string request_bytes(const upstream_attempt& to) const;
   [[nodiscard]] milliseconds attempt_limit() const;
 
   // What an attempt tells.
@@ -119,7 +119,7 @@
   timer_id silence_timer_;
 
   placement plan_;
-  std::optional<attempt> attempt_;
+  std::optional<upstream_attempt> attempt_;
   std::optional<prompt_handle> handle_; ///< A prompt that was read for this request.
   upstream_id reader_;                  ///< Who read it.
   bool split_failed_ = false;           ///< Readers are not asked again.
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -38,7 +38,7 @@
 request_flow::on_head(const http_answer_head& head) {
   attempt_->head = head;
   attempt_->marks = state_.wire.read_answer(head);
-  if (attempt_->asked == task::going_on) {
+  if (attempt_->asked == attempt_task::going_on) {
     handle_.reset(); // Taken, or gone.
   }
   if (!streaming() && !attempt_->marks.not_run) {
@@ -48,7 +48,7 @@
 
 void
 request_flow::note_first_byte() {
-  attempt& it = *attempt_;
+  upstream_attempt& it = *attempt_;
   if (it.read) {
     return;
   }
@@ -59,14 +59,14 @@
     return;
   }
   learn_pace(now);
-  if (it.asked != task::reading) {
+  if (it.asked != attempt_task::reading) {
     note_ran(now);
   }
 }
 
 void
 request_flow::learn_pace(const moment& now) {
-  const attempt& it = *attempt_;
+  const upstream_attempt& it = *attempt_;
   if (!it.alone || service_ == nullptr || !service_->engine || history_.answer_begun ||
       state_.distance_to(it.upstream.zone) != distance::same_zone) {
     return;
@@ -75,20 +75,20 @@
   const std::uint32_t unread =
       prompt_.prompt_tokens - std::min(prompt_.prompt_tokens, plan_.cached_tokens);
   auto& pace = state_.calibrations[service_name_];
-  if (it.asked == task::going_on) {
+  if (it.asked == attempt_task::going_on) {
     const auto* reader = state_.upstreams.find(reader_);
     if (reader != nullptr && reader->zone == it.upstream.zone) {
       pace.mover.learn(prompt_.prompt_tokens, passed.count());
     }
     return;
   }
-  (it.asked == task::reading ? pace.reader : pace.mixed).learn(unread, passed.count());
+  (it.asked == attempt_task::reading ? pace.reader : pace.mixed).learn(unread, passed.count());
 }
 
 void
 request_flow::on_body(std::string_view bytes) {
   note_first_byte();
-  attempt& it = *attempt_;
+  upstream_attempt& it = *attempt_;
   const bool stream_going =
       streaming() && it.head.status == 200 && !it.marks.not_run && it.marks.signed_by_upstream;
   if (!stream_going) {
@@ -152,12 +152,12 @@
     end_attempt(attempt_end::timed_out);
     return;
   }
-  const attempt& it = *attempt_;
+  const upstream_attempt& it = *attempt_;
   constexpr int first_server_error = 500;
   constexpr int first_redirect = 300;
   if (it.marks.not_run) {
     end_attempt(attempt_end::rejected);
-  } else if (it.asked != task::reading && it.head.status < first_redirect &&
+  } else if (it.asked != attempt_task::reading && it.head.status < first_redirect &&
              !it.marks.signed_by_upstream) {
     end_attempt(attempt_end::malformed);
   } else if (it.head.status >= first_server_error) {
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -23,7 +23,6 @@
   case attempt_end::answered:
     return attempt_result::answered;
   case attempt_end::server_error:
-    return attempt_result::erred;
   case attempt_end::rejected:
     return attempt_result::erred;
   case attempt_end::unreachable:
@@ -41,7 +40,7 @@
 
 void
 request_flow::close_attempt(attempt_end how) {
-  attempt& it = *attempt_;
+  upstream_attempt& it = *attempt_;
   const moment now = http1::event_loop::now();
   state_.loads.on_ended(now, it.load);
   if (!it.read) {
@@ -49,7 +48,7 @@
   }
   if (const auto result = health_result(how)) {
     // A prompt that cannot be fetched is the fault of the engine that was to keep it.
-    const bool lost_handle = it.asked == task::going_on && how == attempt_end::rejected;
+    const bool lost_handle = it.asked == attempt_task::going_on && how == attempt_end::rejected;
     state_.health.on_result(now, lost_handle ? reader_ : it.upstream.id, *result);
   }
   if (how != attempt_end::answered) {
@@ -65,7 +64,7 @@
 void
 request_flow::end_reading(attempt_end how) {
   close_attempt(how);
-  attempt& it = *attempt_;
+  upstream_attempt& it = *attempt_;
   std::string handle;
   if (how == attempt_end::answered) {
     const auto read = state_.wire.read_handle(it.body);
@@ -103,7 +102,7 @@
   const auto* planned = state_.upstreams.usable(plan_.upstream);
   if (planned != nullptr && planned->stage != engine_stage::prefill &&
       state_.health.allows(now, plan_.upstream)) {
-    send(task::going_on, plan_.upstream, 0);
+    send(attempt_task::going_on, plan_.upstream, 0);
     return;
   }
   // The engine that was to go on has left meanwhile: any other may, the nearest first.
@@ -123,7 +122,7 @@
     refuse("no_upstream", retry_after_rejection, 0);
     return;
   }
-  send(task::going_on, best->id, 0);
+  send(attempt_task::going_on, best->id, 0);
 }
 
 void
@@ -138,14 +137,14 @@
 
 void
 request_flow::end_attempt(attempt_end how) {
-  if (attempt_->asked == task::reading) {
+  if (attempt_->asked == attempt_task::reading) {
     end_reading(how);
     return;
   }
   close_attempt(how);
-  attempt& it = *attempt_;
+  upstream_attempt& it = *attempt_;
   // Another prompt read apart would count as an attempt by itself.
-  split_failed_ = split_failed_ || it.asked == task::going_on;
+  split_failed_ = split_failed_ || it.asked == attempt_task::going_on;
   const moment now = http1::event_loop::now();
   history_.time_left = left() > least_attempt_time;
   history_.upstream_left = !state_.upstreams.usable_of(service_name_).empty();
@@ -186,7 +185,7 @@
 
 void
 request_flow::pass_answer() {
-  attempt& it = *attempt_;
+  upstream_attempt& it = *attempt_;
   const int status = it.head.status;
   if (history_.answer_begun) {
     caller_->write(it.events.take_rest());
@@ -277,7 +276,7 @@
   }
   if (history_.answer_begun) {
     cut("deadline");
-  } else if (history_.may_have_run || (attempt_ && attempt_->asked != task::reading &&
+  } else if (history_.may_have_run || (attempt_ && attempt_->asked != attempt_task::reading &&
                                        attempt_->call && attempt_->call->sent())) {
     fail(504, "deadline");
   } else {
