--- a/src/libnutmegspur/stage_plan_test.cpp
+++ b/src/libnutmegspur/stage_plan_test.cpp
@@ -23,6 +23,7 @@
 std::vector<const listed_upstream*>
 pointers(const std::vector<listed_upstream>& all) {
   std::vector<const listed_upstream*> out;
+  out.reserve(all.size());
   for (const auto& it : all) {
     out.push_back(&it);
   }
