--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -72,6 +72,13 @@
 /// Whether this attempt may have run, by how it ended.
 bool may_have_run(attempt_end end);
 
+/// Decides after a prompt could not be read apart, which runs nothing by itself. `history.sent`
+/// counts the call if an upstream turned it away, `history.may_have_run` is of earlier attempts.
+next_step after_failed_reading(const attempt_history& history);
+
+/// What a caller is told when no other attempt is to be made.
+next_step give_up(const attempt_history& history);
+
 /// Decides after an attempt; `history.sent` counts it, `history.may_have_run` does not.
 next_step after_attempt(attempt_end end, const attempt_history& history);
 
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -25,6 +25,21 @@
 
 } // namespace
 
+next_step
+give_up(const attempt_history& history) {
+  if (history.answer_begun) {
+    return next_step::cut;
+  }
+  return history.may_have_run ? next_step::fail : next_step::refuse;
+}
+
+next_step
+after_failed_reading(const attempt_history& history) {
+  const bool another = history.sent < history.max_attempts && history.time_left &&
+                       history.upstream_left && (history.sent == 0 || history.budget_left);
+  return another ? next_step::retry : give_up(history);
+}
+
 next_step
 after_attempt(attempt_end end, const attempt_history& history) {
   if (end == attempt_end::answered) {
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -68,6 +68,18 @@
   RC_ASSERT(step == next_step::retry || step == next_step::cut);
 }
 
+// A stream whose first attempt broke off was told "not run" when reading its prompt apart failed
+// on the second.
+RC_GTEST_PROP(attempt_rules, a_failed_reading_does_not_forget_an_earlier_run, ()) {
+  const auto history = arbitrary_history();
+  for (const auto step : {after_failed_reading(history), give_up(history)}) {
+    if (step == next_step::refuse) {
+      RC_ASSERT(!history.may_have_run);
+      RC_ASSERT(!history.answer_begun);
+    }
+  }
+}
+
 TEST(attempt_rules, an_upstreams_own_error_is_passed_on) {
   EXPECT_EQ(after_attempt(attempt_end::server_error, {route_kind::once, false, 1, 1}),
             next_step::pass_on);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -185,13 +185,8 @@
     return;
   }
   const auto& refusal = chosen.error();
-  if (history_.answer_begun) {
-    cut(to_name(refusal.why));
-  } else if (history_.may_have_run) {
-    fail(502, to_name(refusal.why));
-  } else {
-    refuse(to_name(refusal.why), refusal.retry_after, refusal.expected_millis);
-  }
+  give_up_with(give_up(history_), to_name(refusal.why), refusal.retry_after,
+               refusal.expected_millis);
 }
 
 void
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -85,6 +85,9 @@
   void close_attempt(attempt_end how);
   void end_attempt(attempt_end how);
   void pass_answer();
+  /// Tells the caller what `step` says: one of refuse, fail and cut.
+  void give_up_with(next_step step, std::string_view why, milliseconds retry_after,
+                    double expected_millis);
   void refuse(std::string_view why, milliseconds retry_after, double expected_millis);
   void fail(int status, std::string_view why);
   void cut(std::string_view why);
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -86,13 +86,32 @@
   history_.sent += how == attempt_end::unreachable ? 0 : 1;
   http1::discard(state_.loop, std::move(it.call));
   attempt_.reset();
-  const bool allowed = how == attempt_end::unreachable ||
-                       (history_.sent < history_.max_attempts &&
-                        state_.retries_of(service_name_).take(http1::event_loop::now()));
-  if (allowed && left() > least_attempt_time) {
+  history_.time_left = left() > least_attempt_time;
+  history_.upstream_left = !state_.upstreams.usable_of(service_name_).empty();
+  history_.budget_left = history_.sent == 0 || history_.sent >= history_.max_attempts ||
+                         state_.retries_of(service_name_).take(http1::event_loop::now());
+  const next_step step = after_failed_reading(history_);
+  if (step == next_step::retry) {
     place();
   } else {
-    refuse(to_name(how), retry_after_rejection, 0);
+    give_up_with(step, to_name(how), retry_after_rejection, 0);
+  }
+}
+
+void
+request_flow::give_up_with(next_step step, std::string_view why, milliseconds retry_after,
+                           double expected_millis) {
+  constexpr int bad_gateway = 502;
+  switch (step) {
+  case next_step::cut:
+    cut(why);
+    break;
+  case next_step::fail:
+    fail(bad_gateway, why);
+    break;
+  default:
+    refuse(why, retry_after, expected_millis);
+    break;
   }
 }
 
@@ -119,7 +138,7 @@
     }
   }
   if (best == nullptr) {
-    refuse("no_upstream", retry_after_rejection, 0);
+    give_up_with(give_up(history_), "no_upstream", retry_after_rejection, 0);
     return;
   }
   send(attempt_task::going_on, best->id, 0);
