--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -67,9 +67,11 @@
   peer_connected = 700,
   peer_lost = 701,
   peer_rejected = 702,
+  relay_chosen = 703,
   platform_unreachable = 800,
   platform_reachable = 801,
   history_lost = 802,
+  store_followed = 803,
 };
 
 /// One row of the catalogue.
--- /dev/null
+++ b/src/include/nutmegspur/hashing.h
@@ -0,0 +1,35 @@
+/// \file hashing.h
+/// Hashes that are the same in every process, unlike std::hash: instances that hash the same thing
+/// must agree without a message.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace nutmegspur {
+
+inline constexpr std::uint64_t fnv_basis = 0xCBF29CE484222325ULL;
+
+/// FNV-1a, 64 bits (Fowler, Noll and Vo, 1991), going on from `hash`.
+constexpr std::uint64_t
+fnv1a(std::uint64_t hash, std::string_view bytes) {
+  constexpr std::uint64_t prime = 0x100000001B3ULL;
+  for (const char it : bytes) {
+    hash = (hash ^ static_cast<unsigned char>(it)) * prime;
+  }
+  return hash;
+}
+
+/// The finalizer of SplitMix64 (Steele, Lea and Flood, 2014): spreads what FNV leaves in the low
+/// bits over all of them.
+constexpr std::uint64_t
+spread_bits(std::uint64_t n) {
+  constexpr unsigned first = 30;
+  constexpr unsigned second = 27;
+  constexpr unsigned third = 31;
+  n = (n ^ (n >> first)) * 0xBF58476D1CE4E5B9ULL;
+  n = (n ^ (n >> second)) * 0x94D049BB133111EBULL;
+  return n ^ (n >> third);
+}
+
+} // namespace nutmegspur
--- a/src/include/nutmegspur/load_view.h
+++ b/src/include/nutmegspur/load_view.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,7 +30,7 @@
 /// Own and peers' open work.
 class load_view {
  public:
-  /// A peer that has told nothing for so long no longer counts.
+  /// What a peer told counts for so long, unless it says otherwise.
   static constexpr milliseconds peer_lifetime{1'000};
 
   /// A request is sent. Returns its number, for the calls below.
@@ -39,14 +40,21 @@
   /// Its answer is whole, or the attempt has ended otherwise. Unknown numbers are ignored.
   void on_ended(const moment& now, std::uint64_t number);
 
-  void on_peer(const moment& now, const instance_id& peer, std::vector<upstream_load_notice> loads);
+  /// `peer` told this, of itself or of several instances; it replaces what it told before.
+  void on_peer(const moment& now, const instance_id& peer, std::vector<upstream_load_notice> loads,
+               milliseconds lifetime = peer_lifetime);
 
   void forget_peer(const instance_id& peer) { peers_.erase(peer); }
 
+  void forget_peers() { peers_.clear(); }
+
   /// Own work and that of all peers heard lately.
   [[nodiscard]] upstream_load total(const moment& now, const upstream_id& id) const;
   /// Own work at every upstream that has any.
   [[nodiscard]] std::vector<upstream_load_notice> own(const moment& now) const;
+  /// The same and that of the peers that `counts` says yes to, for passing on.
+  [[nodiscard]] std::vector<upstream_load_notice>
+  own_and(const moment& now, const std::function<bool(const instance_id&)>& counts) const;
 
   /// All open requests of this instance.
   [[nodiscard]] std::size_t own_open() const { return sent_.size(); }
@@ -65,7 +73,7 @@
   };
 
   struct peer_work {
-    time_point heard{};
+    time_point until{};
     std::unordered_map<upstream_id, upstream_load> loads;
   };
 
--- a/src/include/nutmegspur/upstream_list.h
+++ b/src/include/nutmegspur/upstream_list.h
@@ -98,8 +98,8 @@
 
   [[nodiscard]] bool empty() const { return entries_.empty(); }
 
-  /// All entries with their revisions, for a peer that cannot reach the service.
-  [[nodiscard]] std::vector<std::pair<listed_upstream, revision>> snapshot() const;
+  /// Hash of all entries; equal lists have equal ones, in every process.
+  [[nodiscard]] std::uint64_t content() const;
 
  private:
   struct entry {
--- a/src/include/nutmegspur/usage_windows.h
+++ b/src/include/nutmegspur/usage_windows.h
@@ -43,8 +43,8 @@
   /// An instance's counts of a window replace what it told before. Counts only grow, so the
   /// greater of two is the newer.
   void on_peer(const instance_id& peer, const usage_window& window);
-  /// This instance's windows that may still be reported.
-  [[nodiscard]] std::vector<usage_window> own(wall_time now) const;
+  /// This instance's windows after `sealed` that may still be reported.
+  [[nodiscard]] std::vector<usage_window> own(wall_time now, std::int64_t sealed = 0) const;
   /// The sum of all instances for window `number`.
   [[nodiscard]] usage_window total(std::int64_t number) const;
   /// The oldest window after `reported` that ended at least `settled` ago and is still kept.
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 42> catalogue{{
+constexpr std::array<log_event_info, 44> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -83,12 +83,16 @@
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
     {log_event::peer_rejected, "peer_rejected", severity::warning,
      "A peer sent a frame that is not authentic or not well formed."},
+    {log_event::relay_chosen, "relay_chosen", severity::info,
+     "This instance takes its peers' notices from another relay, or is one itself."},
     {log_event::platform_unreachable, "platform_unreachable", severity::warning,
      "Calls to the platform fail."},
     {log_event::platform_reachable, "platform_reachable", severity::info,
      "Calls to the platform succeed again."},
     {log_event::history_lost, "history_lost", severity::warning,
      "The store has dropped the history that a watch needs; all keys are read anew."},
+    {log_event::store_followed, "store_followed", severity::info,
+     "This instance follows the store by a watch of its own, or through a peer."},
 }};
 
 const log_event_info&
--- a/src/libnutmegspur/load_view.cpp
+++ b/src/libnutmegspur/load_view.cpp
@@ -50,9 +50,9 @@
 
 void
 load_view::on_peer(const moment& now, const instance_id& peer,
-                   std::vector<upstream_load_notice> loads) {
+                   std::vector<upstream_load_notice> loads, milliseconds lifetime) {
   peer_work& work = peers_[peer];
-  work.heard = now.boot;
+  work.until = now.boot + lifetime;
   work.loads.clear();
   for (auto& it : loads) {
     work.loads.insert_or_assign(std::move(it.upstream), it.load);
@@ -79,7 +79,7 @@
     sum = load_of(now, it->second);
   }
   for (const auto& [peer, work] : peers_) {
-    if (now.boot - work.heard > peer_lifetime) {
+    if (now.boot > work.until) {
       continue;
     }
     if (const auto it = work.loads.find(id); it != work.loads.end()) {
@@ -100,4 +100,28 @@
   return all;
 }
 
+std::vector<upstream_load_notice>
+load_view::own_and(const moment& now, const std::function<bool(const instance_id&)>& counts) const {
+  std::unordered_map<upstream_id, upstream_load> sums;
+  for (const auto& [id, work] : own_) {
+    sums.emplace(id, load_of(now, work));
+  }
+  for (const auto& [peer, work] : peers_) {
+    if (now.boot > work.until || !counts(peer)) {
+      continue;
+    }
+    for (const auto& [id, load] : work.loads) {
+      upstream_load& sum = sums[id];
+      sum.open += load.open;
+      sum.backlog_millis += load.backlog_millis;
+    }
+  }
+  std::vector<upstream_load_notice> all;
+  all.reserve(sums.size());
+  for (const auto& [id, load] : sums) {
+    all.push_back({id, load});
+  }
+  return all;
+}
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/member_ring.cpp
+++ b/src/libnutmegspur/member_ring.cpp
@@ -1,4 +1,5 @@
 // Rendezvous order and the tree of pairs.
+#include <nutmegspur/hashing.h>
 #include <nutmegspur/member_ring.h>
 
 #include <algorithm>
@@ -9,24 +10,6 @@
 
 namespace {
 
-// FNV-1a.
-std::uint64_t
-hash_bytes(std::uint64_t hash, std::string_view bytes) {
-  constexpr std::uint64_t prime = 0x100000001b3ULL;
-  for (const char it : bytes) {
-    hash = (hash ^ static_cast<unsigned char>(it)) * prime;
-  }
-  return hash;
-}
-
-// The finalizer of SplitMix64: spreads what FNV leaves in the low bits.
-std::uint64_t
-mix(std::uint64_t n) {
-  n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  n = (n ^ (n >> 27U)) * 0x94d049bb133111ebULL;
-  return n ^ (n >> 31U);
-}
-
 using weighted = std::pair<std::uint64_t, const instance_id*>;
 
 std::vector<weighted>
@@ -49,8 +32,8 @@
 
 std::uint64_t
 rendezvous_weight(std::string_view key, std::string_view candidate) {
-  constexpr std::uint64_t offset_basis = 0xcbf29ce484222325ULL;
-  return mix(hash_bytes(hash_bytes(offset_basis, key) ^ 0xFFU, candidate));
+  constexpr std::uint64_t separator = 0xFF; // Ends the key, so that no two pairs run together.
+  return spread_bits(fnv1a(fnv1a(fnv_basis, key) ^ separator, candidate));
 }
 
 std::vector<instance_id>
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -5,14 +5,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <stdexcept>
 
 namespace nutmegspur {
 
 namespace {
 
 /// First element of each datagram; a new layout gets a new number.
-constexpr int layout = 1;
-constexpr std::size_t element_count = 11;
+constexpr int layout = 2;
+constexpr std::size_t element_count = 18;
 
 template <class Packer>
 void
@@ -47,11 +48,34 @@
           {row.at(1).as<std::uint32_t>(), static_cast<double>(row.at(2).as<std::uint32_t>())}};
 }
 
-cached_part_notice
-read_placed(const msgpack::object& from) {
-  const auto row = from.as<std::vector<msgpack::object>>();
-  return {upstream_id{row.at(0).as<std::string>()},
-          {row.at(1).as<std::uint64_t>(), row.at(2).as<std::uint32_t>()}};
+/// Parts go by upstream, each as two numbers: an upstream's name is as long as a part.
+template <class Packer>
+void
+pack_placed(Packer& out, const std::vector<cached_part_notice>& placed) {
+  std::map<upstream_id, std::vector<chained_part>> by_upstream;
+  for (const auto& it : placed) {
+    by_upstream[it.upstream].push_back(it.part);
+  }
+  out.pack_map(static_cast<std::uint32_t>(by_upstream.size()));
+  for (const auto& [upstream, parts] : by_upstream) {
+    out.pack(upstream.value);
+    out.pack_array(static_cast<std::uint32_t>(2 * parts.size()));
+    for (const auto& it : parts) {
+      out.pack(it.chain);
+      out.pack(it.tokens);
+    }
+  }
+}
+
+void
+read_placed(const msgpack::object& from, std::vector<cached_part_notice>& to) {
+  for (const auto& [upstream, parts] : from.as<std::map<std::string, msgpack::object>>()) {
+    const auto numbers = parts.as<std::vector<std::uint64_t>>();
+    for (std::size_t n = 0; n + 1 < numbers.size(); n += 2) {
+      to.push_back(
+          {upstream_id{upstream}, {numbers[n], static_cast<std::uint32_t>(numbers[n + 1])}});
+    }
+  }
 }
 
 peer_notice
@@ -65,13 +89,22 @@
   it.store = revision{row.at(5).as<std::int64_t>()};
   it.store_reachable = row.at(6).as<bool>();
   it.wall = wall_time{microseconds{row.at(7).as<std::int64_t>()}};
-  for (const auto& load : row.at(8).as<std::vector<msgpack::object>>()) {
-    it.loads.push_back(read_load(load));
+  const auto scope = from_name<notice_scope>(row.at(8).as<std::string>());
+  if (!scope) {
+    throw std::invalid_argument("unknown scope");
   }
-  for (const auto& placed : row.at(9).as<std::vector<msgpack::object>>()) {
-    it.placed.push_back(read_placed(placed));
+  it.scope = *scope;
+  it.content = row.at(9).as<std::uint64_t>();
+  it.instances = row.at(10).as<std::uint32_t>();
+  it.lifetime = milliseconds{row.at(11).as<std::uint32_t>()};
+  it.sealed = row.at(12).as<std::int64_t>();
+  it.usage_only = row.at(16).as<bool>();
+  it.zone = zone_id{row.at(17).as<std::string>()};
+  for (const auto& load : row.at(13).as<std::vector<msgpack::object>>()) {
+    it.loads.push_back(read_load(load));
   }
-  for (const auto& window : row.at(10).as<std::vector<msgpack::object>>()) {
+  read_placed(row.at(14), it.placed);
+  for (const auto& window : row.at(15).as<std::vector<msgpack::object>>()) {
     it.usage.push_back(read_usage(window));
   }
   return it;
@@ -92,6 +125,11 @@
   out.pack(it.store.value);
   out.pack(it.store_reachable);
   out.pack(it.wall.time_since_epoch().count());
+  out.pack(std::string{to_name(it.scope)});
+  out.pack(it.content);
+  out.pack(it.instances);
+  out.pack(static_cast<std::uint32_t>(it.lifetime.count()));
+  out.pack(it.sealed);
   out.pack_array(static_cast<std::uint32_t>(it.loads.size()));
   for (const auto& load : it.loads) {
     out.pack_array(3);
@@ -99,14 +137,10 @@
     out.pack(load.load.open);
     out.pack(static_cast<std::uint32_t>(std::lround(std::max(load.load.backlog_millis, 0.0))));
   }
-  out.pack_array(static_cast<std::uint32_t>(it.placed.size()));
-  for (const auto& placed : it.placed) {
-    out.pack_array(3);
-    out.pack(placed.upstream.value);
-    out.pack(placed.part.chain);
-    out.pack(placed.part.tokens);
-  }
+  pack_placed(out, it.placed);
   pack_usage(out, it.usage);
+  out.pack(it.usage_only);
+  out.pack(it.zone.value);
   return {buf.data(), buf.size()};
 }
 
--- /dev/null
+++ b/src/libnutmegspur/peer_notice_test.cpp
@@ -0,0 +1,72 @@
+// Datagrams between instances, there and back, and bytes that are none.
+#include <nutmegspur/peer_notice.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace nutmegspur {
+namespace {
+
+peer_notice
+full_notice() {
+  peer_notice it;
+  it.sender = instance_id{"one"};
+  it.zone = zone_id{"z-1"};
+  it.scope = notice_scope::branch;
+  it.started_ms = 5;
+  it.wall = wall_time{microseconds{77}};
+  it.sequence = 9;
+  it.config_version = 41;
+  it.store = revision{1234};
+  it.store_reachable = true;
+  it.content = 0xFEDCBA9876543210ULL;
+  it.instances = 4;
+  it.lifetime = milliseconds{1500};
+  it.sealed = 353445120;
+  it.loads = {{upstream_id{"u-1"}, {3, 250}}};
+  it.placed = {{upstream_id{"u-1"}, {0xABCDEF0123456789ULL, 800}}};
+  it.usage = {{353445121, {{team_id{"a"}, 7}}}};
+  return it;
+}
+
+TEST(peer_notice, all_of_it_arrives) {
+  const auto sent = full_notice();
+  const auto read = unpack_notice(pack_notice(sent));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->sender, sent.sender);
+  EXPECT_EQ(read->zone, sent.zone);
+  EXPECT_EQ(read->scope, sent.scope);
+  EXPECT_EQ(read->started_ms, sent.started_ms);
+  EXPECT_EQ(read->wall, sent.wall);
+  EXPECT_EQ(read->sequence, sent.sequence);
+  EXPECT_EQ(read->config_version, sent.config_version);
+  EXPECT_EQ(read->store, sent.store);
+  EXPECT_TRUE(read->store_reachable);
+  EXPECT_EQ(read->content, sent.content);
+  EXPECT_EQ(read->instances, sent.instances);
+  EXPECT_EQ(read->lifetime, sent.lifetime);
+  EXPECT_EQ(read->sealed, sent.sealed);
+  EXPECT_FALSE(read->usage_only);
+  ASSERT_EQ(read->loads.size(), 1U);
+  EXPECT_EQ(read->loads[0].load.open, 3U);
+  EXPECT_DOUBLE_EQ(read->loads[0].load.backlog_millis, 250);
+  ASSERT_EQ(read->placed.size(), 1U);
+  EXPECT_EQ(read->placed[0].part, sent.placed[0].part);
+  EXPECT_EQ(read->usage, sent.usage);
+}
+
+RC_GTEST_PROP(peer_notice, bytes_that_are_no_notice_are_an_error, (const std::string& bytes)) {
+  RC_ASSERT(!unpack_notice(bytes).has_value());
+}
+
+TEST(peer_notice, a_cut_or_overlong_notice_is_an_error) {
+  EXPECT_FALSE(unpack_notice(""));
+  EXPECT_FALSE(unpack_notice(std::string(max_notice_bytes + 1, 'x')));
+  const std::string bytes = pack_notice(full_notice());
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    EXPECT_FALSE(unpack_notice(bytes.substr(0, n))) << n;
+  }
+}
+
+} // namespace
+} // namespace nutmegspur
--- a/src/libnutmegspur/prefix.cpp
+++ b/src/libnutmegspur/prefix.cpp
@@ -1,6 +1,7 @@
 /// \file prefix.cpp
 /// Prompt text and prefix block hashes.
 
+#include <nutmegspur/hashing.h>
 #include <nutmegspur/prefix.h>
 
 #include <QtCore/QJsonArray>
@@ -12,18 +13,6 @@
 
 namespace {
 
-// FNV-1a, 64 bits.
-constexpr std::uint64_t hash_basis = 0xCBF29CE484222325ULL;
-constexpr std::uint64_t hash_prime = 0x100000001B3ULL;
-
-std::uint64_t
-hash_on(std::uint64_t hash, std::string_view bytes) {
-  for (const auto byte : bytes) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * hash_prime;
-  }
-  return hash;
-}
-
 /// The text of a message's content: a string, or a list of parts with text.
 std::string
 content_text(const QJsonValue& content) {
@@ -61,16 +50,16 @@
 
 std::uint64_t
 salted_block(std::uint64_t block, std::string_view salt) {
-  return salt.empty() ? block : hash_on(block, salt);
+  return salt.empty() ? block : fnv1a(block, salt);
 }
 
 std::vector<std::uint64_t>
 hash_prefix_blocks(std::string_view text, std::string_view salt, std::uint32_t block_tokens) {
   const auto size = std::max<std::size_t>(1, block_tokens) * bytes_per_token;
   std::vector<std::uint64_t> blocks;
-  auto hash = hash_basis;
+  auto hash = fnv_basis;
   for (std::size_t at = 0; at + size <= text.size(); at += size) {
-    hash = hash_on(hash, text.substr(at, size));
+    hash = fnv1a(hash, text.substr(at, size));
     blocks.push_back(salted_block(hash, salt));
   }
   return blocks;
--- a/src/libnutmegspur/prompt_cache_view.cpp
+++ b/src/libnutmegspur/prompt_cache_view.cpp
@@ -1,4 +1,5 @@
 // Belief about the prompt parts that engines hold.
+#include <nutmegspur/hashing.h>
 #include <nutmegspur/prompt_cache_view.h>
 
 #include <functional>
@@ -7,23 +8,16 @@
 
 namespace {
 
-/// The finalizer of SplitMix64 (Steele, Lea and Flood, 2014): spreads all bits of `n`.
+/// One step of SplitMix64.
 std::uint64_t
 mix(std::uint64_t n) {
-  n += 0x9E3779B97F4A7C15ULL;
-  n = (n ^ (n >> 30U)) * 0xBF58476D1CE4E5B9ULL;
-  n = (n ^ (n >> 27U)) * 0x94D049BB133111EBULL;
-  return n ^ (n >> 31U);
+  constexpr std::uint64_t golden_gamma = 0x9E3779B97F4A7C15ULL;
+  return spread_bits(n + golden_gamma);
 }
 
-/// FNV-1a, 64 bits; unlike std::hash, the same in every process.
 std::uint64_t
 hash_text(std::string_view text) {
-  std::uint64_t hash = 0xCBF29CE484222325ULL;
-  for (const auto byte : text) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001B3ULL;
-  }
-  return hash;
+  return fnv1a(fnv_basis, text);
 }
 
 } // namespace
--- a/src/libnutmegspur/small_views_test.cpp
+++ b/src/libnutmegspur/small_views_test.cpp
@@ -1,6 +1,5 @@
-// The agreed time of day, the engines' pace, the shared retry budget, and peers' notices.
+// The agreed time of day, the engines' pace, and the shared retry budget.
 #include <nutmegspur/engine_calibration.h>
-#include <nutmegspur/peer_notice.h>
 #include <nutmegspur/retry_budget.h>
 #include <nutmegspur/wall_clock_vote.h>
 
@@ -72,38 +71,12 @@
             bound.ratio * static_cast<double>(fresh_in_window) + bound.floor);
 }
 
-TEST(peer_notice, comes_back_as_it_was_packed) {
-  peer_notice it;
-  it.sender = instance_id{"a"};
-  it.started_ms = 5;
-  it.wall = wall_time{seconds{7}};
-  it.sequence = 9;
-  it.config_version = 3;
-  it.store = revision{12};
-  it.store_reachable = true;
-  it.loads = {{upstream_id{"u"}, {2, 31}}};
-  it.placed = {{upstream_id{"u"}, {0xFFFFFFFFFFFFFFFFULL, 800}}};
-  it.usage = {{100, {{team_id{"t"}, 4}}}};
-  const auto read = unpack_notice(pack_notice(it));
-  ASSERT_TRUE(read);
-  EXPECT_EQ(read->sender, it.sender);
-  EXPECT_EQ(read->wall, it.wall);
-  EXPECT_EQ(read->sequence, 9U);
-  EXPECT_EQ(read->store, it.store);
-  EXPECT_EQ(read->loads.front().load.open, 2U);
-  EXPECT_EQ(read->placed.front().part, it.placed.front().part);
-  EXPECT_EQ(read->usage.front(), it.usage.front());
-}
-
-RC_GTEST_PROP(peer_notice, bytes_that_are_no_notice_are_an_error, (const std::string& bytes)) {
-  RC_ASSERT(!unpack_notice(bytes).has_value());
-}
-
-TEST(peer_notice, a_cut_notice_is_an_error) {
-  const std::string whole = pack_notice({});
-  for (std::size_t n = 0; n < whole.size(); ++n) {
-    EXPECT_FALSE(unpack_notice(std::string_view{whole}.substr(0, n)));
-  }
+TEST(wall_clock_vote, what_several_agreed_on_outvotes_the_own_clock) {
+  manual_clock clock;
+  wall_clock_vote vote;
+  const moment now = clock.now();
+  vote.on_peer(now, instance_id{"relay"}, now.wall + seconds{2}, 3);
+  EXPECT_EQ(vote.agreed(now).wall, now.wall + seconds{2});
 }
 
 } // namespace
--- a/src/libnutmegspur/upstream_list.cpp
+++ b/src/libnutmegspur/upstream_list.cpp
@@ -1,4 +1,5 @@
 // The listed upstreams and the grace of entries that vanish with an outage of the store.
+#include <nutmegspur/hashing.h>
 #include <nutmegspur/upstream_list.h>
 
 #include <algorithm>
@@ -140,13 +141,26 @@
   return all;
 }
 
-std::vector<std::pair<listed_upstream, revision>>
-upstream_list::snapshot() const {
-  std::vector<std::pair<listed_upstream, revision>> all;
+std::uint64_t
+upstream_list::content() const {
+  std::uint64_t hash = fnv_basis;
+  const auto take = [&](std::string_view text) {
+    // The separator keeps neighbouring fields apart.
+    hash = fnv1a(fnv1a(hash, text), std::string_view{"\0", 1});
+  };
   for (const auto& [id, held] : entries_) {
-    all.emplace_back(held.now, held.modified);
+    const listed_upstream& it = held.now;
+    take(id.value);
+    take(it.service.value);
+    take(it.address);
+    take(it.zone.value);
+    take(to_name(it.stage));
+    for (const std::int64_t n : {std::int64_t{it.port}, std::int64_t{it.slots}, it.started_ms,
+                                 std::int64_t{it.leaving}, std::int64_t{it.reclaimable}}) {
+      take(std::to_string(n));
+    }
   }
-  return all;
+  return hash;
 }
 
 } // namespace nutmegspur
--- a/src/libnutmegspur/upstream_list_test.cpp
+++ b/src/libnutmegspur/upstream_list_test.cpp
@@ -97,5 +97,19 @@
   EXPECT_EQ(list.find(upstream_id{"a"}), nullptr);
 }
 
+TEST(upstream_list, equal_lists_have_equal_hashes_whatever_their_revisions) {
+  upstream_list one;
+  upstream_list other;
+  one.put(entry("a"), revision{1});
+  one.put(entry("b"), revision{2});
+  other.put(entry("b"), revision{7});
+  other.put(entry("a"), revision{8});
+  EXPECT_EQ(one.content(), other.content());
+  auto leaving = entry("a");
+  leaving.leaving = true;
+  other.put(leaving, revision{9});
+  EXPECT_NE(one.content(), other.content());
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/libnutmegspur/usage_windows.cpp
+++ b/src/libnutmegspur/usage_windows.cpp
@@ -28,11 +28,11 @@
 }
 
 std::vector<usage_window>
-usage_windows::own(wall_time now) const {
+usage_windows::own(wall_time now, std::int64_t sealed) const {
   std::vector<usage_window> all;
   for (const auto& [number, instances] : windows_) {
     const auto it = instances.find(self_);
-    if (it != instances.end() && number >= number_at(now) - kept_windows) {
+    if (it != instances.end() && number > sealed && number >= number_at(now) - kept_windows) {
       all.push_back({number, it->second});
     }
   }
--- a/src/libnutmegspur/usage_windows_test.cpp
+++ b/src/libnutmegspur/usage_windows_test.cpp
@@ -56,5 +56,15 @@
   EXPECT_EQ(usage.due(at(101, milliseconds{2'500}), milliseconds{2'500}, 100), std::nullopt);
 }
 
+TEST(usage_windows, sealed_windows_are_told_no_more) {
+  usage_windows usage{instance_id{"a"}, length};
+  usage.count(team, at(7));
+  usage.count(team, at(8));
+  EXPECT_EQ(usage.own(at(8)).size(), 2U);
+  const auto rest = usage.own(at(8), 7);
+  ASSERT_EQ(rest.size(), 1U);
+  EXPECT_EQ(rest[0].number, 8);
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/libnutmegspur/wall_clock_vote.cpp
+++ b/src/libnutmegspur/wall_clock_vote.cpp
@@ -7,8 +7,9 @@
 namespace nutmegspur {
 
 void
-wall_clock_vote::on_peer(const moment& now, const instance_id& peer, wall_time its_wall) {
-  peers_[peer] = {now.boot, its_wall.time_since_epoch() - now.boot.time_since_epoch()};
+wall_clock_vote::on_peer(const moment& now, const instance_id& peer, wall_time its_wall,
+                         std::size_t votes) {
+  peers_[peer] = {now.boot, its_wall.time_since_epoch() - now.boot.time_since_epoch(), votes};
 }
 
 moment
@@ -16,7 +17,7 @@
   std::vector<microseconds> votes{now.wall.time_since_epoch() - now.boot.time_since_epoch()};
   for (const auto& [peer, it] : peers_) {
     if (now.boot - it.heard < reading_lifetime) {
-      votes.push_back(it.wall_at_boot_zero);
+      votes.insert(votes.end(), it.votes, it.wall_at_boot_zero);
     }
   }
   const auto middle = votes.begin() + static_cast<std::ptrdiff_t>(votes.size() / 2);
--- /dev/null
+++ b/src/libnutmegspur/zone_relays_test.cpp
@@ -0,0 +1,178 @@
+// Relays of the zones: agreed on from the list alone, and replaced when they are silent.
+#include <nutmegspur/zone_relays.h>
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace nutmegspur {
+namespace {
+
+constexpr milliseconds tick_length{100};
+
+instance_id
+name_of(const zone_id& zone, std::size_t n) {
+  return instance_id{zone.value + "-" + std::to_string(n)};
+}
+
+/// Several instances that each know the whole list.
+class relay_cluster : public ::testing::Test {
+ protected:
+  void make(std::size_t zones, std::size_t per_zone) {
+    for (std::size_t z = 0; z < zones; ++z) {
+      for (std::size_t n = 0; n < per_zone; ++n) {
+        const zone_id zone{"z" + std::to_string(z)};
+        all.emplace(name_of(zone, n), zone_relays{name_of(zone, n), zone});
+        places.emplace(name_of(zone, n), zone);
+      }
+    }
+    for (auto& [name, relays] : all) {
+      for (const auto& [other, zone] : places) {
+        relays.add(other, zone);
+      }
+    }
+  }
+
+  /// Everybody tells whom its view says, but for those that are silent.
+  void run_for(milliseconds span) {
+    for (milliseconds passed{0}; passed < span; passed += tick_length) {
+      clock.advance(tick_length);
+      for (auto& [name, relays] : all) {
+        if (!silent.contains(name)) {
+          relays.step(clock.now());
+          tell(name, relays);
+        }
+      }
+    }
+  }
+
+  [[nodiscard]] std::set<instance_id> relays_of(const zone_id& zone) const {
+    std::set<instance_id> found;
+    for (const auto& [name, relays] : all) {
+      if (places.at(name) == zone && relays.is_relay() && !silent.contains(name)) {
+        found.insert(name);
+      }
+    }
+    return found;
+  }
+
+  [[nodiscard]] std::size_t greatest_degree() const {
+    std::map<instance_id, std::size_t> reporting;
+    for (const auto& [name, relays] : all) {
+      if (relays.own_relay()) {
+        reporting[*relays.own_relay()]++;
+      }
+    }
+    std::size_t most = 0;
+    for (const auto& [name, relays] : all) {
+      const std::size_t told = relays.is_relay() ? relays.others().size() : 1;
+      most = std::max(most, told + reporting[name]);
+    }
+    return most;
+  }
+
+  manual_clock clock;
+  std::map<instance_id, zone_relays> all;
+  std::map<instance_id, zone_id> places;
+  std::set<instance_id> silent;
+
+ private:
+  void tell(const instance_id& from, const zone_relays& relays) {
+    for (auto& [to, receiver] : all) {
+      const bool from_relay = receiver.own_relay() == from;
+      const bool between = relays.is_relay() && receiver.is_relay();
+      if (!silent.contains(to) && (from_relay || between || relays.own_relay() == to)) {
+        receiver.on_heard(clock.now(), from);
+      }
+    }
+  }
+};
+
+TEST_F(relay_cluster, all_are_relays_in_small_zones) {
+  make(3, 3);
+  run_for(seconds{1});
+  for (const auto& [name, relays] : all) {
+    EXPECT_TRUE(relays.is_relay()) << name.value;
+    EXPECT_EQ(relays.others().size(), 8U);
+  }
+}
+
+TEST_F(relay_cluster, instances_agree_on_the_relays_of_a_large_zone) {
+  make(2, 10);
+  run_for(seconds{10});
+  const auto relays = relays_of(zone_id{"z0"});
+  EXPECT_EQ(relays.size(), zone_relays::least_relays);
+  for (const auto& [name, it] : all) {
+    if (!it.is_relay()) {
+      EXPECT_TRUE(relays_of(places.at(name)).contains(*it.own_relay()));
+    }
+  }
+}
+
+TEST_F(relay_cluster, work_grows_far_slower_than_the_number_of_instances) {
+  make(5, 74);
+  run_for(seconds{1});
+  // 10 relays a zone of 74, each with about seven others behind it and 49 relays beside it. All to
+  // all it would be 369.
+  EXPECT_LE(greatest_degree(), 70U);
+}
+
+TEST_F(relay_cluster, silent_relays_are_replaced_within_two_limits) {
+  make(2, 10);
+  run_for(seconds{3});
+  silent = relays_of(zone_id{"z0"});
+  // One after the other is found silent; each step may come up to two ticks late.
+  run_for(zone_relays::silence_limit + 2 * zone_relays::answer_limit + 6 * tick_length);
+  const auto relays = relays_of(zone_id{"z0"});
+  EXPECT_EQ(relays.size(), zone_relays::least_relays);
+  for (const auto& [name, it] : all) {
+    if (!silent.contains(name) && it.own_relay()) {
+      EXPECT_FALSE(silent.contains(*it.own_relay())) << name.value;
+    }
+  }
+}
+
+TEST_F(relay_cluster, a_relay_that_returns_is_one_again) {
+  make(2, 10);
+  run_for(seconds{3});
+  const auto before = relays_of(zone_id{"z0"});
+  silent = {*before.begin()};
+  run_for(seconds{6});
+  EXPECT_NE(relays_of(zone_id{"z0"}), before);
+  silent.clear();
+  run_for(zone_relays::avoid_span + zone_relays::silence_limit);
+  EXPECT_EQ(relays_of(zone_id{"z0"}), before);
+}
+
+TEST_F(relay_cluster, an_instance_that_was_paused_itself_passes_nobody_over) {
+  make(1, 6);
+  run_for(seconds{1});
+  auto& one = all.begin()->second;
+  const auto before = one.others();
+  clock.advance(seconds{10});
+  one.step(clock.now());
+  EXPECT_EQ(one.others(), before);
+}
+
+TEST_F(relay_cluster, an_instance_that_hears_nobody_is_a_relay) {
+  make(2, 10);
+  run_for(seconds{1});
+  instance_id alone;
+  for (const auto& [name, it] : all) {
+    if (it.own_relay()) {
+      alone = name;
+    }
+    silent.insert(name);
+  }
+  silent.erase(alone);
+  // One relay after the other is tried; each that was passed over is tried again later.
+  bool was_relay = false;
+  for (int n = 0; n < 200; ++n) {
+    run_for(tick_length);
+    was_relay = was_relay || all.at(alone).is_relay();
+  }
+  EXPECT_TRUE(was_relay);
+}
+
+} // namespace
+} // namespace nutmegspur
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -179,6 +179,7 @@
                 }
                 // It may or may not have been reported; an exact repeat changes nothing.
                 sealed_ = *window;
+                peers_.on_sealed(window->number);
                 phase_ = seal_phase::sealed;
               });
 }
@@ -197,6 +198,7 @@
       return;
     }
     sealed_ = window;
+    peers_.on_sealed(window.number);
     phase_ = seal_phase::sealed;
     std::uint64_t requests = 0;
     for (const auto& [team, n] : window.counts) {
--- /dev/null
+++ b/src/proxy/instance_registration.cpp
@@ -0,0 +1,79 @@
+// The registration and its lease.
+#include "instance_registration.h"
+
+#include <nutmegspur/json_reader.h>
+
+namespace nutmegspur::proxy {
+
+namespace {
+
+/// A registration lapses this long after the last renewal.
+constexpr seconds registration_ttl{10};
+/// Three tries in that time.
+constexpr milliseconds renewal_period{3'000};
+
+std::string
+own_record(const proxy_settings& settings, std::int64_t started_ms) {
+  return compact_json({{"peer", to_qt(to_text(settings.peer_listen))},
+                       {"zone", to_qt(settings.zone.value)},
+                       {"started_ms", qint64{started_ms}}});
+}
+
+} // namespace
+
+void
+instance_registration::start() {
+  state_.loop.every(renewal_period, [this](const moment&) { renew(); });
+  write();
+}
+
+void
+instance_registration::write() {
+  if (writing_ || state_.stopping) {
+    return;
+  }
+  writing_ = true;
+  call_(lease_grant{registration_ttl}, [this](const platform_reply& reply) {
+    if (!reply.answer) {
+      writing_ = false;
+      return;
+    }
+    const lease_id lease = std::get<lease_reply>(*reply.answer).lease;
+    kv_txn txn;
+    txn.writes.push_back(
+        {instance_key(state_.settings.instance), own_record(state_.settings, started_ms_), lease});
+    call_(txn, [this, lease](const platform_reply& written) {
+      writing_ = false;
+      if (written.answer) {
+        lease_ = lease;
+      }
+    });
+  });
+}
+
+void
+instance_registration::renew() {
+  if (state_.stopping) {
+    return;
+  }
+  if (lease_.empty()) {
+    write();
+    return;
+  }
+  call_(lease_keep_alive{lease_}, [this](const platform_reply& reply) {
+    if (reply.answer && std::get<lease_reply>(*reply.answer).ttl == seconds{0}) {
+      lease_ = lease_id{};
+      write();
+    }
+  });
+}
+
+void
+instance_registration::sign_off() {
+  if (!lease_.empty()) {
+    call_(lease_revoke{lease_}, {});
+    lease_ = lease_id{};
+  }
+}
+
+} // namespace nutmegspur::proxy
--- /dev/null
+++ b/src/proxy/instance_registration.h
@@ -0,0 +1,47 @@
+/// \file instance_registration.h
+/// Keeps this instance registered in the store under a lease, so that the others find it.
+#pragma once
+
+#include "proxy_state.h"
+
+#include <functional>
+#include <string>
+
+namespace nutmegspur::proxy {
+
+/// Where instances register, each under its name.
+inline constexpr std::string_view instance_prefix = "entry/";
+
+inline std::string
+instance_key(const instance_id& id) {
+  return std::string{instance_prefix} + id.value;
+}
+
+class instance_registration {
+ public:
+  using reply_handler = std::function<void(const platform_reply&)>;
+  /// One call to the store.
+  using caller = std::function<void(const platform_request&, reply_handler)>;
+
+  instance_registration(proxy_state& state, caller call, std::int64_t started_ms)
+      : state_(state), call_(std::move(call)), started_ms_(started_ms) {}
+
+  void start();
+
+  /// The store shows it no more: lapsed, or removed by a hand. The next renewal writes it anew.
+  void on_lapsed() { lease_ = lease_id{}; }
+
+  void sign_off();
+
+ private:
+  void write();
+  void renew();
+
+  proxy_state& state_;
+  caller call_;
+  std::int64_t started_ms_;
+  lease_id lease_;
+  bool writing_ = false;
+};
+
+} // namespace nutmegspur::proxy
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -1,23 +1,46 @@
-// Datagrams between instances, and copies of the store from peers.
+// Notices between instances, and news of the store from peers.
 #include "peer_group.h"
 
 #include <nutmegspur/zone_lease.h>
 
 #include <algorithm>
+#include <limits>
+#include <set>
 
 namespace nutmegspur::proxy {
 
 namespace {
 
-/// Peers are told this often, and less often where there are many: an instance sends at most about
-/// a hundred notices a second.
-constexpr milliseconds tell_period{100};
-constexpr milliseconds tell_period_per_peer{10};
+/// Peers are told this often, and less often where a round of notices is long: an instance sends
+/// about `bytes_per_second`, which is 6% of the slowest links (10 Mbit/s).
+constexpr milliseconds shortest_period{100};
+constexpr milliseconds longest_period{1'000};
+constexpr std::size_t bytes_per_second = 80'000;
+/// Notices may be lost: what they tell counts for three rounds, and at least for this time.
+constexpr int rounds_counted = 3;
+constexpr milliseconds least_lifetime{1'000};
+/// Placed parts in one notice; about 13 bytes each.
+constexpr std::size_t most_placed = 800;
+/// A placed part is told in so many rounds.
+constexpr int rounds_placed = 2;
+/// Counts of usage are repeated this often, and less often where there are many instances: the
+/// holder takes about a hundred in a second.
 constexpr milliseconds usage_period{500};
+constexpr milliseconds usage_period_per_instance{10};
+constexpr milliseconds longest_usage_period{1'000};
 constexpr milliseconds watch_peers_period{500};
 /// A peer not heard for so long is taken to be gone or cut off.
-constexpr milliseconds live_time{2'000};
-constexpr milliseconds copy_limit{1'000};
+constexpr milliseconds live_time{2'500};
+/// An instance that the store no longer shows stays known for so long: registrations lapse in an
+/// outage of the store, and are written again at the next renewal.
+constexpr milliseconds relist_time{6'000};
+/// Without news from its relay for so long, an instance watches the store itself.
+constexpr milliseconds news_limit{1'500};
+constexpr milliseconds news_call_limit{1'000};
+/// The same content is asked for again after this.
+constexpr milliseconds ask_again{2'000};
+/// Clocks that a relay's agreed time stands for, where it is all that an instance hears.
+constexpr std::size_t agreed_votes = 3;
 
 } // namespace
 
@@ -25,15 +48,15 @@
                        std::int64_t started_ms)
     : state_(state), calls_(state.loop, client), store_(store), started_ms_(started_ms),
       socket_(state.loop,
-              [this](std::string_view bytes, const endpoint& from) { on_datagram(bytes, from); }) {}
+              [this](std::string_view bytes, const endpoint& from) { on_datagram(bytes, from); }),
+      relays_(state.settings.instance, state.settings.zone), period_(shortest_period) {}
 
 result<void>
 peer_group::start() {
   if (auto bound = socket_.bind(state_.settings.peer_listen); !bound) {
     return bound;
   }
-  state_.loop.every(tell_period, [this](const moment& now) { tell(now); });
-  state_.loop.every(usage_period, [this](const moment& now) { tell_usage(now); });
+  state_.loop.every(shortest_period, [this](const moment& now) { on_tick(now); });
   state_.loop.every(watch_peers_period, [this](const moment& now) { watch_peers(now); });
   return {};
 }
@@ -43,13 +66,16 @@
   if (!present) {
     const auto it = peers_.find(entry.name);
     if (it != peers_.end()) {
-      it->second.registered = false;
+      it->second.listed = false;
+      it->second.unlisted = http1::event_loop::now().boot;
     }
     return;
   }
   peer& it = peers_[entry.name];
   it.at = entry.peer;
-  it.registered = true;
+  it.listed = true;
+  it.unlisted = time_point{};
+  relays_.add(entry.name, entry.zone);
 }
 
 bool
@@ -57,89 +83,224 @@
   return it.heard != time_point{} && now.boot - it.heard < live_time;
 }
 
+bool
+peer_group::in_branch(const moment& now, const peer& it) const {
+  return it.scope == notice_scope::own && live(now, it);
+}
+
+bool
+peer_group::in_branch(const moment& now, const instance_id& id) const {
+  const auto it = peers_.find(id);
+  return it != peers_.end() && in_branch(now, it->second);
+}
+
 unsigned
 peer_group::rank(const moment& now) const {
+  if (!relays_.is_relay()) {
+    return std::numeric_limits<unsigned>::max();
+  }
   unsigned before = 0;
-  for (const auto& [name, it] : peers_) {
-    before += live(now, it) && name < state_.settings.instance ? 1 : 0;
+  for (const auto& id : relays_.others()) {
+    const auto it = peers_.find(id);
+    const bool counts = it != peers_.end() && live(now, it->second);
+    before += counts && id < state_.settings.instance ? 1 : 0;
   }
   return before;
 }
 
 peer_notice
-peer_group::notice(const moment& now) {
+peer_group::notice(const moment& now, notice_scope scope) {
   peer_notice it;
   it.sender = state_.settings.instance;
+  it.zone = state_.settings.zone;
+  it.scope = scope;
   it.started_ms = started_ms_;
   it.sequence = ++sequence_;
-  it.wall = now.wall;
+  it.wall = scope == notice_scope::others ? state_.clock.agreed(now).wall : now.wall;
   it.config_version = state_.config == nullptr ? 0 : state_.config->config().version;
   it.store = store_.copy().store;
   it.store_reachable = store_.reachable();
-  it.loads = state_.loads.own(now);
-  while (!state_.placed.empty() && state_.placed.front().first < now.boot) {
-    state_.placed.pop_front();
-  }
-  for (const auto& [until, placed] : state_.placed) {
-    it.placed.push_back(placed);
-  }
+  it.content = store_.content();
+  it.lifetime = std::max(least_lifetime, period_ * rounds_counted);
+  it.sealed = sealed_;
   return it;
 }
 
 void
-peer_group::tell_all(const moment& now) {
-  peer_notice it = notice(now);
-  it.usage = state_.usage.own(state_.clock.agreed(now).wall);
-  const std::string bytes = pack_notice(it);
-  for (const auto& [name, row] : peers_) {
-    socket_.send(row.at, bytes);
+peer_group::add_placed(const moment& now, peer_notice& it,
+                       const std::function<bool(const instance_id&)>& counts) const {
+  // The newest, if they are too many: the others were told before.
+  for (auto row = state_.placed.rbegin();
+       row != state_.placed.rend() && it.placed.size() < most_placed; ++row) {
+    if (row->until > now.boot && counts(row->from)) {
+      it.placed.push_back(row->part);
+    }
   }
 }
 
-void
-peer_group::tell(const moment& now) {
-  if (now.boot < next_tell_) {
-    return;
+std::size_t
+peer_group::send(const endpoint& to, const peer_notice& it) {
+  const std::string bytes = pack_notice(it);
+  if (bytes.size() > max_notice_bytes) {
+    log(log_event::peer_rejected, {{"why", "own notice is too long"}});
+    return 0;
   }
-  const auto targets = static_cast<std::int64_t>(peers_.size());
-  next_tell_ =
-      now.boot + std::max<duration>(tell_period_per_peer * targets - tell_period / 2, duration{0});
-  const std::string bytes = pack_notice(notice(now));
+  socket_.send(to, bytes);
+  return bytes.size();
+}
+
+std::size_t
+peer_group::tell_relays(const moment& now) {
+  const auto counts = [&](const instance_id& id) { return in_branch(now, id); };
+  peer_notice it = notice(now, notice_scope::branch);
+  it.loads = state_.loads.own_and(now, counts);
+  add_placed(now, it,
+             [&](const auto& from) { return from == state_.settings.instance || counts(from); });
+  it.instances = 1 + static_cast<std::uint32_t>(
+                         std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
+                           return in_branch(now, row.second);
+                         }));
+  const std::string bytes = pack_notice(it);
   if (bytes.size() > max_notice_bytes) {
     log(log_event::peer_rejected, {{"why", "own notice is too long"}});
-    return;
+    return 0;
   }
-  for (const auto& [name, it] : peers_) {
-    if (it.registered || live(now, it)) {
-      socket_.send(it.at, bytes);
+  std::size_t sent = 0;
+  const auto& relays = relays_.others();
+  for (const auto& [name, to] : peers_) {
+    // Who speaks as a relay is told as one, also if it is none in this instance's view.
+    const bool speaks = to.scope == notice_scope::branch && live(now, to);
+    if (speaks || std::binary_search(relays.begin(), relays.end(), name)) {
+      socket_.send(to.at, bytes);
+      sent += bytes.size();
     }
   }
-  // Seeds may be instances that the store did not name yet.
-  if (state_.live_peers == 0) {
-    for (const auto& seed : state_.settings.seeds) {
-      if (seed != state_.settings.peer_listen) {
-        socket_.send(seed, bytes);
-      }
+  return sent;
+}
+
+std::size_t
+peer_group::tell_branch(const moment& now) {
+  std::size_t sent = 0;
+  for (const auto& [name, row] : peers_) {
+    if (!in_branch(now, row)) {
+      continue;
+    }
+    const auto counts = [&name = name](const instance_id& id) { return id != name; };
+    peer_notice it = notice(now, notice_scope::others);
+    it.loads = state_.loads.own_and(now, counts);
+    add_placed(now, it, counts);
+    it.instances = static_cast<std::uint32_t>(state_.live_peers);
+    sent += send(row.at, it);
+  }
+  return sent;
+}
+
+std::size_t
+peer_group::tell_own_relay(const moment& now) {
+  const auto to = peers_.find(*relays_.own_relay());
+  if (to == peers_.end()) {
+    return 0;
+  }
+  peer_notice it = notice(now, notice_scope::own);
+  it.loads = state_.loads.own(now);
+  add_placed(now, it, [&](const auto& from) { return from == state_.settings.instance; });
+  return send(to->second.at, it);
+}
+
+std::size_t
+peer_group::tell_seeds(const moment& now) {
+  // They may be instances that the store did not name yet.
+  peer_notice it = notice(now, notice_scope::branch);
+  it.loads = state_.loads.own(now);
+  std::size_t sent = 0;
+  for (const auto& seed : state_.settings.seeds) {
+    if (seed != state_.settings.peer_listen) {
+      sent += send(seed, it);
     }
   }
+  return sent;
+}
+
+void
+peer_group::settle_relay(const moment& now) {
+  relays_.step(now);
+  if (relays_.own_relay() != reported_to_) {
+    reported_to_ = relays_.own_relay();
+    // Who tells of whom changes; for a round or two only the own work is known.
+    state_.loads.forget_peers();
+    log(log_event::relay_chosen, {{"relay", reported_to_ ? reported_to_->value : "self"},
+                                  {"relays", std::to_string(relays_.others().size())}});
+  }
+  bool has_news = false;
+  if (reported_to_) {
+    const auto it = peers_.find(*reported_to_);
+    has_news = it != peers_.end() && it->second.scope == notice_scope::others &&
+               it->second.heard != time_point{} && now.boot - it->second.heard < news_limit;
+  }
+  store_.set_watching(!has_news);
+}
+
+void
+peer_group::on_tick(const moment& now) {
+  settle_relay(now);
+  while (!state_.placed.empty() && state_.placed.front().until < now.boot) {
+    state_.placed.pop_front();
+  }
+  if (now.boot >= next_tell_) {
+    tell_now(now);
+  }
+  if (now.boot >= next_usage_) {
+    tell_usage(now);
+  }
+}
+
+void
+peer_group::tell_now(const moment& now) {
+  std::size_t sent = tell_branch(now);
+  sent += relays_.is_relay() ? tell_relays(now) : tell_own_relay(now);
+  if (state_.live_peers == 0) {
+    sent += tell_seeds(now);
+  }
+  const milliseconds by_size{
+      static_cast<std::int64_t>(sent * milliseconds{seconds{1}}.count() / bytes_per_second)};
+  period_ = std::clamp(by_size, shortest_period, longest_period);
+  // Half a tick early, so that a period of a whole number of ticks is kept.
+  next_tell_ = now.boot + period_ - shortest_period / 2;
+  // And half of one, so that the last round does not fall beside it.
+  state_.placed_time = period_ * rounds_placed + period_ / 2;
+}
+
+void
+peer_group::tell_last(const moment& now) {
+  tell_now(now);
+  tell_usage(now);
 }
 
 void
 peer_group::tell_usage(const moment& now) {
-  state_.usage.trim(state_.clock.agreed(now).wall);
-  const auto windows = state_.usage.own(state_.clock.agreed(now).wall);
-  if (windows.empty()) {
+  const auto by_count =
+      usage_period_per_instance * static_cast<std::int64_t>(state_.live_peers + 1);
+  next_usage_ =
+      now.boot + std::clamp(by_count, usage_period, longest_usage_period) - shortest_period / 2;
+  const wall_time wall = state_.clock.agreed(now).wall;
+  state_.usage.trim(wall);
+  peer_notice it = notice(now, relays_.is_relay() ? notice_scope::branch : notice_scope::own);
+  it.usage = state_.usage.own(wall, sealed_);
+  it.usage_only = true;
+  if (it.usage.empty()) {
     return;
   }
-  peer_notice it = notice(now);
-  it.usage = windows;
-  const std::string bytes = pack_notice(it);
   // The holder, and those who may take the duty over: they must have the counts by then.
-  unsigned candidates = 0;
-  for (const auto& [name, row] : peers_) {
-    const bool candidate = live(now, row) && candidates++ < zone_lease::max_candidates;
-    if (candidate || !usage_holder_ || name == *usage_holder_) {
-      socket_.send(row.at, bytes);
+  const auto& relays = relays_.others();
+  std::set<instance_id> receivers{
+      relays.begin(), relays.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(
+                                           relays.size(), zone_lease::max_candidates))};
+  if (usage_holder_) {
+    receivers.insert(*usage_holder_);
+  }
+  for (const auto& id : receivers) {
+    if (const auto to = peers_.find(id); to != peers_.end()) {
+      send(to->second.at, it);
     }
   }
 }
@@ -155,6 +316,13 @@
     return;
   }
   const moment now = http1::event_loop::now();
+  for (const auto& window : read->usage) {
+    state_.usage.on_peer(read->sender, window);
+  }
+  on_sealed(read->sealed);
+  if (read->usage_only) {
+    return;
+  }
   peer& it = peers_[read->sender];
   if (read->started_ms < it.started_ms ||
       (read->started_ms == it.started_ms && read->sequence <= it.last_sequence)) {
@@ -168,32 +336,85 @@
   it.started_ms = read->started_ms;
   it.last_sequence = read->sequence;
   it.heard = now.boot;
-  state_.clock.on_peer(now, read->sender, read->wall);
+  it.scope = read->scope;
+  it.instances = read->instances;
   it.config_version = read->config_version;
   it.store = read->store;
   it.store_reachable = read->store_reachable;
-  state_.loads.on_peer(now, read->sender, std::move(read->loads));
-  for (const auto& placed : read->placed) {
-    state_.caches.on_placed(placed.upstream, {placed.part},
-                            state_.cache_tokens_of(placed.upstream));
+  it.content = read->content;
+  relays_.add(read->sender, read->zone);
+  relays_.on_heard(now, read->sender);
+  state_.clock.on_peer(now, read->sender, read->wall,
+                       read->scope == notice_scope::others ? agreed_votes : 1);
+  take_work(now, *read);
+  follow_sender(now, read->sender, it);
+}
+
+void
+peer_group::take_work(const moment& now, const peer_notice& from) {
+  // A relay's sum counts only where it is the own one's: it holds others' work twice otherwise.
+  const bool from_own_relay = relays_.own_relay() == from.sender;
+  const bool counts = from.scope == notice_scope::others ? from_own_relay : relays_.is_relay();
+  if (counts) {
+    state_.loads.on_peer(now, from.sender, from.loads, from.lifetime);
   }
-  for (const auto& window : read->usage) {
-    state_.usage.on_peer(read->sender, window);
+  for (const auto& placed : from.placed) {
+    const auto added = state_.caches.on_placed(placed.upstream, {placed.part},
+                                               state_.cache_tokens_of(placed.upstream));
+    if (!added.empty()) {
+      state_.note_placed(now, placed.upstream, added, from.sender);
+    }
+  }
+}
+
+void
+peer_group::follow_sender(const moment& now, const instance_id& name, peer& it) {
+  const copy_position held{store_.copy().store, store_.copy().config_version};
+  if (state_.config == nullptr || it.config_version > held.config_version) {
+    ask_for_news(name, it.at, held);
+    return;
   }
-  if (state_.config == nullptr || it.config_version > state_.config->config().version) {
-    ask_for_copy(read->sender, it.at);
+  if (store_.watching() || relays_.own_relay() != name) {
+    return;
+  }
+  store_.on_peer_state(it.store_reachable, name.value);
+  if (it.content == store_.content()) {
+    store_.on_same_content(it.store);
+    asked_about_ = 0;
+    return;
+  }
+  if (it.content == asked_about_ && now.boot < next_ask_) {
+    return;
+  }
+  // What changed is enough, unless that was asked for already and did not make the two equal.
+  const bool again = it.content == asked_about_;
+  asked_about_ = it.content;
+  next_ask_ = now.boot + ask_again;
+  ask_for_news(name, it.at, again ? copy_position{{}, held.config_version} : held);
+}
+
+void
+peer_group::count_instances(const moment& now) {
+  // A relay's branch notice tells of its branch; what the own relay tells is of all.
+  std::size_t count = 0;
+  for (const auto& [name, it] : peers_) {
+    if (live(now, it) && (relays_.is_relay() || relays_.own_relay() == name)) {
+      count += it.instances;
+    }
+  }
+  if (count != state_.live_peers) {
+    state_.live_peers = count;
+    state_.share_retries();
   }
 }
 
 void
 peer_group::watch_peers(const moment& now) {
-  std::size_t heard = 0;
   const peer* best = nullptr;
   const instance_id* best_name = nullptr;
   for (auto it = peers_.begin(); it != peers_.end();) {
     peer& row = it->second;
     if (live(now, row)) {
-      heard++;
       if (row.store_reachable && (best == nullptr || row.store > best->store)) {
         best = &row;
         best_name = &it->first;
@@ -203,34 +424,43 @@
       state_.loads.forget_peer(it->first);
       row.heard = time_point{};
     }
-    it = !row.registered && row.heard == time_point{} ? peers_.erase(it) : std::next(it);
-  }
-  if (heard != state_.live_peers) {
-    state_.live_peers = heard;
-    state_.share_retries();
+    // Whom the store never showed counts as unlisted since it fell silent.
+    if (row.heard == time_point{} && !row.listed && row.unlisted == time_point{}) {
+      row.unlisted = now.boot;
+    }
+    const bool gone = row.heard == time_point{} && row.unlisted != time_point{} &&
+                      now.boot - row.unlisted > relist_time;
+    if (gone) {
+      relays_.remove(it->first);
+    }
+    it = gone ? peers_.erase(it) : std::next(it);
   }
-  if (!store_.reachable() && best != nullptr && best->store > store_.copy().store) {
-    ask_for_copy(*best_name, best->at);
+  count_instances(now);
+  const bool cut_off = store_.watching() && !store_.reachable();
+  if (cut_off && best != nullptr && best->store > store_.copy().store) {
+    ask_for_news(*best_name, best->at, {store_.copy().store, store_.copy().config_version});
   }
 }
 
 void
-peer_group::ask_for_copy(const instance_id& name, const endpoint& at) {
+peer_group::ask_for_news(const instance_id& name, const endpoint& at,
+                         const copy_position& position) {
   if (!calls_.empty()) {
     return;
   }
-  calls_.send(
-      at, {"GET", "/store-copy", {}, {}}, copy_limit, [this, name](const call_outcome& ended) {
-        const auto copy = ended.whole()
-                              ? unpack_copy(ended.body)
-                              : result<store_copy>{fail({error_code::unavailable, step::peer_call,
-                                                         name.value, "no answer"})};
-        if (!copy) {
-          log(log_event::peer_rejected, copy.error());
-          return;
-        }
-        store_.take_copy(*copy, name);
-      });
+  calls_.send(at, {"GET", news_target(position), {}, {}}, news_call_limit,
+              [this, name](const call_outcome& ended) {
+                const auto news =
+                    ended.whole()
+                        ? unpack_news(ended.body)
+                        : result<store_news>{fail(
+                              {error_code::unavailable, step::peer_call, name.value, "no answer"})};
+                if (!news) {
+                  log(log_event::peer_rejected, news.error());
+                  return;
+                }
+                store_.take_news(*news, name);
+              });
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -1,6 +1,7 @@
 /// \file peer_group.h
-/// The other instances: they are told of this one's load and placements by datagram, and asked for
-/// their copy of the store while this one cannot reach it.
+/// The other instances: they are told of this one's load and placements by datagram, directly or
+/// through the relays of the zones (zone_relays.h), and asked for news of the store while this one
+/// does not watch it.
 #pragma once
 
 #include "call_set.h"
@@ -8,6 +9,7 @@
 #include "store_link.h"
 
 #include <nutmegspur/peer_notice.h>
+#include <nutmegspur/zone_relays.h>
 
 #include <map>
 #include <memory>
@@ -26,10 +28,14 @@
   /// Whom usage counts go to; empty while it is not known.
   void set_usage_holder(const std::optional<instance_id>& holder) { usage_holder_ = holder; }
 
-  /// Live instances before this one, in the order of their names.
+  /// The last usage window that is sealed, as the holder knows it.
+  void on_sealed(std::int64_t window) { sealed_ = std::max(sealed_, window); }
+
+  /// Live relays before this one, in the order of their names. Only relays hold duties; others have
+  /// a rank past all candidates.
   [[nodiscard]] unsigned rank(const moment& now) const;
-  /// Tells all peers at once, for example before this process ends.
-  void tell_all(const moment& now);
+  /// Tells all that need it, before this process ends.
+  void tell_last(const moment& now);
 
  private:
   struct peer {
@@ -37,29 +43,58 @@
     std::int64_t started_ms = 0;
     std::uint64_t last_sequence = 0;
     time_point heard{};
-    bool registered = false;
+    bool listed = false;   ///< The store shows it.
+    time_point unlisted{}; ///< Since when it does not.
+    notice_scope scope = notice_scope::own;
+    std::uint32_t instances = 1;
     std::int64_t config_version = 0;
     revision store;
     bool store_reachable = false;
+    std::uint64_t content = 0;
   };
 
+  using peer_map = std::map<instance_id, peer>;
+
   void on_datagram(std::string_view bytes, const endpoint& from);
-  void tell(const moment& now);
+  /// Takes loads and parts from a notice, if this instance counts the sender's.
+  void take_work(const moment& now, const peer_notice& from);
+  void follow_sender(const moment& now, const instance_id& name, peer& it);
+  void on_tick(const moment& now);
+  void settle_relay(const moment& now);
+  void tell_now(const moment& now);
+  std::size_t tell_relays(const moment& now);
+  std::size_t tell_branch(const moment& now);
+  std::size_t tell_own_relay(const moment& now);
+  std::size_t tell_seeds(const moment& now);
+  std::size_t send(const endpoint& to, const peer_notice& it);
   void tell_usage(const moment& now);
   void watch_peers(const moment& now);
-  void ask_for_copy(const instance_id& name, const endpoint& at);
-  [[nodiscard]] peer_notice notice(const moment& now);
+  void count_instances(const moment& now);
+  void ask_for_news(const instance_id& name, const endpoint& at, const copy_position& position);
+  [[nodiscard]] peer_notice notice(const moment& now, notice_scope scope);
+  void add_placed(const moment& now, peer_notice& it,
+                  const std::function<bool(const instance_id&)>& counts) const;
   [[nodiscard]] bool live(const moment& now, const peer& it) const;
+  /// Whether the instance reports to this one.
+  [[nodiscard]] bool in_branch(const moment& now, const peer& it) const;
+  [[nodiscard]] bool in_branch(const moment& now, const instance_id& id) const;
 
   proxy_state& state_;
   call_set calls_;
   store_link& store_;
   std::int64_t started_ms_;
   http1::udp_socket socket_;
-  std::map<instance_id, peer> peers_;
+  peer_map peers_;
+  zone_relays relays_;
+  std::optional<instance_id> reported_to_; ///< The relay that was last logged.
   std::uint64_t sequence_ = 0;
   time_point next_tell_{};
+  milliseconds period_; ///< Between notices, as it comes out of their size.
+  time_point next_usage_{};
+  std::int64_t sealed_ = 0;
   std::optional<instance_id> usage_holder_;
+  std::uint64_t asked_about_ = 0; ///< The content for which a relay was last asked.
+  time_point next_ask_{};
 };
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -112,9 +112,10 @@
   constexpr int ok = 200;
   constexpr int not_found = 404;
   http_fields fields;
-  if (caller->head().path() == "/store-copy") {
+  if (caller->head().path() == news_path) {
     fields.add("Content-Type", "application/msgpack");
-    caller->reply(ok, "", fields, pack_copy(store_.copy()));
+    const auto position = parse_news_target(caller->head().target);
+    caller->reply(ok, "", fields, pack_news(news_since(store_.copy(), position)));
   } else if (caller->head().path() == "/metrics") {
     state_.metrics.get_gauge("nutmegspur_requests_open")
         .set(static_cast<std::int64_t>(flows_.size()));
@@ -151,7 +152,7 @@
     return;
   }
   if (idle || now.boot >= state_.stop_at) {
-    peers_.tell_all(now);
+    peers_.tell_last(now);
     log(log_event::process_stopped, {{"requests", std::to_string(flows_.size())}});
     loop_.stop();
   }
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -10,6 +10,14 @@
   return !stopping || stop_at - now.boot >= settings.stop_limit / 2;
 }
 
+void
+proxy_state::note_placed(const moment& now, const upstream_id& upstream,
+                         const std::vector<chained_part>& parts, const instance_id& from) {
+  for (const auto& it : parts) {
+    placed.push_back({now.boot + placed_time, {upstream, it}, from});
+  }
+}
+
 bool
 proxy_state::apply_config(proxy_config next, std::string_view source) {
   if (config != nullptr && next.version <= config->config().version) {
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -47,6 +47,13 @@
   double reader_share = 0.5; ///< Part of a zone's engines that only read prompts.
 };
 
+/// A part that peers are told of.
+struct placed_part {
+  time_point until{};
+  cached_part_notice part;
+  instance_id from; ///< Who placed it, or the relay that told of it.
+};
+
 struct proxy_state {
   proxy_state(http1::event_loop& on, const wire_binding& spoken, proxy_settings given,
               proxy_options chosen)
@@ -69,8 +76,10 @@
   usage_windows usage;
   wall_clock_vote clock; ///< What windows of usage go by.
   metric_registry metrics;
-  /// Parts placed lately, with the time until which peers are told.
-  std::deque<std::pair<time_point, cached_part_notice>> placed;
+  /// Parts placed lately, the oldest first.
+  std::deque<placed_part> placed;
+  /// Peers are told of a placed part for so long.
+  milliseconds placed_time{350};
 
   /// Other instances heard lately.
   std::size_t live_peers = 0;
@@ -81,6 +90,9 @@
 
   /// Whether a request that arrives now can be expected to be done before this process ends.
   [[nodiscard]] bool takes_requests(const moment& now) const;
+  /// `from` placed `parts` at `upstream`; peers are told.
+  void note_placed(const moment& now, const upstream_id& upstream,
+                   const std::vector<chained_part>& parts, const instance_id& from);
   /// Takes a configuration if it is newer than the one in force; false if it is not.
   bool apply_config(proxy_config config, std::string_view source);
   /// One change of the list, from the store or from a peer.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -17,8 +17,6 @@
 constexpr milliseconds retry_before_ready{500};
 /// Time to come back for who reaches an instance that is about to end: another one takes them.
 constexpr milliseconds retry_elsewhere{100};
-/// Peers are told of a placed part for so long: three notices.
-constexpr milliseconds placed_notice_time{350};
 
 } // namespace
 
@@ -251,10 +249,11 @@
   if (service_ != nullptr && service_->engine) {
     it.new_parts =
         state_.caches.on_placed(it.upstream.id, prompt_.parts, service_->engine->cache_tokens);
-    for (const auto& part : it.new_parts) {
-      state_.placed.emplace_back(it.sent_at.boot + placed_notice_time,
-                                 cached_part_notice{it.upstream.id, part});
-    }
+    // The last part belongs to this request or its session alone: peers need not know.
+    std::vector<chained_part> shared;
+    std::copy_if(it.new_parts.begin(), it.new_parts.end(), std::back_inserter(shared),
+                 [&](const auto& part) { return part != prompt_.parts.back(); });
+    state_.note_placed(it.sent_at, it.upstream.id, shared, state_.settings.instance);
   }
   if (asked != attempt_task::reading) {
     tried_.insert(it.upstream.id);
--- /dev/null
+++ b/src/proxy/store_copy_test.cpp
@@ -0,0 +1,68 @@
+// News of the store for a peer: what it lacks, and the names of all that is there.
+#include "store_copy.h"
+
+#include <gtest/gtest.h>
+
+namespace nutmegspur::proxy {
+namespace {
+
+store_copy
+example() {
+  store_copy copy;
+  copy.store = revision{50};
+  copy.config_version = 7;
+  copy.config = "{}";
+  copy.upstreams = {{"u/old", {"a", revision{10}}}, {"u/new", {"b", revision{40}}}};
+  copy.instances = {{"one", {"c", revision{5}}}};
+  copy.duties_holder = instance_id{"one"};
+  return copy;
+}
+
+TEST(store_copy, a_peer_that_has_nothing_gets_everything) {
+  const auto news = news_since(example(), {});
+  EXPECT_EQ(news.config, "{}");
+  EXPECT_EQ(news.upstreams.size(), 2U);
+  EXPECT_EQ(news.instances.size(), 1U);
+  EXPECT_EQ(news.store, revision{50});
+}
+
+TEST(store_copy, a_peer_gets_what_it_lacks_and_all_names) {
+  const auto news = news_since(example(), {revision{20}, 7});
+  EXPECT_TRUE(news.config.empty());
+  ASSERT_EQ(news.upstreams.size(), 1U);
+  EXPECT_TRUE(news.upstreams.contains("u/new"));
+  EXPECT_TRUE(news.instances.empty());
+  EXPECT_EQ(news.upstream_keys, (std::vector<std::string>{"u/new", "u/old"}));
+  EXPECT_EQ(news.instance_names, std::vector<std::string>{"one"});
+}
+
+TEST(store_copy, news_arrive_as_they_were_sent) {
+  const auto sent = news_since(example(), {});
+  const auto read = unpack_news(pack_news(sent));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->store, sent.store);
+  EXPECT_EQ(read->config, sent.config);
+  EXPECT_EQ(read->upstreams.at("u/new").value, "b");
+  EXPECT_EQ(read->upstreams.at("u/new").modified, revision{40});
+  EXPECT_EQ(read->upstream_keys, sent.upstream_keys);
+  EXPECT_EQ(read->instance_names, sent.instance_names);
+  EXPECT_EQ(read->duties_holder, sent.duties_holder);
+}
+
+TEST(store_copy, cut_news_are_an_error) {
+  const std::string bytes = pack_news(news_since(example(), {}));
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    EXPECT_FALSE(unpack_news(bytes.substr(0, n))) << n;
+  }
+}
+
+TEST(store_copy, the_request_says_where_the_peer_stands) {
+  const auto position = parse_news_target(news_target({revision{20}, 7}));
+  EXPECT_EQ(position.store, revision{20});
+  EXPECT_EQ(position.config_version, 7);
+  EXPECT_EQ(parse_news_target(news_path).store, revision{0});
+  EXPECT_EQ(parse_news_target("/store-news?store=x").store, revision{0});
+}
+
+} // namespace
+} // namespace nutmegspur::proxy
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -1,19 +1,17 @@
 // Reads and watches of the store.
 #include "store_link.h"
 
+#include <nutmegspur/hashing.h>
 #include <nutmegspur/json_reader.h>
 #include <nutmegspur/records.h>
 
-#include <msgpack.hpp>
-
 #include <algorithm>
+#include <set>
 
 namespace nutmegspur::proxy {
 
 namespace {
 
-/// Where instances register, each under its name.
-constexpr const char* instance_prefix = "entry/";
 /// A waiting watch is answered at least this often; more than that plus a margin without an answer
 /// says that its connection has gone silent.
 constexpr milliseconds watch_wait{1'000};
@@ -27,16 +25,20 @@
 /// Between tries while the store fails.
 constexpr milliseconds retry_pause{300};
 constexpr milliseconds read_limit{1'500};
-/// A registration lapses this long after the last renewal.
-constexpr seconds registration_ttl{10};
-constexpr milliseconds registration_renewal{3'000};
 constexpr milliseconds tick_time{250};
 
-std::string
-self_record(const proxy_settings& settings, std::int64_t started_ms) {
-  return compact_json({{"peer", to_qt(to_text(settings.peer_listen))},
-                       {"zone", to_qt(settings.zone.value)},
-                       {"started_ms", qint64{started_ms}}});
+std::optional<registered_instance>
+parse_registration(const std::string& name, const std::string& value) {
+  const auto object = parse_json_object(value, "instance");
+  const auto peer =
+      object ? parse_endpoint(object->value(QLatin1String("peer")).toString().toStdString())
+             : std::nullopt;
+  if (!peer) {
+    return std::nullopt;
+  }
+  return registered_instance{instance_id{name}, *peer,
+                             zone_id{object->value(QLatin1String("zone")).toString().toStdString()},
+                             object->value(QLatin1String("started_ms")).toInteger()};
 }
 
 } // namespace
@@ -44,7 +46,12 @@
 store_link::store_link(proxy_state& state, http1::http_client& client, hooks events,
                        std::int64_t started_ms)
     : state_(state), calls_(state.loop, client), events_(std::move(events)),
-      started_ms_(started_ms) {}
+      registration_(
+          state,
+          [this](const platform_request& request, reply_handler on_reply) {
+            call({duty::membership, 0}, request, read_limit, std::move(on_reply));
+          },
+          started_ms) {}
 
 store_link::~store_link() {
   state_.loop.cancel(tick_timer_);
@@ -53,9 +60,9 @@
 void
 store_link::start() {
   tick_timer_ = state_.loop.every(tick_time, [this](const moment& now) { tick(now); });
-  state_.loop.every(registration_renewal, [this](const moment&) { renew_registration(); });
+  following_ = true;
   read_all();
-  register_self();
+  registration_.start();
 }
 
 void
@@ -67,6 +74,7 @@
 store_link::drop_removed(const std::vector<upstream_id>& gone, std::string_view source) {
   for (const auto& id : gone) {
     copy_.upstreams.erase(state_.wire.upstream_prefix() + id.value);
+    content_changed_ = true;
     state_.on_upstream_change(id, upstream_change::removed, source);
   }
 }
@@ -107,7 +115,13 @@
 
 void
 store_link::retry_later() {
-  state_.loop.once(retry_pause, [this](const moment&) { read_all(); });
+  state_.loop.once(retry_pause, [this](const moment&) {
+    if (watching_ || !state_.upstreams_known) {
+      read_all();
+    } else {
+      following_ = false;
+    }
+  });
 }
 
 void
@@ -115,10 +129,12 @@
   reads_left_ = 4;
   reading_from_ = revision{std::numeric_limits<std::int64_t>::max()};
   present_.clear();
+  present_instances_.clear();
   read_config();
   read_duties_holder();
   read_range(state_.wire.upstream_prefix(), state_.wire.upstream_prefix());
-  read_range(instance_prefix, instance_prefix);
+  const std::string instances{instance_prefix};
+  read_range(instances, instances);
 }
 
 void
@@ -147,12 +163,8 @@
            return;
          }
          const auto& range = std::get<kv_range_reply>(*reply.answer);
-         if (range.pairs.empty()) {
-           events_.on_duties_holder(std::nullopt);
-         }
-         for (const auto& it : range.pairs) {
-           apply({it.key, it.value, it.created, it.modified}, "read");
-         }
+         apply_duties_holder(range.pairs.empty() ? std::nullopt
+                                                 : std::optional{range.pairs.front().value});
          range_done();
        });
 }
@@ -183,6 +195,8 @@
   for (const auto& it : reply.pairs) {
     if (prefix != instance_prefix) {
       present_.push_back(upstream_id{it.key.substr(prefix.size())});
+    } else {
+      present_instances_.push_back(it.key.substr(prefix.size()));
     }
     apply({it.key, it.value, it.created, it.modified}, "read");
   }
@@ -194,6 +208,8 @@
   if (prefix != instance_prefix) {
     drop_removed(state_.upstreams.retain(http1::event_loop::now(), present_, reply.store), "read");
     state_.upstreams_known = true;
+  } else {
+    retain_instances(present_instances_, reply.store);
   }
   range_done();
 }
@@ -210,6 +226,10 @@
 
 void
 store_link::watch() {
+  if (!watching_) {
+    following_ = false;
+    return;
+  }
   // Everything is watched in one call: operators' and upstreams' keys and the instances' own.
   calls_.send(state_.settings.store, state_.wire.watch_call("", copy_.store, watch_wait),
               watch_limit, [this](const call_outcome& ended) {
@@ -254,16 +274,36 @@
   } else if (change.key.starts_with(state_.wire.upstream_prefix())) {
     apply_upstream(change, source);
   } else if (change.key.starts_with(instance_prefix)) {
+    if (!change.value && change.key == instance_key(state_.settings.instance)) {
+      registration_.on_lapsed();
+    }
     apply_instance(change);
   } else if (change.key == zone_lease_key(duties_zone)) {
-    const auto record = change.value ? parse_zone_lease(*change.value)
-                                     : result<zone_lease_record>{zone_lease_record{}};
-    if (record) {
-      events_.on_duties_holder(change.value ? std::optional{record->holder} : std::nullopt);
-    }
+    apply_duties_holder(change.value);
+  }
+}
+
+void
+store_link::apply_duties_holder(const std::optional<std::string>& record) {
+  if (!record) {
+    set_duties_holder(std::nullopt);
+    return;
+  }
+  const auto lease = parse_zone_lease(*record);
+  if (lease) {
+    set_duties_holder(lease->holder);
+  } else {
+    log(log_event::config_refused, lease.error());
   }
 }
 
+void
+store_link::set_duties_holder(const std::optional<instance_id>& holder) {
+  content_changed_ = content_changed_ || copy_.duties_holder != holder;
+  copy_.duties_holder = holder;
+  events_.on_duties_holder(holder);
+}
+
 void
 store_link::apply_config_value(const std::string& value, std::string_view source) {
   auto config = state_.wire.parse_config(value);
@@ -271,8 +311,11 @@
     log(log_event::config_refused, config.error());
     return;
   }
+  const std::int64_t version = config->version;
   if (state_.apply_config(std::move(*config), source)) {
     copy_.config = value;
+    copy_.config_version = version;
+    content_changed_ = true;
   }
 }
 
@@ -280,165 +323,129 @@
 store_link::apply_upstream(const kv_change& change, std::string_view source) {
   const moment now = http1::event_loop::now();
   const upstream_id id{change.key.substr(state_.wire.upstream_prefix().size())};
-  if (!change.value) {
-    const auto how = state_.upstreams.remove(now, id, change.modified);
-    if (how == upstream_change::removed) {
-      copy_.upstreams.erase(change.key);
-    }
-    state_.on_upstream_change(id, how, source);
-    return;
-  }
-  const auto entry = state_.wire.parse_upstream(change.key, *change.value);
+  const auto entry = change.value ? state_.wire.parse_upstream(change.key, *change.value)
+                                  : result<listed_upstream>{listed_upstream{}};
   if (!entry) {
     log(log_event::upstream_unreadable, entry.error(), {{"key", change.key}});
-    const auto how = state_.upstreams.remove(now, id, change.modified);
-    state_.on_upstream_change(id, how, source);
+  }
+  const bool present = change.value.has_value() && entry.has_value();
+  const auto how = present ? state_.upstreams.put(*entry, change.modified)
+                           : state_.upstreams.remove(now, id, change.modified);
+  if (how == upstream_change::none) {
     return;
   }
-  auto& held = copy_.upstreams[change.key];
-  if (held.second < change.modified) {
-    held = {*change.value, change.modified};
+  if (present) {
+    copy_.upstreams[change.key] = {*change.value, change.modified};
+  } else {
+    copy_.upstreams.erase(change.key);
   }
-  state_.on_upstream_change(id, state_.upstreams.put(*entry, change.modified), source);
+  content_changed_ = true;
+  state_.on_upstream_change(id, how, source);
 }
 
 void
 store_link::apply_instance(const kv_change& change) {
-  const std::string name = change.key.substr(std::string_view{instance_prefix}.size());
-  if (name == state_.settings.instance.value) {
-    if (!change.value) {
-      // Lapsed, or removed by a hand; the next renewal finds out.
-      registration_ = lease_id{};
-    }
+  const std::string name = change.key.substr(instance_prefix.size());
+  const bool self = name == state_.settings.instance.value;
+  const auto held = copy_.instances.find(name);
+  if (held != copy_.instances.end() && change.modified <= held->second.modified) {
     return;
   }
   if (!change.value) {
-    const auto it = instances_.find(name);
-    if (it != instances_.end()) {
-      events_.on_instance(it->second, false);
-      instances_.erase(it);
+    if (held != copy_.instances.end()) {
+      copy_.instances.erase(held);
+      content_changed_ = true;
+      if (!self) {
+        events_.on_instance({instance_id{name}, {}, {}, 0}, false);
+      }
     }
     return;
   }
-  const auto object = parse_json_object(*change.value, "instance");
-  const auto peer =
-      object ? parse_endpoint(object->value(QLatin1String("peer")).toString().toStdString())
-             : std::nullopt;
-  if (!peer) {
+  const auto entry = parse_registration(name, *change.value);
+  if (!entry) {
     log(log_event::peer_rejected, {{"peer", name}, {"why", "its registration cannot be read"}});
     return;
   }
-  const registered_instance entry{instance_id{name}, *peer,
-                                  object->value(QLatin1String("started_ms")).toInteger()};
-  instances_[name] = entry;
-  events_.on_instance(entry, true);
+  copy_.instances[name] = {*change.value, change.modified};
+  content_changed_ = true;
+  if (!self) {
+    events_.on_instance(*entry, true);
+  }
 }
 
 void
-store_link::take_copy(const store_copy& from, const instance_id& peer) {
-  const std::string source = "peer " + peer.value;
-  if (!from.config.empty()) {
-    apply_config_value(from.config, source);
-  }
-  if (from.store <= copy_.store && state_.upstreams_known) {
+store_link::set_watching(bool watching) {
+  if (watching_ == watching) {
     return;
   }
-  std::vector<upstream_id> present;
-  for (const auto& [key, held] : from.upstreams) {
-    present.push_back(upstream_id{key.substr(state_.wire.upstream_prefix().size())});
-    apply_upstream({key, held.first, held.second, held.second}, source);
+  watching_ = watching;
+  log(log_event::store_followed,
+      {{"by", watching ? "watch" : "peer"}, {"revision", std::to_string(copy_.store.value)}});
+  if (watching_ && !following_) {
+    following_ = true;
+    watch();
   }
-  drop_removed(state_.upstreams.retain_as_peer(present, from.store), source);
-  state_.upstreams_known = true;
-  // The own watch goes on where it was; what it brings again is older or equal and changes nothing.
 }
 
 void
-store_link::register_self() {
-  if (registering_ || state_.stopping) {
-    return;
+store_link::on_peer_state(bool store_reachable, std::string_view peer) {
+  if (!watching_) {
+    set_reachable(store_reachable, "as peer " + std::string{peer} + " says");
   }
-  registering_ = true;
-  call({duty::membership, 0}, lease_grant{registration_ttl}, read_limit,
-       [this](const platform_reply& reply) {
-         if (!reply.answer) {
-           registering_ = false;
-           return;
-         }
-         const lease_id lease = std::get<lease_reply>(*reply.answer).lease;
-         kv_txn txn;
-         txn.writes.push_back({instance_prefix + state_.settings.instance.value,
-                               self_record(state_.settings, started_ms_), lease});
-         call({duty::membership, 0}, txn, read_limit, [this, lease](const platform_reply& written) {
-           registering_ = false;
-           if (written.answer) {
-             registration_ = lease;
-           }
-         });
-       });
 }
 
 void
-store_link::renew_registration() {
-  if (state_.stopping) {
-    return;
+store_link::take_news(const store_news& from, const instance_id& peer) {
+  const std::string source = "peer " + peer.value;
+  if (!from.config.empty()) {
+    apply_config_value(from.config, source);
   }
-  if (registration_.empty()) {
-    register_self();
+  if (from.store < copy_.store && state_.upstreams_known) {
     return;
   }
-  call({duty::membership, 0}, lease_keep_alive{registration_}, read_limit,
-       [this](const platform_reply& reply) {
-         if (reply.answer && std::get<lease_reply>(*reply.answer).ttl == seconds{0}) {
-           registration_ = lease_id{};
-           register_self();
-         }
-       });
+  for (const auto& [key, held] : from.upstreams) {
+    apply_upstream({key, held.value, held.modified, held.modified}, source);
+  }
+  for (const auto& [name, held] : from.instances) {
+    apply_instance({instance_key(instance_id{name}), held.value, held.modified, held.modified});
+  }
+  std::vector<upstream_id> present;
+  for (const auto& key : from.upstream_keys) {
+    present.push_back(upstream_id{key.substr(state_.wire.upstream_prefix().size())});
+  }
+  drop_removed(state_.upstreams.retain_as_peer(present, from.store), source);
+  state_.upstreams_known = true;
+  retain_instances(from.instance_names, from.store);
+  set_duties_holder(from.duties_holder);
+  copy_.store = std::max(copy_.store, from.store);
 }
 
 void
-store_link::sign_off() {
-  if (!registration_.empty()) {
-    call({duty::membership, 0}, lease_revoke{registration_}, read_limit, {});
-    registration_ = lease_id{};
+store_link::retain_instances(const std::vector<std::string>& present, revision at) {
+  const std::set<std::string> kept{present.begin(), present.end()};
+  std::vector<std::string> gone;
+  for (const auto& [name, held] : copy_.instances) {
+    if (!kept.contains(name)) {
+      gone.push_back(name);
+    }
+  }
+  for (const auto& name : gone) {
+    apply_instance({instance_key(instance_id{name}), std::nullopt, {}, at});
   }
 }
 
-std::string
-pack_copy(const store_copy& copy) {
-  msgpack::sbuffer buf;
-  msgpack::packer<msgpack::sbuffer> out{buf};
-  out.pack_array(3);
-  out.pack(copy.store.value);
-  out.pack(copy.config);
-  out.pack_array(static_cast<std::uint32_t>(copy.upstreams.size()));
-  for (const auto& [key, held] : copy.upstreams) {
-    out.pack_array(3);
-    out.pack(key);
-    out.pack(held.first);
-    out.pack(held.second.value);
-  }
-  return {buf.data(), buf.size()};
-}
-
-result<store_copy>
-unpack_copy(std::string_view bytes) {
-  try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
-    const auto top = handle.get().as<std::vector<msgpack::object>>();
-    store_copy copy;
-    copy.store = revision{top.at(0).as<std::int64_t>()};
-    copy.config = top.at(1).as<std::string>();
-    for (const auto& it : top.at(2).as<std::vector<msgpack::object>>()) {
-      const auto row = it.as<std::vector<msgpack::object>>();
-      copy.upstreams.emplace(
-          row.at(0).as<std::string>(),
-          std::pair{row.at(1).as<std::string>(), revision{row.at(2).as<std::int64_t>()}});
+std::uint64_t
+store_link::content() {
+  if (content_changed_) {
+    std::uint64_t hash = fnv1a(fnv_basis, std::to_string(state_.upstreams.content()));
+    hash = fnv1a(hash, std::to_string(copy_.config_version));
+    for (const auto& [name, held] : copy_.instances) {
+      hash = fnv1a(fnv1a(hash, name), held.value);
     }
-    return copy;
-  } catch (const std::exception& ec) {
-    return fail({error_code::invalid_argument, step::peer_call, "", ec.what()});
+    content_ = fnv1a(hash, copy_.duties_holder ? copy_.duties_holder->value : "");
+    content_changed_ = false;
   }
+  return content_;
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -1,12 +1,14 @@
 /// \file store_link.h
 /// This instance's connection to the platform's store: it follows the configuration and the lists
-/// of upstreams and instances, keeps this instance registered, and carries single calls.
+/// of upstreams and instances, by a watch of its own or through a peer, and carries single calls.
 ///
 /// Invariant: what was learnt is never undone by older news; revisions decide.
 #pragma once
 
 #include "call_set.h"
+#include "instance_registration.h"
 #include "proxy_state.h"
+#include "store_copy.h"
 
 #include <functional>
 #include <map>
@@ -19,17 +21,10 @@
 struct registered_instance {
   instance_id name;
   endpoint peer;
+  zone_id zone;
   std::int64_t started_ms = 0;
 };
 
-/// The newest copy of what the store holds, as read; a peer that cannot reach the store is given
-/// it.
-struct store_copy {
-  revision store; ///< How far it goes.
-  std::string config;
-  std::map<std::string, std::pair<std::string, revision>> upstreams; ///< By key.
-};
-
 class store_link {
  public:
   using reply_handler = std::function<void(const platform_reply&)>;
@@ -50,13 +45,26 @@
   /// One call; `on_reply` comes once, unless the link ends first.
   void call(const call_id& id, const platform_request& request, milliseconds limit,
             reply_handler on_reply);
-  /// Takes a peer's copy if it goes further than what is held.
-  void take_copy(const store_copy& from, const instance_id& peer);
+  /// Whether it watches the store itself. If not, `take_news` brings what is new.
+  void set_watching(bool watching);
+  /// While it does not watch: how the peer that it follows finds the store.
+  void on_peer_state(bool store_reachable, std::string_view peer);
+  /// Takes a peer's news of the store.
+  void take_news(const store_news& from, const instance_id& peer);
+
+  /// A peer that holds the same has followed the store up to `at`.
+  void on_same_content(revision at) { copy_.store = std::max(copy_.store, at); }
+
   /// Ends the registration.
-  void sign_off();
+  void sign_off() { registration_.sign_off(); }
 
   [[nodiscard]] const store_copy& copy() const { return copy_; }
 
+  /// Hash of what is held; equal where the same is held.
+  [[nodiscard]] std::uint64_t content();
+
+  [[nodiscard]] bool watching() const { return watching_; }
+
   [[nodiscard]] bool reachable() const { return reachable_; }
 
  private:
@@ -74,31 +82,29 @@
   void apply_config_value(const std::string& value, std::string_view source);
   void apply_upstream(const kv_change& change, std::string_view source);
   void apply_instance(const kv_change& change);
+  void retain_instances(const std::vector<std::string>& present, revision at);
+  void apply_duties_holder(const std::optional<std::string>& record);
+  void set_duties_holder(const std::optional<instance_id>& holder);
   void retry_later();
   void set_reachable(bool now_reachable, std::string_view why);
   void drop_removed(const std::vector<upstream_id>& gone, std::string_view source);
   void tick(const moment& now);
 
-  void register_self();
-  void renew_registration();
-
   proxy_state& state_;
   call_set calls_;
   hooks events_;
-  std::int64_t started_ms_;
   store_copy copy_;
   revision reading_from_; ///< Least revision of the reads under way.
   int reads_left_ = 0;
   std::vector<upstream_id> present_; ///< Upstreams seen by the read under way.
-  std::map<std::string, registered_instance> instances_;
+  std::vector<std::string> present_instances_;
   bool reachable_ = true;
-  lease_id registration_;
-  bool registering_ = false;
+  bool watching_ = true;
+  bool following_ = false; ///< A read, a watch or the pause before one is under way.
+  std::uint64_t content_ = 0;
+  bool content_changed_ = true; ///< Since `content_` was worked out.
+  instance_registration registration_;
   timer_id tick_timer_;
 };
 
-/// A copy as a peer is sent it, and back.
-std::string pack_copy(const store_copy& copy);
-result<store_copy> unpack_copy(std::string_view bytes);
-
 } // namespace nutmegspur::proxy
