Engines take nothing while their stage changes, and instances tell each other

Change: the holder announces an order to all instances, waits until they have stopped sending there, and then orders. Who gets 421 withholds that upstream and tells its peers. The end is an agreed time of day, so that passing it on does not lengthen it.

Ruled out: another attempt after a rejection; a route's attempts bound that.

--- a/src/include/nutmegspur/peer_notice.h
+++ b/src/include/nutmegspur/peer_notice.h
@@ -11,6 +11,7 @@
 #include <nutmegspur/load_view.h>
 #include <nutmegspur/prompt_cache_view.h>
 #include <nutmegspur/usage_windows.h>
+#include <nutmegspur/withheld_upstreams.h>
 
 #include <cstdint>
 #include <string>
@@ -51,6 +52,7 @@
   std::int64_t sealed = 0;      ///< Last usage window that is known to be sealed.
   std::vector<upstream_load_notice> loads;
   std::vector<cached_part_notice> placed; ///< Since about three notices ago.
+  std::vector<withheld_notice> withheld;  ///< All that the sender knows of.
   std::vector<usage_window> usage;
   bool usage_only = false; ///< Nothing but `usage` and `sealed` is told.
 };
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 44> catalogue{{
+constexpr std::array<log_event_info, 45> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -79,6 +79,8 @@
      "Another process is there under an upstream's id; nothing is known of it."},
     {log_event::upstream_unreadable, "upstream_unreadable", severity::warning,
      "An upstream's entry cannot be read; it names no upstream to use."},
+    {log_event::upstream_withheld, "upstream_withheld", severity::info,
+     "An upstream takes no new requests for a while: its stage changes, or another is there."},
     {log_event::peer_connected, "peer_connected", severity::info, "A peer connection stands."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
     {log_event::peer_rejected, "peer_rejected", severity::warning,
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -13,7 +13,7 @@
 
 /// First element of each datagram; a new layout gets a new number.
 constexpr int layout = 2;
-constexpr std::size_t element_count = 18;
+constexpr std::size_t element_count = 19;
 
 template <class Packer>
 void
@@ -78,6 +78,14 @@
   }
 }
 
+withheld_notice
+read_withheld(const msgpack::object& from) {
+  const auto row = from.as<std::vector<msgpack::object>>();
+  const auto stage = from_name<engine_stage>(row.at(1).as<std::string>());
+  return {upstream_id{row.at(0).as<std::string>()}, stage.value_or(engine_stage::none),
+          wall_time{microseconds{row.at(2).as<std::int64_t>()}}};
+}
+
 peer_notice
 read_notice(const msgpack::object& from) {
   const auto row = from.as<std::vector<msgpack::object>>();
@@ -100,6 +108,9 @@
   it.sealed = row.at(12).as<std::int64_t>();
   it.usage_only = row.at(16).as<bool>();
   it.zone = zone_id{row.at(17).as<std::string>()};
+  for (const auto& withheld : row.at(18).as<std::vector<msgpack::object>>()) {
+    it.withheld.push_back(read_withheld(withheld));
+  }
   for (const auto& load : row.at(13).as<std::vector<msgpack::object>>()) {
     it.loads.push_back(read_load(load));
   }
@@ -141,6 +152,13 @@
   pack_usage(out, it.usage);
   out.pack(it.usage_only);
   out.pack(it.zone.value);
+  out.pack_array(static_cast<std::uint32_t>(it.withheld.size()));
+  for (const auto& withheld : it.withheld) {
+    out.pack_array(3);
+    out.pack(withheld.upstream.value);
+    out.pack(std::string{to_name(withheld.until_stage)});
+    out.pack(withheld.until.time_since_epoch().count());
+  }
   return {buf.data(), buf.size()};
 }
 
--- a/src/libnutmegspur/peer_notice_test.cpp
+++ b/src/libnutmegspur/peer_notice_test.cpp
@@ -25,6 +25,7 @@
   it.sealed = 353445120;
   it.loads = {{upstream_id{"u-1"}, {3, 250}}};
   it.placed = {{upstream_id{"u-1"}, {0xABCDEF0123456789ULL, 800}}};
+  it.withheld = {{upstream_id{"u-2"}, engine_stage::prefill, wall_time{seconds{12}}}};
   it.usage = {{353445121, {{team_id{"a"}, 7}}}};
   return it;
 }
@@ -52,6 +53,7 @@
   EXPECT_DOUBLE_EQ(read->loads[0].load.backlog_millis, 250);
   ASSERT_EQ(read->placed.size(), 1U);
   EXPECT_EQ(read->placed[0].part, sent.placed[0].part);
+  EXPECT_EQ(read->withheld, sent.withheld);
   EXPECT_EQ(read->usage, sent.usage);
 }
 
--- /dev/null
+++ b/src/libnutmegspur/withheld_upstreams_test.cpp
@@ -0,0 +1,74 @@
+// Upstreams that take nothing for a while: engines that change their stage, and addresses that
+// passed to another process.
+// labels: P12
+#include <nutmegspur/withheld_upstreams.h>
+
+#include <gtest/gtest.h>
+
+namespace nutmegspur {
+namespace {
+
+const upstream_id engine{"e"};
+
+listed_upstream
+listed(engine_stage stage) {
+  listed_upstream it;
+  it.id = engine;
+  it.stage = stage;
+  return it;
+}
+
+wall_time
+at(int n) {
+  return wall_time{seconds{n}};
+}
+
+TEST(withheld_upstreams, an_engine_under_order_takes_nothing_until_it_is_listed_anew) {
+  withheld_upstreams all;
+  EXPECT_TRUE(all.add({engine, engine_stage::prefill, at(10)}));
+  EXPECT_TRUE(all.withheld(at(5), listed(engine_stage::decode)));
+  EXPECT_FALSE(all.withheld(at(5), listed(engine_stage::prefill)));
+}
+
+TEST(withheld_upstreams, an_order_that_is_not_carried_out_ends_by_time) {
+  withheld_upstreams all;
+  all.add({engine, engine_stage::prefill, at(10)});
+  EXPECT_TRUE(all.withheld(at(9), listed(engine_stage::decode)));
+  EXPECT_FALSE(all.withheld(at(10), listed(engine_stage::decode)));
+  EXPECT_TRUE(all.current(at(10)).empty());
+}
+
+TEST(withheld_upstreams, passing_a_notice_to_and_fro_does_not_lengthen_it) {
+  withheld_upstreams one;
+  withheld_upstreams other;
+  one.add({engine, engine_stage::none, at(10)});
+  for (int n = 0; n < 12; ++n) {
+    for (const auto& it : one.current(at(n))) {
+      other.add(it);
+    }
+    for (const auto& it : other.current(at(n))) {
+      EXPECT_FALSE(one.add(it));
+    }
+  }
+  EXPECT_FALSE(one.withheld(at(10), listed(engine_stage::decode)));
+  EXPECT_FALSE(other.withheld(at(10), listed(engine_stage::decode)));
+}
+
+TEST(withheld_upstreams, the_later_of_two_orders_counts) {
+  withheld_upstreams all;
+  all.add({engine, engine_stage::prefill, at(10)});
+  EXPECT_TRUE(all.add({engine, engine_stage::decode, at(20)}));
+  EXPECT_FALSE(all.add({engine, engine_stage::prefill, at(10)}));
+  EXPECT_TRUE(all.withheld(at(5), listed(engine_stage::prefill)));
+  EXPECT_FALSE(all.withheld(at(5), listed(engine_stage::decode)));
+}
+
+TEST(withheld_upstreams, a_restarted_process_is_not_withheld) {
+  withheld_upstreams all;
+  all.add({engine, engine_stage::none, at(10)});
+  all.forget(engine);
+  EXPECT_FALSE(all.withheld(at(5), listed(engine_stage::decode)));
+}
+
+} // namespace
+} // namespace nutmegspur
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -18,6 +18,9 @@
 /// Instances have told their counts of a window by this time after its end.
 constexpr milliseconds usage_settle{2'500};
 constexpr milliseconds report_retry{700};
+/// From an engine's change until all instances see it listed: a heartbeat of about a second, and
+/// the pause of a watch.
+constexpr milliseconds listing_lag{3'000};
 
 std::string
 to_record(const usage_window& window) {
@@ -125,7 +128,7 @@
   if (state_.settings.orders_upstreams) {
     order_fleet(now, *by);
   }
-  order_stages(now, *by);
+  order_stages(now);
 }
 
 void
@@ -269,7 +272,7 @@
 }
 
 void
-duty_holder::order_stages(const moment& now, const authority& by) {
+duty_holder::order_stages(const moment& now) {
   for (const auto& service : state_.config->config().services) {
     if (!service.engine) {
       continue;
@@ -280,12 +283,26 @@
     }
     for (const auto& [zone, engines] : zones) {
       for (const auto& change : stages_.step(now, engines)) {
-        order_stage(change, by);
+        announce_stage(now, service.engine->role_change, change);
       }
     }
   }
 }
 
+void
+duty_holder::announce_stage(const moment& now, milliseconds role_change,
+                            const stage_change& change) {
+  // What waits at the engine is rejected, and so is all that comes until the list shows the change:
+  // the order goes out when all instances have stopped sending there.
+  const milliseconds lead = peers_.spread_time();
+  state_.withhold(now, change.upstream, change.wanted, lead + role_change + listing_lag, "order");
+  state_.loop.once(lead, [this, change](const moment& later) {
+    if (const auto by = authority_for_call(later); by && !state_.stopping) {
+      order_stage(change, *by);
+    }
+  });
+}
+
 void
 duty_holder::order_stage(const stage_change& change, const authority& by) {
   const auto* upstream = state_.upstreams.usable(change.upstream);
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -61,7 +61,8 @@
   void seal(const usage_window& window, const authority& by);
   void report(const authority& by);
   void order_fleet(const moment& now, const authority& by);
-  void order_stages(const moment& now, const authority& by);
+  void order_stages(const moment& now);
+  void announce_stage(const moment& now, milliseconds role_change, const stage_change& change);
   void order_stage(const stage_change& change, const authority& by);
 
   proxy_state& state_;
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -123,6 +123,7 @@
   it.content = store_.content();
   it.lifetime = std::max(least_lifetime, period_ * rounds_counted);
   it.sealed = sealed_;
+  it.withheld = state_.withheld.current(state_.clock.agreed(now).wall);
   return it;
 }
 
@@ -346,6 +347,9 @@
   relays_.on_heard(now, read->sender);
   state_.clock.on_peer(now, read->sender, read->wall,
                        read->scope == notice_scope::others ? agreed_votes : 1);
+  for (const auto& withheld : read->withheld) {
+    state_.withheld.add(withheld);
+  }
   take_work(now, *read);
   follow_sender(now, read->sender, it);
 }
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -34,6 +34,11 @@
   /// Live relays before this one, in the order of their names. Only relays hold duties; others have
   /// a rank past all candidates.
   [[nodiscard]] unsigned rank(const moment& now) const;
+
+  /// Time in which a notice has reached all instances: over two relays, and once more if one is
+  /// lost.
+  [[nodiscard]] milliseconds spread_time() const { return 3 * period_; }
+
   /// Tells all that need it, before this process ends.
   void tell_last(const moment& now);
 
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -18,6 +18,23 @@
   }
 }
 
+void
+proxy_state::withhold(const moment& now, const upstream_id& id, engine_stage until_stage,
+                      milliseconds span, std::string_view why) {
+  if (!withheld.add({id, until_stage, clock.agreed(now).wall + span})) {
+    return;
+  }
+  log(log_event::upstream_withheld, {{"upstream", id.value},
+                                     {"why", std::string{why}},
+                                     {"until_stage", std::string{to_name(until_stage)}},
+                                     {"span_ms", std::to_string(span.count())}});
+}
+
+bool
+proxy_state::takes_work(const moment& now, const listed_upstream& it) const {
+  return health.allows(now, it.id) && !withheld.withheld(clock.agreed(now).wall, it);
+}
+
 bool
 proxy_state::apply_config(proxy_config next, std::string_view source) {
   if (config != nullptr && next.version <= config->config().version) {
@@ -57,6 +74,7 @@
   if (how == upstream_change::restarted || how == upstream_change::removed) {
     caches.forget(id);
     health.forget(id);
+    withheld.forget(id);
   }
   const auto* it = upstreams.find(id);
   log(number, {{"upstream", id.value},
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -17,6 +17,7 @@
 #include <nutmegspur/usage_windows.h>
 #include <nutmegspur/wall_clock_vote.h>
 #include <nutmegspur/wire_binding.h>
+#include <nutmegspur/withheld_upstreams.h>
 
 #include <deque>
 #include <map>
@@ -69,6 +70,7 @@
   std::shared_ptr<const route_table> config;
   upstream_list upstreams;
   upstream_health health;
+  withheld_upstreams withheld;
   load_view loads;
   prompt_cache_view caches;
   std::map<service_id, engine_calibrations> calibrations;
@@ -93,6 +95,11 @@
   /// `from` placed `parts` at `upstream`; peers are told.
   void note_placed(const moment& now, const upstream_id& upstream,
                    const std::vector<chained_part>& parts, const instance_id& from);
+  /// `id` takes nothing for `span`, or until it is listed with `until_stage`; peers are told.
+  void withhold(const moment& now, const upstream_id& id, engine_stage until_stage,
+                milliseconds span, std::string_view why);
+  /// Whether new requests may go to `it` now.
+  [[nodiscard]] bool takes_work(const moment& now, const listed_upstream& it) const;
   /// Takes a configuration if it is newer than the one in force; false if it is not.
   bool apply_config(proxy_config config, std::string_view source);
   /// One change of the list, from the store or from a peer.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -137,7 +137,7 @@
   placement_field field;
   const moment now = http1::event_loop::now();
   for (const auto* it : state_.upstreams.usable_of(service_name_)) {
-    if (tried_.contains(it->id) || !state_.health.allows(now, it->id)) {
+    if (tried_.contains(it->id) || !state_.takes_work(now, *it)) {
       continue;
     }
     if (it->stage != engine_stage::prefill) {
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -9,6 +9,10 @@
 
 /// Time to come back where an upstream turned the request away or could not be reached.
 constexpr milliseconds retry_after_rejection{150};
+constexpr int misdirected_request = 421;
+/// Until the list shows what is at an address: an entry lapses after three heartbeats of about a
+/// second each, and the news takes a moment.
+constexpr milliseconds misdirected_span{4'000};
 /// An attempt with less time than this is not worth sending.
 constexpr milliseconds least_attempt_time{20};
 
@@ -51,6 +55,13 @@
     const bool lost_handle = it.asked == attempt_task::going_on && how == attempt_end::rejected;
     state_.health.on_result(now, lost_handle ? reader_ : it.upstream.id, *result);
   }
+  if (how == attempt_end::rejected && it.head.status == misdirected_request) {
+    // Another process, or the same in another stage: the list will show it.
+    const engine_stage other = it.upstream.stage == engine_stage::none ? engine_stage::none
+                               : it.asked == attempt_task::reading     ? engine_stage::decode
+                                                                       : engine_stage::prefill;
+    state_.withhold(now, it.upstream.id, other, misdirected_span, "misdirected");
+  }
   if (how != attempt_end::answered) {
     client_.forget({it.upstream.address, it.upstream.port});
     log(log_event::upstream_failed, {{"request", request_.id},
@@ -120,7 +131,7 @@
   const moment now = http1::event_loop::now();
   const auto* planned = state_.upstreams.usable(plan_.upstream);
   if (planned != nullptr && planned->stage != engine_stage::prefill &&
-      state_.health.allows(now, plan_.upstream)) {
+      state_.takes_work(now, *planned)) {
     send(attempt_task::going_on, plan_.upstream, 0);
     return;
   }
@@ -128,7 +139,7 @@
   const listed_upstream* reader = state_.upstreams.find(reader_);
   const listed_upstream* best = nullptr;
   for (const auto* it : state_.upstreams.usable_of(service_name_)) {
-    if (it->stage == engine_stage::prefill || !state_.health.allows(now, it->id)) {
+    if (it->stage == engine_stage::prefill || !state_.takes_work(now, *it)) {
       continue;
     }
     const bool nearer = reader != nullptr && it->zone == reader->zone &&
