--- a/src/include/nutmegspur/fleet_size.h
+++ b/src/include/nutmegspur/fleet_size.h
@@ -54,6 +54,9 @@
   double on_demand_share = 0.25;
   /// Upstreams in all that a zone should have, as a share of the most.
   double total_share = 1.0;
+  /// On-demand upstreams that are given up at once, as a share of the most that a zone may have:
+  /// until reclaimable ones have started in their place, the zone lacks them.
+  double largest_cut = 0.25;
   /// An order that was unavailable is tried again after this.
   milliseconds retry_unavailable{1'500};
   /// An order whose answer was lost is repeated after this; the same number is the same order.
--- a/src/libnutmegspur/fleet_size.cpp
+++ b/src/libnutmegspur/fleet_size.cpp
@@ -43,7 +43,10 @@
     const bool cheap_there = has.reclaimable + has.on_demand >= limits.most || room == 0 ||
                              has.reclaimable >= std::min(wanted.reclaimable, room);
     if (has.on_demand < wanted.on_demand || cheap_there) {
-      consider(false, has.on_demand, wanted.on_demand);
+      const auto cut =
+          std::max(static_cast<std::uint32_t>(std::lround(limits.most * policy_.largest_cut)), 1U);
+      const std::uint32_t kept = has.on_demand - std::min(has.on_demand, cut);
+      consider(false, has.on_demand, std::max(wanted.on_demand, kept));
     }
   }
   return out;
--- a/src/libnutmegspur/fleet_size_test.cpp
+++ b/src/libnutmegspur/fleet_size_test.cpp
@@ -41,6 +41,29 @@
   EXPECT_EQ(out[0].wanted, 3U);
 }
 
+TEST(fleet_size, dear_ones_leave_in_steps_that_cheap_ones_fill) {
+  manual_clock clock;
+  fleet_policy policy;
+  policy.on_demand_share = 0.1;
+  fleet_orders orders{policy};
+  zone_fleet has{6, 0};
+  std::uint32_t least = 12;
+  bool began = false;
+  for (int n = 0; n < 40; ++n) {
+    for (const auto& it : orders.step(clock.now(), service, limits(), {{zone, has}})) {
+      (it.reclaimable ? has.reclaimable : has.on_demand) = it.wanted;
+      orders.on_result(clock.now(), it, order_result::accepted);
+      began = began || it.reclaimable;
+      EXPECT_LE(has.on_demand + has.reclaimable, limits().most);
+      least = began ? std::min(least, has.on_demand + has.reclaimable) : least;
+    }
+    clock.advance(seconds{1});
+  }
+  EXPECT_EQ(has.on_demand, 1U);
+  EXPECT_EQ(has.reclaimable, 11U);
+  EXPECT_GE(least, 9U);
+}
+
 TEST(fleet_size, an_order_is_not_repeated_while_it_is_under_way) {
   manual_clock clock;
   fleet_orders orders{{}};
