ctl explain tells a request's way; settings are polled; log lines have a rate for each event; on-demand upstreams bounded

- The settings file is read every 2 s; one bad version is logged once.
Before, only SIGHUP was noticed.
The lead is now the longest that any live peer gives its notices.
- A zone keeps at most 3 on-demand upstreams.

--- a/src/include/nutmegspur/fleet_size.h
+++ b/src/include/nutmegspur/fleet_size.h
@@ -52,6 +52,9 @@
 struct fleet_policy {
   /// On-demand upstreams that a zone keeps, as a share of the most that it may have.
   double on_demand_share = 0.25;
+  /// And no more than this: with all reclaimable ones lost, one that reads prompts, one that makes
+  /// tokens and a spare one are left, and the other zones carry the load.
+  std::uint32_t most_on_demand = 3;
   /// Upstreams in all that a zone should have, as a share of the most.
   double total_share = 1.0;
   /// On-demand upstreams that are given up at once, as a share of the most that a zone may have:
--- a/src/libnutmegspur/fleet_size.cpp
+++ b/src/libnutmegspur/fleet_size.cpp
@@ -16,7 +16,8 @@
   if (!limits.reclaimable_price) {
     return {total, 0};
   }
-  const std::uint32_t on_demand = std::min(share(policy.on_demand_share), total);
+  const std::uint32_t on_demand = std::min(
+      {share(policy.on_demand_share), std::max(policy.most_on_demand, limits.least), total});
   return {on_demand, total - on_demand};
 }
 
--- a/src/libnutmegspur/fleet_size_test.cpp
+++ b/src/libnutmegspur/fleet_size_test.cpp
@@ -27,6 +27,15 @@
   EXPECT_EQ(wanted_fleet(dear, {}).on_demand, 12U);
 }
 
+TEST(fleet_size, large_zones_keep_no_more_on_demand_ones_than_small_ones) {
+  auto large = limits();
+  large.most = 20;
+  EXPECT_EQ(wanted_fleet(large, {}).on_demand, 3U);
+  EXPECT_EQ(wanted_fleet(large, {}).reclaimable, 17U);
+  large.least = 5;
+  EXPECT_EQ(wanted_fleet(large, {}).on_demand, 5U);
+}
+
 TEST(fleet_size, cheap_ones_stand_before_dear_ones_leave) {
   manual_clock clock;
   fleet_orders orders{{}};
--- /dev/null
+++ b/src/libnutmegspur/log_reader_test.cpp
@@ -0,0 +1,94 @@
+// One request's way, found in the lines of several instances.
+#include <nutmegspur/event_log.h>
+#include <nutmegspur/log_reader.h>
+
+#include <gtest/gtest.h>
+
+namespace nutmegspur {
+namespace {
+
+std::vector<log_record>
+records(const std::vector<std::string>& lines) {
+  std::vector<log_record> all;
+  for (const auto& it : lines) {
+    if (auto record = parse_log_line(it, "file")) {
+      all.push_back(*record);
+    }
+  }
+  return all;
+}
+
+TEST(log_reader, reads_what_the_log_writes) {
+  const std::string line =
+      "time_ms=17 " + format_log_line(log_event::request_refused,
+                                      std::vector<log_field>{{"request", "9c"},
+                                                             {"why", "no \"such\" route=x"},
+                                                             {"path", ""},
+                                                             {"config", "41"}});
+  const auto it = parse_log_line(line, "front-1");
+  ASSERT_TRUE(it);
+  EXPECT_EQ(it->time_ms, 17);
+  EXPECT_EQ(it->source, "front-1");
+  EXPECT_EQ(it->number, 500);
+  EXPECT_EQ(it->name, "request_refused");
+  EXPECT_EQ(it->field("why"), "no \"such\" route=x");
+  EXPECT_EQ(it->field("path"), "");
+  EXPECT_EQ(it->field("config"), "41");
+}
+
+TEST(log_reader, the_source_may_stand_in_the_line) {
+  EXPECT_EQ(parse_log_line("  0.1 front-2 time_ms=1 E505 request_answered", "f")->source,
+            "front-2");
+  EXPECT_EQ(parse_log_line("front-3 | time_ms=1 E505 request_answered", "f")->source, "front-3");
+}
+
+TEST(log_reader, other_lines_are_left_out) {
+  for (const char* it : {"", "time_ms=", "time_ms=x E500 request_refused", "time_ms=1 500 x",
+                         "time_ms=1 E5x0 y", "some other program's line"}) {
+    EXPECT_FALSE(parse_log_line(it, "f")) << it;
+  }
+}
+
+TEST(log_reader, a_story_has_the_lines_of_all_instances_in_order_of_time) {
+  const auto story =
+      find_story("a", records({"two time_ms=30 E505 request_answered request=a upstream=u",
+                               "one time_ms=20 E504 request_placed request=a upstream=u",
+                               "one time_ms=25 E504 request_placed request=b upstream=u"}));
+  ASSERT_EQ(story.own.size(), 2U);
+  EXPECT_EQ(story.own[0].source, "one");
+  ASSERT_TRUE(story.end);
+  EXPECT_EQ(story.end->number, 505);
+}
+
+TEST(log_reader, what_happened_to_its_upstream_is_told_by_any_instance) {
+  const auto story =
+      find_story("a", records({"holder time_ms=9000 E302 order_sent upstream=u stage=prefill",
+                               "holder time_ms=9000 E302 order_sent upstream=other stage=prefill",
+                               "holder time_ms=11000 E602 upstream_gone upstream=u",
+                               "one time_ms=10000 E504 request_placed request=a upstream=u",
+                               "one time_ms=10100 E500 request_refused request=a why=rejected"}));
+  ASSERT_EQ(story.around.size(), 1U);
+  EXPECT_EQ(story.around[0].field("stage"), "prefill");
+  EXPECT_NE(story_text("a", story).find("changing its stage"), std::string::npos);
+}
+
+TEST(log_reader, a_wrong_refusal_shows_the_configuration_of_its_instance) {
+  const auto story = find_story(
+      "a", records({"one time_ms=1000 E200 config_applied version=7 source=watch",
+                    "two time_ms=1000 E200 config_applied version=8 source=watch",
+                    "one time_ms=2000 E500 request_refused request=a why=\"no route\" config=7"}));
+  ASSERT_EQ(story.around.size(), 1U);
+  EXPECT_EQ(story.around[0].field("version"), "7");
+}
+
+TEST(log_reader, what_is_missing_is_said) {
+  EXPECT_NE(story_text("x", find_story("x", {})).find("no line names request x"),
+            std::string::npos);
+  const auto story =
+      find_story("a", records({"one time_ms=20 E504 request_placed request=a upstream=u"}));
+  EXPECT_FALSE(story.end);
+  EXPECT_NE(story_text("a", story).find("no line tells how it ended"), std::string::npos);
+}
+
+} // namespace
+} // namespace nutmegspur
--- a/src/nutmegspur/ctl.cpp
+++ b/src/nutmegspur/ctl.cpp
@@ -2,6 +2,7 @@
 #include "ctl.h"
 
 #include "ctl_client.h"
+#include "ctl_explain.h"
 #include "ctl_output.h"
 
 #include <QtCore/QCoreApplication>
@@ -39,6 +40,8 @@
   drain UPSTREAM            let an upstream take no new work
   undrain UPSTREAM          let it take work again
   status                    show what the instance holds
+  explain REQUEST [FILE...] tell one request's way from log files, or from standard input;
+                            needs no instance
 
 kinds: team, key, model, adapter, version, offer, route, drain, upstream
 
@@ -428,6 +431,13 @@
 
 ctl_status
 run_parsed(const cxxopts::ParseResult& options) {
+  if (options.count("words") == 0) {
+    return usage_error("a command is missing");
+  }
+  if (const auto& words = options["words"].as<std::vector<std::string>>();
+      words.front() == "explain") {
+    return explain_request(std::span{words}.subspan(1));
+  }
   ctl_target target{option_or_variable(options, "operator-url", "NUTMEGSPUR_OPERATOR_URL"),
                     option_or_variable(options, "operator-key", "NUTMEGSPUR_OPERATOR_KEY")};
   while (target.url.ends_with('/')) {
@@ -440,9 +450,6 @@
   if (target.key.empty()) {
     return usage_error("--operator-key or NUTMEGSPUR_OPERATOR_KEY must be given");
   }
-  if (options.count("words") == 0) {
-    return usage_error("a command is missing");
-  }
   return ctl_run{options, std::move(target)}.run();
 }
 
--- a/src/nutmegspur/proxy.cpp
+++ b/src/nutmegspur/proxy.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr milliseconds log_flush_period{100};
+/// The settings file may change without a signal; nothing in it is more urgent than this.
+constexpr milliseconds settings_poll_period{2'000};
 
 std::string
 weights_help() {
@@ -59,8 +61,8 @@
   return options;
 }
 
-result<proxy_settings>
-read_settings(const std::string& path, const wire_binding& wire) {
+result<std::string>
+read_text(const std::string& path) {
   std::ifstream file{path};
   if (!file) {
     return fail({error_code::not_found, step::settings_parse, "",
@@ -68,9 +70,45 @@
   }
   std::stringstream text;
   text << file.rdbuf();
-  return wire.parse_settings(text.str());
+  return text.str();
 }
 
+/// Takes the settings over when their file changes, with or without a signal.
+class settings_watch {
+ public:
+  settings_watch(std::string path, const wire_binding& wire, std::string text,
+                 proxy::proxy_node& node)
+      : path_(std::move(path)), wire_(wire), taken_(std::move(text)), node_(node) {}
+
+  /// Reads the file; `anew` also if it is as it was.
+  void check(bool anew) {
+    const auto text = read_text(path_);
+    if (text && *text == taken_ && !anew) {
+      return;
+    }
+    const auto settings =
+        text ? wire_.parse_settings(*text) : result<proxy_settings>{tl::unexpected(text.error())};
+    const std::string seen = text ? *text : std::string{};
+    if (!settings) {
+      // Once for each change: a file that is being replaced is there again in a moment.
+      if (anew || seen != rejected_) {
+        log(log_event::settings_rejected, settings.error());
+      }
+      rejected_ = seen;
+      return;
+    }
+    taken_ = seen;
+    node_.reload(*settings);
+  }
+
+ private:
+  std::string path_;
+  const wire_binding& wire_;
+  std::string taken_; ///< What is in force.
+  std::string rejected_;
+  proxy::proxy_node& node_;
+};
+
 /// Checks a share given as a flag.
 result<void>
 check_share(const char* flag, double value) {
@@ -82,8 +120,8 @@
 }
 
 exit_status
-run_node(const std::string& path, const wire_binding& wire, const proxy_settings& settings,
-         const proxy::proxy_options& options) {
+run_node(const std::string& path, const std::string& text, const wire_binding& wire,
+         const proxy_settings& settings, const proxy::proxy_options& options) {
   std::signal(SIGPIPE, SIG_IGN);
   http1::event_loop loop;
   proxy::log_writer writer{STDOUT_FILENO};
@@ -92,8 +130,8 @@
   });
   loop.every(log_flush_period, [&writer](const moment&) {
     writer.flush();
-    if (const auto n = writer.take_dropped(); n > 0) {
-      log(log_event::log_dropped, {{"lines", std::to_string(n)}});
+    for (const auto& [event, n] : writer.take_dropped()) {
+      log(log_event::log_dropped, {{"event", event}, {"lines", std::to_string(n)}});
     }
   });
   exit_status status = exit_status::ok;
@@ -101,14 +139,10 @@
     proxy::proxy_node node{loop, wire, settings, options};
     loop.on_signal(SIGTERM, [&node] { node.stop(); });
     loop.on_signal(SIGINT, [&node] { node.stop(); });
-    loop.on_signal(SIGHUP, [&] {
-      const auto anew = read_settings(path, wire);
-      if (anew) {
-        node.reload(*anew);
-      } else {
-        log(log_event::settings_rejected, anew.error());
-      }
-    });
+    settings_watch watched{path, wire, text, node};
+    loop.on_signal(SIGHUP, [&watched] { watched.check(true); });
+    const timer_id poll =
+        loop.every(settings_poll_period, [&watched](const moment&) { watched.check(false); });
     const auto started = node.start();
     if (started) {
       log(log_event::process_started, {{"instance", settings.instance.value},
@@ -120,6 +154,7 @@
       log(log_event::settings_rejected, started.error());
       status = exit_status::failed;
     }
+    loop.cancel(poll);
   }
   writer.flush();
   set_log_sink({});
@@ -169,7 +204,11 @@
   const std::string path = parsed.count("settings-file") > 0
                                ? parsed["settings-file"].as<std::string>()
                                : std::string{variable == nullptr ? "" : variable};
-  const auto settings = read_settings(path, **wire);
+  const auto text = read_text(path);
+  if (!text) {
+    return complain(text.error().message);
+  }
+  const auto settings = (*wire)->parse_settings(*text);
   if (!settings) {
     return complain(settings.error().message);
   }
@@ -177,7 +216,7 @@
     std::cout << "settings are good\n";
     return exit_status::ok;
   }
-  return run_node(path, **wire, *settings, chosen);
+  return run_node(path, *text, **wire, *settings, chosen);
 }
 
 } // namespace nutmegspur
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -12,6 +12,8 @@
 
 constexpr const char* sealed_key = "usage/sealed";
 constexpr seconds lease_ttl{3};
+/// A call for the lease is given up after this; the next renewal is then still in time.
+constexpr milliseconds lease_call_limit{1'500};
 constexpr milliseconds tick_time{100};
 /// A call is given up after this, and its connection reset, so that it cannot arrive much later.
 constexpr milliseconds call_limit{800};
@@ -83,7 +85,7 @@
 duty_holder::carry_out(const action_list& actions) {
   for (const auto& it : actions) {
     if (const auto* call = std::get_if<call_platform>(&it)) {
-      store_.call(call->call, call->request, lease_ttl,
+      store_.call(call->call, call->request, lease_call_limit,
                   [this](const platform_reply& reply) { step(reply); });
     } else if (const auto* line = std::get_if<write_log>(&it)) {
       std::vector<log_field> fields;
@@ -294,7 +296,7 @@
                             const stage_change& change) {
   // What waits at the engine is rejected, and so is all that comes until the list shows the change:
   // the order goes out when all instances have stopped sending there.
-  const milliseconds lead = peers_.spread_time();
+  const milliseconds lead = peers_.spread_time(now);
   state_.withhold(now, change.upstream, change.wanted, lead + role_change + listing_lag, "order");
   state_.loop.once(lead, [this, change](const moment& later) {
     if (const auto by = authority_for_call(later); by && !state_.stopping) {
--- a/src/proxy/log_writer.cpp
+++ b/src/proxy/log_writer.cpp
@@ -4,6 +4,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <utility>
+
 namespace nutmegspur::proxy {
 
 log_writer::log_writer(int fd) : fd_(fd) {
@@ -15,11 +17,23 @@
 
 void
 log_writer::add(wall_time when, std::string_view line) {
-  if (held_.size() + line.size() > most_bytes) {
-    dropped_++;
-    return;
+  const std::string_view name = line.substr(0, line.find(' '));
+  auto it = rates_.find(name);
+  if (it == rates_.end()) {
+    it = rates_.emplace(std::string{name}, event_rate{}).first;
   }
+  event_rate& rate = it->second;
   const auto millis = std::chrono::duration_cast<milliseconds>(when.time_since_epoch()).count();
+  const auto second = std::chrono::duration_cast<seconds>(when.time_since_epoch()).count();
+  if (rate.second != second) {
+    rate.second = second;
+    rate.lines = 0;
+  }
+  if (held_.size() + line.size() > most_bytes || rate.lines >= most_lines_per_second) {
+    rate.dropped++;
+    return;
+  }
+  rate.lines++;
   held_.append("time_ms=").append(std::to_string(millis)).append(" ").append(line).append("\n");
 }
 
@@ -35,4 +49,15 @@
   }
 }
 
+std::map<std::string, std::uint64_t>
+log_writer::take_dropped() {
+  std::map<std::string, std::uint64_t> dropped;
+  for (auto& [name, rate] : rates_) {
+    if (rate.dropped > 0) {
+      dropped[name] = std::exchange(rate.dropped, 0);
+    }
+  }
+  return dropped;
+}
+
 } // namespace nutmegspur::proxy
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -94,6 +94,15 @@
   return it != peers_.end() && in_branch(now, it->second);
 }
 
+milliseconds
+peer_group::spread_time(const moment& now) const {
+  milliseconds longest = period_ * rounds_counted;
+  for (const auto& [name, it] : peers_) {
+    longest = live(now, it) ? std::max(longest, it.lifetime) : longest;
+  }
+  return longest;
+}
+
 unsigned
 peer_group::rank(const moment& now) const {
   if (!relays_.is_relay()) {
@@ -339,6 +348,7 @@
   it.heard = now.boot;
   it.scope = read->scope;
   it.instances = read->instances;
+  it.lifetime = read->lifetime;
   it.config_version = read->config_version;
   it.store = read->store;
   it.store_reachable = read->store_reachable;
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -36,8 +36,8 @@
   [[nodiscard]] unsigned rank(const moment& now) const;
 
   /// Time in which a notice has reached all instances: over two relays, and once more if one is
-  /// lost.
-  [[nodiscard]] milliseconds spread_time() const { return 3 * period_; }
+  /// lost, by the longest time that any live peer gives its notices.
+  [[nodiscard]] milliseconds spread_time(const moment& now) const;
 
   /// Tells all that need it, before this process ends.
   void tell_last(const moment& now);
@@ -52,6 +52,7 @@
     time_point unlisted{}; ///< Since when it does not.
     notice_scope scope = notice_scope::own;
     std::uint32_t instances = 1;
+    milliseconds lifetime{0}; ///< Of what it tells: three of its rounds.
     std::int64_t config_version = 0;
     revision store;
     bool store_reachable = false;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -190,15 +190,17 @@
 void
 request_flow::begin_plan() {
   const bool split = !plan_.reader.empty();
-  log(log_event::request_placed, {{"request", request_.id},
-                                  {"route", route_->name},
-                                  {"upstream", plan_.upstream.value},
-                                  {"reader", plan_.reader.value},
-                                  {"attempt", std::to_string(history_.sent + 1)},
-                                  {"expected_ms", rounded(plan_.expected_millis)},
-                                  {"prompt", std::to_string(prompt_.prompt_tokens)},
-                                  {"cached", std::to_string(plan_.cached_tokens)},
-                                  {"config", std::to_string(config_->config().version)}});
+  log(log_event::request_placed,
+      {{"request", request_.id},
+       {"route", route_->name},
+       {"upstream", plan_.upstream.value},
+       {"reader", plan_.reader.value},
+       {"attempt", std::to_string(history_.sent + 1)},
+       {"expected_ms", rounded(plan_.expected_millis)},
+       {"limit_ms", rounded(to_millis(deadline_ - caller_->arrived().boot))},
+       {"prompt", std::to_string(prompt_.prompt_tokens)},
+       {"cached", std::to_string(plan_.cached_tokens)},
+       {"config", std::to_string(config_->config().version)}});
   if (split) {
     send(attempt_task::reading, plan_.reader, plan_.reader_millis);
   } else {
