--- a/src/include/nutmegspur/upstream_list.h
+++ b/src/include/nutmegspur/upstream_list.h
@@ -93,6 +93,7 @@
   /// The entry of `id` if it may take new work.
   [[nodiscard]] const listed_upstream* usable(const upstream_id& id) const;
   [[nodiscard]] const listed_upstream* find(const upstream_id& id) const;
+  [[nodiscard]] std::vector<const listed_upstream*> all() const;
   /// All upstreams of `service` that may take new work.
   [[nodiscard]] std::vector<const listed_upstream*> usable_of(const service_id& service) const;
 
--- a/src/libnutmegspur/upstream_list.cpp
+++ b/src/libnutmegspur/upstream_list.cpp
@@ -141,6 +141,16 @@
   return all;
 }
 
+std::vector<const listed_upstream*>
+upstream_list::all() const {
+  std::vector<const listed_upstream*> every;
+  every.reserve(entries_.size());
+  for (const auto& [id, held] : entries_) {
+    every.push_back(&held.now);
+  }
+  return every;
+}
+
 std::uint64_t
 upstream_list::content() const {
   std::uint64_t hash = fnv_basis;
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -35,6 +35,8 @@
   /// Gives the lease up once no call is under way.
   void stop();
 
+  [[nodiscard]] bool holds(const moment& now) const { return lease_.current(now.boot).has_value(); }
+
   [[nodiscard]] bool released() const { return lease_.released(); }
 
  private:
--- /dev/null
+++ b/src/proxy/metrics_page.cpp
@@ -0,0 +1,62 @@
+// Gauges of what an instance believes.
+#include "metrics_page.h"
+
+#include <map>
+#include <utility>
+
+namespace nutmegspur::proxy {
+
+namespace {
+
+/// What becomes of new requests at an upstream.
+std::string
+upstream_state(const moment& now, const proxy_state& state, const listed_upstream& it) {
+  if (it.leaving) {
+    return "leaving";
+  }
+  if (!state.health.allows(now, it.id)) {
+    return "failing";
+  }
+  return state.takes_work(now, it) ? "usable" : "withheld";
+}
+
+void
+set_upstreams(const moment& now, proxy_state& state) {
+  std::map<std::pair<std::string, std::string>, std::int64_t> counts;
+  for (const auto& service : state.config->config().services) {
+    for (const char* it : {"usable", "leaving", "failing", "withheld"}) {
+      counts[{service.name.value, it}] = 0;
+    }
+  }
+  for (const auto* it : state.upstreams.all()) {
+    counts[{it->service.value, upstream_state(now, state, *it)}]++;
+  }
+  for (const auto& [key, n] : counts) {
+    state.metrics.get_gauge("nutmegspur_upstreams", {{"service", key.first}, {"state", key.second}})
+        .set(n);
+  }
+}
+
+} // namespace
+
+std::string
+render_metrics(const moment& now, proxy_state& state, const store_link& store,
+               const peer_group& peers, const duty_holder& duties) {
+  auto& metrics = state.metrics;
+  metrics.get_gauge("nutmegspur_config_version")
+      .set(state.config == nullptr ? 0 : state.config->config().version);
+  if (state.config != nullptr) {
+    set_upstreams(now, state);
+  }
+  metrics.get_gauge("nutmegspur_live_peers").set(static_cast<std::int64_t>(state.live_peers));
+  metrics.get_gauge("nutmegspur_is_relay").set(peers.is_relay() ? 1 : 0);
+  metrics.get_gauge("nutmegspur_notice_period_ms").set(peers.period().count());
+  metrics.get_gauge("nutmegspur_holds_duties").set(duties.holds(now) ? 1 : 0);
+  metrics.get_gauge("nutmegspur_store_reachable").set(store.reachable() ? 1 : 0);
+  metrics.get_gauge("nutmegspur_store_watched").set(store.watching() ? 1 : 0);
+  metrics.get_gauge("nutmegspur_store_age_ms").set(store.age(now).count());
+  metrics.get_gauge("nutmegspur_store_revision").set(store.copy().store.value);
+  return metrics.render();
+}
+
+} // namespace nutmegspur::proxy
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -35,6 +35,11 @@
   /// a rank past all candidates.
   [[nodiscard]] unsigned rank(const moment& now) const;
 
+  [[nodiscard]] bool is_relay() const { return relays_.is_relay(); }
+
+  /// Between two notices, as it comes out of their size.
+  [[nodiscard]] milliseconds period() const { return period_; }
+
   /// Time in which a notice has reached all instances: over two relays, and once more if one is
   /// lost, by the longest time that any live peer gives its notices.
   [[nodiscard]] milliseconds spread_time(const moment& now) const;
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -1,6 +1,8 @@
 // The parts of an instance, put together.
 #include "proxy_node.h"
 
+#include "metrics_page.h"
+
 #include <algorithm>
 
 namespace nutmegspur::proxy {
@@ -122,7 +124,8 @@
     state_.metrics.get_gauge("nutmegspur_upstream_connections_opened")
         .set(static_cast<std::int64_t>(upstream_client_.opened()));
     fields.add("Content-Type", "text/plain; version=0.0.4");
-    caller->reply(ok, "", fields, state_.metrics.render());
+    const moment now = http1::event_loop::now();
+    caller->reply(ok, "", fields, render_metrics(now, state_, store_, peers_, duties_));
   } else {
     caller->reply(not_found, "", {}, "");
   }
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -47,7 +47,6 @@
                                   {"routes", std::to_string(next.routes.size())},
                                   {"teams", std::to_string(next.teams.size())}});
   config = std::make_shared<const route_table>(std::move(next));
-  metrics.get_gauge("nutmegspur_config_version").set(config->config().version);
   return true;
 }
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -102,6 +102,7 @@
 
   [[nodiscard]] std::string elapsed_text() const;
   [[nodiscard]] std::string first_event_text() const;
+  void count(const char* name, const char* label, std::string_view value);
   void observe_seconds(const char* name, duration span);
 
   proxy_state& state_;
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -46,6 +46,7 @@
 request_flow::close_attempt(attempt_end how) {
   upstream_attempt& it = *attempt_;
   const moment now = http1::event_loop::now();
+  count("nutmegspur_attempts_total", "how", to_name(how));
   state_.loads.on_ended(now, it.load);
   if (!it.read) {
     state_.caches.on_not_read(it.upstream.id, it.new_parts);
@@ -243,6 +244,7 @@
 void
 request_flow::refuse(std::string_view why, milliseconds retry_after, double expected_millis) {
   constexpr int unavailable = 503;
+  count("nutmegspur_refused_total", "why", why);
   log(log_event::request_refused, {{"request", request_.id},
                                    {"route", route_ == nullptr ? "" : route_->name},
                                    {"why", std::string{why}},
@@ -255,6 +257,9 @@
 
 void
 request_flow::answer_error(int status, std::string_view why) {
+  constexpr int bad_request = 400;
+  // What is wrong with a request is free text, and no label.
+  count("nutmegspur_refused_total", "why", status == bad_request ? "bad request" : why);
   log(log_event::request_refused,
       {{"request", request_.id},
        {"status", std::to_string(status)},
@@ -268,6 +273,7 @@
 
 void
 request_flow::fail(int status, std::string_view why) {
+  count("nutmegspur_failed_total", "why", why);
   log(log_event::request_failed, {{"request", request_.id},
                                   {"status", std::to_string(status)},
                                   {"why", std::string{why}},
@@ -280,6 +286,7 @@
 void
 request_flow::cut(std::string_view why) {
   constexpr int bad_gateway = 502;
+  count("nutmegspur_failed_total", "why", why);
   log(log_event::request_failed, {{"request", request_.id},
                                   {"status", "cut"},
                                   {"why", std::string{why}},
@@ -338,9 +345,18 @@
     observe_seconds("nutmegspur_first_event_seconds", first_event_at_ - caller_->arrived().boot);
   }
   observe_seconds("nutmegspur_request_seconds", now.boot - caller_->arrived().boot);
+  state_.metrics
+      .get_histogram("nutmegspur_class_seconds",
+                     {{"service", service_name_.value}, {"kind", route_kind_name}})
+      .observe(std::chrono::duration<double>(now.boot - caller_->arrived().boot).count());
   on_done_(this);
 }
 
+void
+request_flow::count(const char* name, const char* label, std::string_view value) {
+  state_.metrics.get_counter(name, {{label, std::string{value}}}).add();
+}
+
 void
 request_flow::observe_seconds(const char* name, duration span) {
   state_.metrics.get_histogram(name, {{"team", team_.value}})
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -85,6 +85,10 @@
   calls_.send(state_.settings.store, state_.wire.store_call(request), limit,
               [this, id, request, tell = std::move(on_reply)](const call_outcome& ended) {
                 platform_reply reply{id, kv_range_reply{}, ended.asked_at.boot};
+                state_.metrics
+                    .get_counter("nutmegspur_store_calls_total",
+                                 {{"answered", ended.whole() ? "yes" : "no"}})
+                    .add();
                 if (ended.whole()) {
                   reply.answer = state_.wire.store_answer(request, ended.status, ended.body);
                 } else {
@@ -102,6 +106,9 @@
 
 void
 store_link::set_reachable(bool now_reachable, std::string_view why) {
+  if (now_reachable) {
+    last_good_ = http1::event_loop::now().boot;
+  }
   if (now_reachable == reachable_) {
     return;
   }
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -63,6 +63,11 @@
   /// Hash of what is held; equal where the same is held.
   [[nodiscard]] std::uint64_t content();
 
+  /// Time since the store, or the peer that this instance follows, last answered well.
+  [[nodiscard]] milliseconds age(const moment& now) const {
+    return std::chrono::duration_cast<milliseconds>(now.boot - last_good_);
+  }
+
   [[nodiscard]] bool watching() const { return watching_; }
 
   [[nodiscard]] bool reachable() const { return reachable_; }
@@ -99,6 +104,7 @@
   std::vector<upstream_id> present_; ///< Upstreams seen by the read under way.
   std::vector<std::string> present_instances_;
   bool reachable_ = true;
+  time_point last_good_ = http1::event_loop::now().boot;
   bool watching_ = true;
   bool following_ = false; ///< A read, a watch or the pause before one is under way.
   std::uint64_t content_ = 0;
