--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -73,7 +73,7 @@
 bool may_have_run(attempt_end end);
 
 /// Decides after a prompt could not be read apart, which runs nothing by itself. `history.sent`
-/// counts the call if an upstream turned it away, `history.may_have_run` is of earlier attempts.
+/// counts the call if an upstream rejected it, `history.may_have_run` is of earlier attempts.
 next_step after_failed_reading(const attempt_history& history);
 
 /// What a caller is told when no other attempt is to be made.
--- a/src/include/nutmegspur/placement.h
+++ b/src/include/nutmegspur/placement.h
@@ -88,7 +88,8 @@
   double stall_per_stream = 0.5;
   double stall_share_of_gap = 0.3;
   /// Cost of an upstream that this instance likes least. Instances like different ones, so that
-  /// they do not all run to the one that peers' word, which is a little old, shows as the emptiest.
+  /// they do not all run to the one that peers' figures, which are a little old, show as the
+  /// emptiest.
   double preference_millis = 20;
   /// Cost of a stream that is open at an engine: the next one slows both a little.
   double open_stream_millis = 1;
--- a/src/libnutmegspur/placement_test.cpp
+++ b/src/libnutmegspur/placement_test.cpp
@@ -81,8 +81,8 @@
   EXPECT_TRUE(chosen->reader.empty());
 }
 
-// Peers' word of load is a little old: with the same old word, instances must not all run to the
-// same engine.
+// What peers tell of load is a little old: with the same old figures, instances must not all run to
+// the same engine.
 TEST(placement, instances_that_see_the_same_idle_engines_take_different_ones) {
   std::set<upstream_id> taken;
   for (const auto* instance : {"front-1", "front-2", "front-3", "front-4", "front-5", "front-6"}) {
--- /dev/null
+++ b/src/nutmegspur_load/model_run.h
@@ -0,0 +1,128 @@
+/// \file model_run.h
+/// One run of the model: the state that its parts share. `model_world.cpp` builds and drives it,
+/// `model_requests.cpp` carries requests, `model_fleet.cpp` has the fleet, its orders and faults.
+#pragma once
+
+#include "engine_model.h"
+#include "model_entry.h"
+#include "model_world.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace nutmegspur::load::pvt {
+
+using standin::engine_job;
+using standin::engine_model;
+using standin::engine_output;
+
+/// One attempt at an engine.
+struct engine_work {
+  std::size_t entry = 0;
+  attempt_id attempt;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t delivered = 0; ///< Output tokens handed on.
+  std::uint32_t gathered = 0;  ///< Output tokens not yet handed on.
+  std::uint32_t cached = 0;
+  time_point last_chunk{};
+  bool any = false;
+};
+
+/// One engine and its place.
+struct world_engine {
+  std::string name;
+  zone_plan zone;
+  bool reclaimable = false;
+  bool leaving = false;
+  bool gone = false;
+  bool draining = false; ///< For a role change, or because it is no longer wanted.
+  time_point ready;
+  time_point ordered;
+  std::optional<time_point> ended;
+  std::unique_ptr<engine_model> model;
+  std::map<std::uint64_t, engine_work> work;
+  std::optional<time_point> wake;
+  std::uint64_t last_sequence = 0;
+};
+
+class model_run {
+ public:
+  model_run(const scenario& in, const policy_bundle& policy)
+      : in_(in), policy_(policy), requests_(plan_workload(in)), book_(in_, requests_),
+        config_(model_config(in)), start_(clock_.now()) {}
+
+  result<measures> run();
+
+ private:
+  using callback = std::function<void()>;
+
+  void at(time_point due, callback run) {
+    queue_.emplace(std::pair{std::max(due, now_.boot), ++last_event_}, std::move(run));
+  }
+
+  [[nodiscard]] moment now() const { return now_; }
+
+  result<void> build();
+  void add_engine(const zone_plan& zone, bool reclaimable, time_point ready);
+  void show_engine(world_engine& it);
+  fleet_options fleet_for(const zone_plan& zone) const;
+  fleet_hooks hooks_for(const zone_plan& zone);
+  void schedule_arrivals(std::size_t next);
+  void arrive(const planned_request& it);
+  void step(std::size_t entry, const event& ev);
+  void carry_out(std::size_t entry, const action_list& actions);
+  void open(std::size_t entry, const open_attempt& what);
+  void submit(std::size_t entry, const open_attempt& what, world_engine& engine);
+  void end_attempt(std::size_t entry, attempt_id attempt, error_code code, outcome ran,
+                   const std::string& peer, duration delay);
+  void wake_engine(world_engine& it);
+  void run_engine(world_engine& it);
+  void take_output(world_engine& it, const engine_output& output);
+  void flush(world_engine& engine, engine_work& work);
+  void poll_reports(std::size_t entry, bool near);
+  void tick_entry(std::size_t entry);
+  void exchange_digests();
+  void want_role(const upstream_id& id, const engine_state& wanted);
+  void drain_then_order(world_engine& engine, const engine_state& wanted, time_point limit);
+  void mark(const std::string& engine, void (*change)(upstream_state&, bool), bool value);
+  void want_upstreams(const zone_plan& zone, const std::string& kind, std::uint32_t wanted);
+  void let_go(world_engine& it);
+  void lose(world_engine& it);
+  void begin_fault(const fault_plan& fault);
+  void reclaim(const std::string& zone);
+  [[nodiscard]] bool cut(const std::string& a, const std::string& b) const;
+  [[nodiscard]] duration delay(const zone_plan& a, const zone_plan& b) const;
+
+  [[nodiscard]] duration since_arrival(std::uint64_t number) const {
+    return now_.boot - start_.boot - requests_[number - 1].at;
+  }
+
+  measures sum_up();
+
+  const scenario& in_;
+  policy_bundle policy_;
+  std::vector<planned_request> requests_;
+  measure_book book_;
+  config_view config_;
+  manual_clock clock_;
+  moment start_;
+  moment now_{start_};
+  std::map<std::pair<time_point, std::uint64_t>, callback> queue_;
+  std::uint64_t last_event_ = 0;
+  std::vector<std::unique_ptr<model_entry>> entries_;
+  std::vector<std::unique_ptr<world_engine>> engines_;
+  std::map<std::string, world_engine*> by_name_;
+  std::set<std::string> cut_zones_;
+  bool platform_out_ = false;
+  std::uint64_t last_job_ = 0;
+  std::uint32_t role_changes_ = 0;
+  double region_bytes_ = 0;
+};
+
+} // namespace nutmegspur::load::pvt
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Time to come back where an upstream turned the request away or could not be reached.
+/// Time to come back where an upstream rejected the request or could not be reached.
 constexpr milliseconds retry_after_rejection{150};
 constexpr int misdirected_request = 421;
 /// Until the list shows what is at an address: an entry lapses after three heartbeats of about a
@@ -93,7 +93,7 @@
     go_on();
     return;
   }
-  // Reading is not running: nothing has run. A call that was turned away counts as an attempt.
+  // Reading is not running: nothing has run. A rejected call counts as an attempt.
   split_failed_ = true;
   history_.sent += how == attempt_end::unreachable ? 0 : 1;
   http1::discard(state_.loop, std::move(it.call));
