Relays' rounds and their branches' rounds go apart; a notice that is too long leaves its parts out

A relay's notices to its branch stay in the zone; those to other relays need the bound. Now 60 KB/s to relays and 120 KB/s to the branch.

--- a/src/include/nutmegspur/peer_notice.h
+++ b/src/include/nutmegspur/peer_notice.h
@@ -61,6 +61,9 @@
 inline constexpr std::size_t max_notice_bytes = 32'000;
 
 std::string pack_notice(const peer_notice& it);
+/// Leaves the placed parts out where they make the notice too long: a relay that says less is
+/// better than one that seems silent. An error if the rest is too long by itself.
+result<std::string> pack_notice_to_fit(peer_notice it);
 /// An error for bytes that are no notice.
 result<peer_notice> unpack_notice(std::string_view bytes);
 
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -162,6 +162,20 @@
   return {buf.data(), buf.size()};
 }
 
+result<std::string>
+pack_notice_to_fit(peer_notice it) {
+  std::string bytes = pack_notice(it);
+  if (bytes.size() > max_notice_bytes) {
+    it.placed.clear();
+    bytes = pack_notice(it);
+  }
+  if (bytes.size() > max_notice_bytes) {
+    return fail({error_code::invalid_argument, step::peer_call, it.sender.value,
+                 "the notice is too long: " + std::to_string(bytes.size()) + " bytes"});
+  }
+  return bytes;
+}
+
 result<peer_notice>
 unpack_notice(std::string_view bytes) {
   const auto bad = [](const std::string& why) {
--- a/src/libnutmegspur/peer_notice_test.cpp
+++ b/src/libnutmegspur/peer_notice_test.cpp
@@ -57,6 +57,21 @@
   EXPECT_EQ(read->usage, sent.usage);
 }
 
+TEST(peer_notice, too_many_parts_are_left_out_and_the_rest_is_told) {
+  auto it = full_notice();
+  for (std::uint64_t n = 0; n < 5'000; ++n) {
+    it.placed.push_back({upstream_id{"u-1"}, {~n, 800}});
+  }
+  const auto bytes = pack_notice_to_fit(it);
+  ASSERT_TRUE(bytes);
+  const auto read = unpack_notice(*bytes);
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->placed.empty());
+  EXPECT_EQ(read->loads.size(), 1U);
+  it.loads.resize(10'000, it.loads.front());
+  EXPECT_FALSE(pack_notice_to_fit(it));
+}
+
 RC_GTEST_PROP(peer_notice, bytes_that_are_no_notice_are_an_error, (const std::string& bytes)) {
   RC_ASSERT(!unpack_notice(bytes).has_value());
 }
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -11,11 +11,12 @@
 
 namespace {
 
-/// Peers are told this often, and less often where a round of notices is long: an instance sends
-/// about `bytes_per_second`, which is 6% of the slowest links (10 Mbit/s).
+/// Peers are told this often, and less often where a round of notices is long: by so many bytes a
+/// second, together 14% of the slowest links (10 Mbit/s). What goes to other zones is paid for.
 constexpr milliseconds shortest_period{100};
 constexpr milliseconds longest_period{1'000};
-constexpr std::size_t bytes_per_second = 80'000;
+constexpr std::size_t relay_bytes_per_second = 60'000;
+constexpr std::size_t branch_bytes_per_second = 120'000;
 /// Notices may be lost: what they tell counts for three rounds, and at least for this time.
 constexpr int rounds_counted = 3;
 constexpr milliseconds least_lifetime{1'000};
@@ -42,6 +43,13 @@
 /// Clocks that a relay's agreed time stands for, where it is all that an instance hears.
 constexpr std::size_t agreed_votes = 3;
 
+milliseconds
+period_for(std::size_t round_bytes, std::size_t bytes_per_second) {
+  const auto millis = round_bytes * milliseconds{seconds{1}}.count() / bytes_per_second;
+  return std::clamp(milliseconds{static_cast<std::int64_t>(millis)}, shortest_period,
+                    longest_period);
+}
+
 } // namespace
 
 peer_group::peer_group(proxy_state& state, http1::http_client& client, store_link& store,
@@ -49,7 +57,8 @@
     : state_(state), calls_(state.loop, client), store_(store), started_ms_(started_ms),
       socket_(state.loop,
               [this](std::string_view bytes, const endpoint& from) { on_datagram(bytes, from); }),
-      relays_(state.settings.instance, state.settings.zone), period_(shortest_period) {}
+      relays_(state.settings.instance, state.settings.zone), relay_period_(shortest_period),
+      branch_period_(shortest_period) {}
 
 result<void>
 peer_group::start() {
@@ -96,7 +105,7 @@
 
 milliseconds
 peer_group::spread_time(const moment& now) const {
-  milliseconds longest = period_ * rounds_counted;
+  milliseconds longest = period() * rounds_counted;
   for (const auto& [name, it] : peers_) {
     longest = live(now, it) ? std::max(longest, it.lifetime) : longest;
   }
@@ -130,7 +139,7 @@
   it.store = store_.copy().store;
   it.store_reachable = store_.reachable();
   it.content = store_.content();
-  it.lifetime = std::max(least_lifetime, period_ * rounds_counted);
+  it.lifetime = std::max(least_lifetime, period() * rounds_counted);
   it.sealed = sealed_;
   it.withheld = state_.withheld.current(state_.clock.agreed(now).wall);
   return it;
@@ -150,13 +159,13 @@
 
 std::size_t
 peer_group::send(const endpoint& to, const peer_notice& it) {
-  const std::string bytes = pack_notice(it);
-  if (bytes.size() > max_notice_bytes) {
-    log(log_event::peer_rejected, {{"why", "own notice is too long"}});
+  const auto bytes = pack_notice_to_fit(it);
+  if (!bytes) {
+    log(log_event::peer_rejected, bytes.error());
     return 0;
   }
-  socket_.send(to, bytes);
-  return bytes.size();
+  socket_.send(to, *bytes);
+  return bytes->size();
 }
 
 std::size_t
@@ -170,9 +179,9 @@
                          std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
                            return in_branch(now, row.second);
                          }));
-  const std::string bytes = pack_notice(it);
-  if (bytes.size() > max_notice_bytes) {
-    log(log_event::peer_rejected, {{"why", "own notice is too long"}});
+  const auto bytes = pack_notice_to_fit(std::move(it));
+  if (!bytes) {
+    log(log_event::peer_rejected, bytes.error());
     return 0;
   }
   std::size_t sent = 0;
@@ -181,8 +190,8 @@
     // Who speaks as a relay is told as one, also if it is none in this instance's view.
     const bool speaks = to.scope == notice_scope::branch && live(now, to);
     if (speaks || std::binary_search(relays.begin(), relays.end(), name)) {
-      socket_.send(to.at, bytes);
-      sent += bytes.size();
+      socket_.send(to.at, *bytes);
+      sent += bytes->size();
     }
   }
   return sent;
@@ -256,33 +265,36 @@
   while (!state_.placed.empty() && state_.placed.front().until < now.boot) {
     state_.placed.pop_front();
   }
-  if (now.boot >= next_tell_) {
-    tell_now(now);
+  // Half a tick early, so that a period of a whole number of ticks is kept.
+  const time_point soon = now.boot + shortest_period / 2;
+  if (soon >= next_relay_round_) {
+    tell_upwards(now);
+  }
+  if (soon >= next_branch_round_) {
+    branch_period_ = period_for(tell_branch(now), branch_bytes_per_second);
+    next_branch_round_ = now.boot + branch_period_;
   }
+  // And half of one, so that the last round does not fall beside it.
+  state_.placed_time = period() * rounds_placed + period() / 2;
   if (now.boot >= next_usage_) {
     tell_usage(now);
   }
 }
 
 void
-peer_group::tell_now(const moment& now) {
-  std::size_t sent = tell_branch(now);
-  sent += relays_.is_relay() ? tell_relays(now) : tell_own_relay(now);
+peer_group::tell_upwards(const moment& now) {
+  std::size_t sent = relays_.is_relay() ? tell_relays(now) : tell_own_relay(now);
   if (state_.live_peers == 0) {
     sent += tell_seeds(now);
   }
-  const milliseconds by_size{
-      static_cast<std::int64_t>(sent * milliseconds{seconds{1}}.count() / bytes_per_second)};
-  period_ = std::clamp(by_size, shortest_period, longest_period);
-  // Half a tick early, so that a period of a whole number of ticks is kept.
-  next_tell_ = now.boot + period_ - shortest_period / 2;
-  // And half of one, so that the last round does not fall beside it.
-  state_.placed_time = period_ * rounds_placed + period_ / 2;
+  relay_period_ = period_for(sent, relay_bytes_per_second);
+  next_relay_round_ = now.boot + relay_period_;
 }
 
 void
 peer_group::tell_last(const moment& now) {
-  tell_now(now);
+  tell_upwards(now);
+  tell_branch(now);
   tell_usage(now);
 }
 
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -11,6 +11,7 @@
 #include <nutmegspur/peer_notice.h>
 #include <nutmegspur/zone_relays.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -37,8 +38,8 @@
 
   [[nodiscard]] bool is_relay() const { return relays_.is_relay(); }
 
-  /// Between two notices, as it comes out of their size.
-  [[nodiscard]] milliseconds period() const { return period_; }
+  /// Between two notices, as it comes out of their size: the longer of both kinds.
+  [[nodiscard]] milliseconds period() const { return std::max(relay_period_, branch_period_); }
 
   /// Time in which a notice has reached all instances: over two relays, and once more if one is
   /// lost, by the longest time that any live peer gives its notices.
@@ -72,7 +73,8 @@
   void follow_sender(const moment& now, const instance_id& name, peer& it);
   void on_tick(const moment& now);
   void settle_relay(const moment& now);
-  void tell_now(const moment& now);
+  /// To the other relays, or to the own one.
+  void tell_upwards(const moment& now);
   std::size_t tell_relays(const moment& now);
   std::size_t tell_branch(const moment& now);
   std::size_t tell_own_relay(const moment& now);
@@ -99,8 +101,10 @@
   zone_relays relays_;
   std::optional<instance_id> reported_to_; ///< The relay that was last logged.
   std::uint64_t sequence_ = 0;
-  time_point next_tell_{};
-  milliseconds period_; ///< Between notices, as it comes out of their size.
+  time_point next_relay_round_{};
+  time_point next_branch_round_{};
+  milliseconds relay_period_;  ///< Between notices to relays, as it comes out of their size.
+  milliseconds branch_period_; ///< The same, to the instances that report here.
   time_point next_usage_{};
   std::int64_t sealed_ = 0;
   std::optional<instance_id> usage_holder_;
