--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -251,6 +251,8 @@
         if how == "reject":
             return answer(503, headers={"X-Not-Executed": "1", "X-Request-Id": number})
         if request.headers.get("x-serving-stage") == "prefill":
+            while how == "mute_reading" and not writer.transport.is_closing():
+                await asyncio.sleep(0.01)
             self.handles.add("h" + number)
             return answer(200, {"kv_handle": "h" + number, "tokens": 1, "version": 1})
         self.ran.append(number)
