Prefill calls have a time limit of their own

Ruled out: the decode attempt, which had not been sent in the traced request.

Change: prefill_time_limit() bounds the call by its predicted time and by half of the remaining time; prefill_is_attempt() does not count a call without a response. Such a call still draws on the retry budget.

--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -7,6 +7,7 @@
 /// unless the upstream itself reported that it did not run it.
 #pragma once
 
+#include <nutmegspur/clock.h>
 #include <nutmegspur/names.h>
 #include <nutmegspur/proxy_config.h>
 
@@ -72,9 +73,17 @@
 /// Whether the work of an attempt with this end may have run.
 bool may_have_run(attempt_end end);
 
+/// Time limit of a separate prefill call whose response is expected after `expected_millis`. A call
+/// without a response by then is given up while there is time to prefill the prompt elsewhere.
+milliseconds prefill_time_limit(double expected_millis, milliseconds remaining);
+
+/// Whether a separate prefill call that ended this way is one of the route's attempts. The first
+/// call that an engine accepts is not; without a response it counts as accepted.
+bool prefill_is_attempt(attempt_end end);
+
 /// Next step after a separate prefill stage failed. Prefill alone does not run the request.
-/// `history.sent` counts the prefill call unless its upstream was unreachable;
-/// `history.may_have_run` covers earlier attempts only.
+/// `history.sent` counts the prefill call if `prefill_is_attempt()`; `history.may_have_run` covers
+/// earlier attempts only.
 next_step after_failed_prefill(const attempt_history& history);
 
 /// Next step when no further attempt is made.
--- a/src/include/nutmegspur/placement.h
+++ b/src/include/nutmegspur/placement.h
@@ -127,6 +127,7 @@
   std::uint32_t cached_tokens = 0;    ///< At the engine that prefills.
   upstream_id prefill_upstream;       ///< Prefills the prompt; empty if `upstream` does.
   double prefill_upstream_millis = 0; ///< Prefill time there.
+  double prefill_answer_millis = 0;   ///< Until its response: backlog, prefill time and network.
 };
 
 /// Why no upstream was chosen, and when the caller should retry.
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -1,6 +1,8 @@
 // The next step after an attempt has ended: pass its response on, retry, or report an error.
 #include <nutmegspur/attempt_rules.h>
 
+#include <algorithm>
+
 namespace nutmegspur {
 
 bool
@@ -10,6 +12,11 @@
 
 namespace {
 
+/// Predictions are based on load reports of other instances that are up to a second old, so a
+/// response is given up well after its predicted time only.
+constexpr double prefill_patience = 3;
+constexpr double prefill_margin_millis = 200;
+
 bool
 may_repeat(attempt_end end, const attempt_history& history) {
   if (history.kind == route_kind::repeatable) {
@@ -33,10 +40,23 @@
   return history.may_have_run ? next_step::fail : next_step::refuse;
 }
 
+milliseconds
+prefill_time_limit(double expected_millis, milliseconds remaining) {
+  const double patient = prefill_patience * expected_millis + prefill_margin_millis;
+  const double latest = static_cast<double>(remaining.count()) / 2;
+  return milliseconds{static_cast<std::int64_t>(std::max(std::min(patient, latest), 1.0))};
+}
+
+bool
+prefill_is_attempt(attempt_end end) {
+  return end != attempt_end::unreachable && end != attempt_end::broken &&
+         end != attempt_end::timed_out;
+}
+
 next_step
 after_failed_prefill(const attempt_history& history) {
   const bool can_retry = history.sent < history.max_attempts && history.time_left &&
-                         history.upstream_left && (history.sent == 0 || history.budget_left);
+                         history.upstream_left && history.budget_left;
   return can_retry ? next_step::retry : after_last_attempt(history);
 }
 
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -81,6 +81,29 @@
   }
 }
 
+// Regression: a prefill engine that accepted a call and never responded held the request until the
+// caller's deadline, and the call used up the route's only attempt.
+TEST(attempt_rules, a_prefill_without_a_response_leaves_time_and_an_attempt_for_another_engine) {
+  constexpr milliseconds remaining{6'000};
+  const milliseconds limit = prefill_time_limit(300, remaining);
+  EXPECT_GT(limit, milliseconds{300});
+  EXPECT_LE(limit, remaining / 2);
+  EXPECT_EQ(prefill_time_limit(5'000, remaining), remaining / 2);
+  EXPECT_GT(prefill_time_limit(0, milliseconds{0}), milliseconds{0});
+  attempt_history history{route_kind::stream, false, 1};
+  for (const auto end : {attempt_end::timed_out, attempt_end::broken}) {
+    EXPECT_FALSE(prefill_is_attempt(end));
+  }
+  EXPECT_EQ(after_failed_prefill(history), next_step::retry);
+  history.budget_left = false;
+  EXPECT_EQ(after_failed_prefill(history), next_step::refuse);
+}
+
+TEST(attempt_rules, a_prefill_that_was_rejected_is_one_of_the_attempts) {
+  EXPECT_TRUE(prefill_is_attempt(attempt_end::rejected));
+  EXPECT_EQ(after_failed_prefill({route_kind::stream, false, 1, 1}), next_step::refuse);
+}
+
 TEST(attempt_rules, a_server_error_of_the_upstream_is_passed_on) {
   EXPECT_EQ(after_attempt(attempt_end::server_error, {route_kind::once, false, 1, 1}),
             next_step::pass_on);
--- a/src/libnutmegspur/placement.cpp
+++ b/src/libnutmegspur/placement.cpp
@@ -129,8 +129,10 @@
   result.choice.prefill_upstream = prefill.id;
   result.choice.prefill_upstream_millis = prefill_time;
   result.choice.cached_tokens = prefill.cached_tokens;
-  result.choice.expected_millis = prefill.backlog_millis + request.prefill_timing.fixed_millis +
-                                  prefill_time + network_delay_millis(prefill, weights) + transfer +
+  result.choice.prefill_answer_millis = prefill.backlog_millis +
+                                        request.prefill_timing.fixed_millis + prefill_time +
+                                        network_delay_millis(prefill, weights);
+  result.choice.expected_millis = result.choice.prefill_answer_millis + transfer +
                                   request.transfer_timing.fixed_millis + decode.backlog_millis +
                                   batch_wait(decode, request.mixed_timing.fixed_millis) +
                                   network_delay_millis(decode, weights);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -211,8 +211,11 @@
 }
 
 milliseconds
-request_flow::attempt_limit() const {
+request_flow::attempt_limit(attempt_task task) const {
   const auto rest = std::chrono::ceil<milliseconds>(remaining_time());
+  if (task == attempt_task::prefill) {
+    return prefill_time_limit(placement_.prefill_answer_millis, rest);
+  }
   if (route_->kind != route_kind::repeatable || history_.sent + 1 >= history_.max_attempts) {
     return rest;
   }
@@ -263,7 +266,7 @@
     tried_.insert(it.upstream.id);
   }
   http1::call_options options;
-  options.timeout = attempt_limit();
+  options.timeout = attempt_limit(task);
   options.accepts_response = [this](const http_response_head& head) {
     const auto marks = state_.wire.parse_response_head(head);
     return marks.request_id.empty() || marks.request_id == request_.id;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -67,7 +67,7 @@
   void send(attempt_task task, const upstream_id& to, double prefill_millis);
   void start_placement();
   [[nodiscard]] std::string request_bytes(const upstream_attempt& to) const;
-  [[nodiscard]] milliseconds attempt_limit() const;
+  [[nodiscard]] milliseconds attempt_limit(attempt_task task) const;
 
   // Events of an attempt.
   void on_head(const http_response_head& head);
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -93,15 +93,15 @@
     start_decode();
     return;
   }
-  // Prefill does not count as running the request. Its call counts as an attempt unless the
-  // upstream was unreachable.
+  // Prefill does not count as running the request.
   prefill_failed_ = true;
-  history_.sent += how == attempt_end::unreachable ? 0 : 1;
+  history_.sent += prefill_is_attempt(how) ? 1 : 0;
   http1::discard(state_.loop, std::move(it.call));
   attempt_.reset();
   history_.time_left = remaining_time() > min_attempt_time;
   history_.upstream_left = !state_.upstreams.usable_of(service_name_).empty();
-  history_.budget_left = history_.sent == 0 || history_.sent >= history_.max_attempts ||
+  history_.budget_left = how == attempt_end::unreachable ||
+                         history_.sent >= history_.max_attempts ||
                          state_.retry_budget_of(service_name_).take(http1::event_loop::now());
   const next_step step = after_failed_prefill(history_);
   if (step == next_step::retry) {
