--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -75,6 +75,7 @@
   platform_reachable = 801,
   history_lost = 802,
   store_followed = 803,
+  store_restored = 804,
 };
 
 /// An entry of the catalogue of events.
--- a/src/include/nutmegspur/upstream_list.h
+++ b/src/include/nutmegspur/upstream_list.h
@@ -79,7 +79,8 @@
   static constexpr milliseconds reregistration_grace{2'500};
 
   /// Applies a written entry. Ignored if a write or removal at `modified` or later was already
-  /// applied.
+  /// applied, or if the entry is older than what is held, as entries of a restored store can be: a
+  /// process that is leaving does not serve again, nor does an earlier process of the same id.
   upstream_change put(const listed_upstream& entry, revision modified);
   /// Applies the removal of an entry at `modified`, or its absence from a full read at that
   /// revision.
@@ -92,6 +93,9 @@
   /// already applied it.
   std::vector<upstream_id> apply_peer_read(const std::vector<upstream_id>& present, revision at);
 
+  /// The store was restored from an older copy; upstreams that the copy lacks register again.
+  void on_store_restored(const moment& now) { grace_until_ = now.boot + reregistration_grace; }
+
   /// Records whether the store is reachable.
   void set_store_reachable(const moment& now, bool reachable);
   /// Once the grace period is over, removes the entries kept for it. Returns their ids.
--- a/src/include/nutmegspur/usage_windows.h
+++ b/src/include/nutmegspur/usage_windows.h
@@ -9,6 +9,7 @@
 
 #include <nutmegspur/clock.h>
 #include <nutmegspur/ids.h>
+#include <nutmegspur/names.h>
 
 #include <cstdint>
 #include <map>
@@ -60,4 +61,32 @@
   std::map<std::int64_t, std::map<instance_id, team_counts>> windows_;
 };
 
+/// What a holder of the reporting duty does with the last sealed window.
+enum class sealed_step {
+  report,     ///< Report it; repeating the same report has no effect.
+  seal_again, ///< The store lost it: write it again, then report it.
+  skip,       ///< Continue with the next window.
+};
+
+template <> struct enum_names<sealed_step> {
+  static constexpr std::array<enum_name<sealed_step>, 3> table{{
+      {sealed_step::report, "report"},
+      {sealed_step::seal_again, "seal_again"},
+      {sealed_step::skip, "skip"},
+  }};
+};
+
+/// The last sealed window, and what to do with it.
+struct sealed_position {
+  usage_window window;
+  sealed_step step = sealed_step::skip;
+};
+
+/// Where a holder continues that has read `stored` (number 0: none) as the last sealed window. A
+/// store that was restored from an older copy may have lost later ones: `known` is the latest that
+/// any instance knows to be sealed, and `own` the last one that this instance sealed or read. A
+/// lost window whose counts are not known here is skipped, since it may have been reported.
+sealed_position continue_after(const usage_window& stored, const usage_window& own,
+                               std::int64_t known);
+
 } // namespace nutmegspur
--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -144,6 +144,10 @@
   [[nodiscard]] virtual result<watch_result> parse_watch_reply(int status,
                                                                std::string_view body) const = 0;
 
+  /// How often the store has been restored from a copy, as a reply of it states in its head. Empty
+  /// if the reply does not state it.
+  [[nodiscard]] virtual std::optional<std::int64_t> store_era(const http_fields& fields) const = 0;
+
   // What operators and upstreams write to the key-value service.
   [[nodiscard]] virtual std::string config_key() const = 0;
   [[nodiscard]] virtual result<proxy_config> parse_config(std::string_view value) const = 0;
--- a/src/include/nutmegspur/zone_lease.h
+++ b/src/include/nutmegspur/zone_lease.h
@@ -56,6 +56,9 @@
   [[nodiscard]] bool released() const { return phase_ == phase::released; }
 
   void step(const moment& now, const event& ev, action_list& out);
+  /// The store was restored from an older copy. The authority ends at once; the lease is neither
+  /// renewed nor revoked, because its id may have been given out again.
+  void on_store_restored(const moment& now, action_list& out);
 
  private:
   enum class phase {
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 45> catalogue{{
+constexpr std::array<log_event_info, 46> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -99,6 +99,9 @@
      "The store compacted the history that a watch needs; all keys are read again."},
     {log_event::store_followed, "store_followed", severity::info,
      "This instance follows the store through its own watch or through a peer."},
+    {log_event::store_restored, "store_restored", severity::warning,
+     "The store was restored from an older copy: leases are taken anew and all keys are read "
+     "again."},
 }};
 
 const log_event_info&
--- a/src/libnutmegspur/upstream_list.cpp
+++ b/src/libnutmegspur/upstream_list.cpp
@@ -1,6 +1,7 @@
 // Applies writes, removals and full reads to the list, with the grace period for entries that
 // disappear during an outage of the store.
 #include <nutmegspur/hashing.h>
+#include <nutmegspur/store_era.h>
 #include <nutmegspur/upstream_list.h>
 
 #include <algorithm>
@@ -11,7 +12,8 @@
 upstream_change
 upstream_list::put(const listed_upstream& new_entry, revision modified) {
   if (const auto removed = removal_revisions_.find(new_entry.id);
-      removed != removal_revisions_.end() && modified <= removed->second) {
+      removed != removal_revisions_.end() &&
+      (modified <= removed->second || may_be_from_copy(modified, removed->second))) {
     return upstream_change::none;
   }
   removal_revisions_.erase(new_entry.id);
@@ -25,6 +27,10 @@
     return upstream_change::none;
   }
   const listed_upstream before = held.upstream;
+  const bool serves_again = before.same_process(new_entry) && before.leaving && !new_entry.leaving;
+  if (serves_again || new_entry.started_ms < before.started_ms) {
+    return upstream_change::none;
+  }
   held = entry{new_entry, modified, std::nullopt};
   if (!before.same_process(new_entry)) {
     return upstream_change::restarted;
--- a/src/libnutmegspur/usage_windows.cpp
+++ b/src/libnutmegspur/usage_windows.cpp
@@ -71,4 +71,15 @@
   windows_.erase(windows_.begin(), windows_.lower_bound(number_at(now) - retained_windows));
 }
 
+sealed_position
+continue_after(const usage_window& stored, const usage_window& own, std::int64_t known) {
+  if (stored.number >= known) {
+    return {stored, stored.number == 0 ? sealed_step::skip : sealed_step::report};
+  }
+  if (own.number == known) {
+    return {own, sealed_step::seal_again};
+  }
+  return {usage_window{known, {}}, sealed_step::skip};
+}
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/usage_windows_test.cpp
+++ b/src/libnutmegspur/usage_windows_test.cpp
@@ -67,5 +67,27 @@
   EXPECT_EQ(rest[0].number, 8);
 }
 
+usage_window
+window(std::int64_t number, std::uint64_t n) {
+  return {number, {{team, n}}};
+}
+
+TEST(usage_windows, a_sealed_window_in_the_store_is_reported_as_it_was_sealed) {
+  const auto position = continue_after(window(8, 5), window(7, 3), 8);
+  EXPECT_EQ(position.step, sealed_step::report);
+  EXPECT_EQ(position.window, window(8, 5));
+  EXPECT_EQ(continue_after({}, {}, 0).step, sealed_step::skip);
+}
+
+// The store is restored from a copy of before the seal of window 9, which has been reported.
+TEST(usage_windows, a_window_whose_seal_was_lost_is_not_reported_with_other_counts) {
+  const auto by_its_sealer = continue_after(window(8, 5), window(9, 6), 9);
+  EXPECT_EQ(by_its_sealer.step, sealed_step::seal_again);
+  EXPECT_EQ(by_its_sealer.window, window(9, 6));
+  const auto by_another = continue_after(window(8, 5), window(7, 3), 9);
+  EXPECT_EQ(by_another.step, sealed_step::skip);
+  EXPECT_EQ(by_another.window.number, 9);
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/libnutmegspur/zone_lease.cpp
+++ b/src/libnutmegspur/zone_lease.cpp
@@ -261,6 +261,18 @@
   wait_before_retry(now, jittered(poll_period()));
 }
 
+void
+zone_lease::on_store_restored(const moment& now, action_list& out) {
+  renewals_.clear();
+  pending_call_ = 0;
+  lease_ = lease_id{};
+  if (phase_ == phase::held) {
+    mark_lost(now, "store restored", out);
+  } else if (phase_ != phase::released) {
+    wait_before_retry(now, jittered(poll_period()));
+  }
+}
+
 void
 zone_lease::revoke_lease(action_list& out) {
   pending_call_ = 0;
--- a/src/libnutmegspur/zone_lease_test.cpp
+++ b/src/libnutmegspur/zone_lease_test.cpp
@@ -168,6 +168,27 @@
   EXPECT_TRUE(zone.members.at(1).lease->current(zone.clock.now().boot).has_value());
 }
 
+TEST(zone_lease, the_authority_ends_when_the_store_was_restored) {
+  zone_under_test zone;
+  zone.add("a");
+  zone.run_for(seconds{5});
+  auto& lease = *zone.members.at(0).lease;
+  ASSERT_TRUE(lease.current(zone.clock.now().boot).has_value());
+  action_list out;
+  lease.on_store_restored(zone.clock.now(), out);
+  EXPECT_FALSE(lease.current(zone.clock.now().boot).has_value());
+  // The id of the lost lease may belong to another instance now.
+  for (const auto& it : out) {
+    EXPECT_FALSE(std::holds_alternative<call_platform>(it));
+  }
+  // A renewal that was in progress does not bring the authority back.
+  zone.run_for(milliseconds{100});
+  EXPECT_EQ(zone.holders(), 0);
+  // The key of before the restore expires, and the lease is taken anew.
+  zone.run_for(seconds{40});
+  EXPECT_EQ(zone.holders(), 1);
+}
+
 RC_GTEST_PROP(zone_lease, never_has_two_holders_under_faults, ()) {
   zone_under_test zone;
   for (const char* name : {"a", "b", "c"}) {
--- a/src/proxy/call_set.cpp
+++ b/src/proxy/call_set.cpp
@@ -16,7 +16,10 @@
   calls_[number] =
       client_.start(to, format_request(call.method, call.target, fields, call.body),
                     {{},
-                     [outcome](const http_response_head& head) { outcome->status = head.status; },
+                     [outcome](const http_response_head& head) {
+                       outcome->status = head.status;
+                       outcome->fields = head.fields;
+                     },
                      [outcome](std::string_view bytes) { outcome->body.append(bytes); },
                      [this, number, outcome, notify = std::move(on_end)](http1::call_end how) {
                        outcome->end = how;
--- a/src/proxy/call_set.h
+++ b/src/proxy/call_set.h
@@ -18,7 +18,8 @@
 /// How a single call ended.
 struct call_outcome {
   http1::call_end end = http1::call_end::unreachable;
-  int status = 0; ///< Valid, like `body`, only if `end` is `completed`.
+  int status = 0; ///< Valid, like `fields` and `body`, only if `end` is `completed`.
+  http_fields fields;
   std::string body;
   moment sent_at{};
 
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -75,6 +75,13 @@
   step(stop_requested{});
 }
 
+void
+duty_holder::on_store_restored() {
+  action_list actions;
+  lease_.on_store_restored(http1::event_loop::now(), actions);
+  execute(actions);
+}
+
 void
 duty_holder::step(const event& ev) {
   action_list actions;
@@ -146,7 +153,7 @@
 duty_holder::report_usage(const moment& now, const authority& granted) {
   switch (phase_) {
   case seal_phase::unread:
-    read_sealed();
+    read_sealed(granted);
     break;
   case seal_phase::idle:
     if (const auto number = state_.usage.next_due(state_.clock.agreed(now).wall, usage_settle_delay,
@@ -165,32 +172,43 @@
 }
 
 void
-duty_holder::read_sealed() {
+duty_holder::read_sealed(const authority& granted) {
   phase_ = seal_phase::sealing;
   store_.call({duty::usage, 0}, kv_range{sealed_key, ""}, call_timeout,
-              [this](const platform_reply& reply) {
+              [this, granted](const platform_reply& reply) {
                 if (!reply.answer) {
                   phase_ = seal_phase::unread;
                   return;
                 }
                 const auto& range = std::get<kv_range_reply>(*reply.answer);
-                if (range.pairs.empty()) {
-                  phase_ = seal_phase::idle;
-                  return;
-                }
-                const auto window = parse_record(range.pairs.front().value);
+                auto window = range.pairs.empty() ? result<usage_window>{usage_window{}}
+                                                  : parse_record(range.pairs.front().value);
                 if (!window) {
                   log(log_event::usage_rejected, window.error());
-                  phase_ = seal_phase::idle;
-                  return;
                 }
-                // It may have been reported already; repeating the same report has no effect.
-                sealed_ = *window;
-                peers_.on_sealed(window->number);
-                phase_ = seal_phase::sealed;
+                continue_from(window.value_or(usage_window{}), granted);
               });
 }
 
+void
+duty_holder::continue_from(const usage_window& stored, const authority& granted) {
+  const auto position = continue_after(stored, sealed_, peers_.sealed_window());
+  switch (position.step) {
+  case sealed_step::report:
+    sealed_ = position.window;
+    peers_.on_sealed(sealed_.number);
+    phase_ = seal_phase::sealed;
+    break;
+  case sealed_step::seal_again:
+    seal(position.window, granted);
+    break;
+  case sealed_step::skip:
+    sealed_ = position.window;
+    phase_ = seal_phase::idle;
+    break;
+  }
+}
+
 void
 duty_holder::seal(const usage_window& window, const authority& granted) {
   phase_ = seal_phase::sealing;
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -34,6 +34,8 @@
   void start();
   /// Releases the lease once no call is in progress.
   void stop();
+  /// The store was restored from an older copy: the authority ends.
+  void on_store_restored();
 
   [[nodiscard]] bool holds(const moment& now) const { return lease_.current(now.boot).has_value(); }
 
@@ -59,7 +61,9 @@
   void send(const endpoint& to, const wire_call& call, status_handler on_result);
 
   void report_usage(const moment& now, const authority& granted);
-  void read_sealed();
+  void read_sealed(const authority& granted);
+  /// Continues after the last sealed window, which the store holds as `stored`.
+  void continue_from(const usage_window& stored, const authority& granted);
   void seal(const usage_window& window, const authority& granted);
   void report(const authority& granted);
   void order_fleet(const moment& now, const authority& granted);
--- a/src/proxy/instance_registration.cpp
+++ b/src/proxy/instance_registration.cpp
@@ -11,6 +11,8 @@
 constexpr seconds registration_ttl{10};
 /// Allows three renewals within the time to live.
 constexpr milliseconds renewal_period{3'000};
+/// All instances write their registrations again within this time.
+constexpr milliseconds rewrite_spread{1'500};
 
 std::string
 registration_record(const proxy_settings& settings, std::int64_t started_ms) {
@@ -51,6 +53,19 @@
   });
 }
 
+void
+instance_registration::on_restored() {
+  lease_ = lease_id{};
+  // Spreads the writes of all instances.
+  const auto slot = std::hash<std::string>{}(state_.settings.instance.value) %
+                    static_cast<std::size_t>(rewrite_spread.count());
+  state_.loop.once(milliseconds{static_cast<std::int64_t>(slot)}, [this](const moment&) {
+    if (lease_.empty()) {
+      write();
+    }
+  });
+}
+
 void
 instance_registration::renew() {
   if (state_.stopping) {
--- a/src/proxy/instance_registration.h
+++ b/src/proxy/instance_registration.h
@@ -31,6 +31,9 @@
   /// The registration expired or was removed by an operator. The next renewal writes it again.
   void on_lapsed() { lease_ = lease_id{}; }
 
+  /// The store was restored from an older copy: the lease is gone, and its id may be another's.
+  void on_restored();
+
   void unregister();
 
  private:
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -259,6 +259,9 @@
     relay_notices_arrive = it != peers_.end() && it->second.scope == notice_scope::others &&
                            it->second.last_notice != time_point{} &&
                            now.boot - it->second.last_notice < relay_timeout;
+    // A relay that does not notice a restore of the store cannot pass on what comes after it.
+    const bool relay_behind = it != peers_.end() && era_of(it->second.store) < store_.era();
+    relay_notices_arrive = relay_notices_arrive && !(relay_behind && store_.era_settled(now));
   }
   store_.set_watching(!relay_notices_arrive);
 }
@@ -369,6 +372,7 @@
   it.store = read->store;
   it.store_reachable = read->store_reachable;
   it.content_hash = read->content_hash;
+  store_.on_peer_era(era_of(it.store), read->sender);
   relays_.add(read->sender, read->zone);
   relays_.on_notice(now, read->sender);
   state_.clock.on_peer(now, read->sender, read->wall,
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -32,6 +32,9 @@
   /// The duty holder has sealed the usage windows up to `window`.
   void on_sealed(std::int64_t window) { sealed_window_ = std::max(sealed_window_, window); }
 
+  /// The last usage window that any instance is known to have sealed.
+  [[nodiscard]] std::int64_t sealed_window() const { return sealed_window_; }
+
   /// Number of live relays whose names sort before this one's. Only relays hold duties; the rank of
   /// any other instance exceeds that of every candidate.
   [[nodiscard]] unsigned rank(const moment& now) const;
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -36,13 +36,13 @@
       state_(loop, wire, std::move(settings), options),
       upstream_client_(loop, {upstream_connections}),
       platform_client_(loop, {platform_connections}), background_calls_(loop, upstream_client_),
-      store_(
-          state_, platform_client_,
-          {[this](const registered_instance& entry, bool present) {
-             peers_.on_instance(entry, present);
-           },
-           [this](const std::optional<instance_id>& holder) { peers_.set_usage_holder(holder); }},
-          started_ms_),
+      store_(state_, platform_client_,
+             {[this](const registered_instance& entry, bool present) {
+                peers_.on_instance(entry, present);
+              },
+              [this](const std::optional<instance_id>& holder) { peers_.set_usage_holder(holder); },
+              [this] { duties_.on_store_restored(); }},
+             started_ms_),
       peers_(state_, platform_client_, store_, started_ms_),
       duties_(state_, platform_client_, store_, peers_),
       caller_server_(
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds retry_pause{300};
 constexpr milliseconds read_timeout{1'500};
 constexpr milliseconds tick_period{250};
+/// Time in which a relay notices that the store was restored, and reads all keys again.
+constexpr milliseconds relay_read_time{3'000};
 
 std::optional<registered_instance>
 parse_registration(const std::string& name, const std::string& value) {
@@ -83,15 +85,25 @@
 void
 store_link::call(const call_id& id, const platform_request& request, milliseconds limit,
                  reply_handler on_reply) {
-  calls_.send(state_.settings.store, state_.wire.store_call(request), limit,
-              [this, id, request, notify = std::move(on_reply)](const call_outcome& ended) {
+  platform_request sent = request;
+  remove_era(sent);
+  calls_.send(state_.settings.store, state_.wire.store_call(sent), limit,
+              [this, id, request, sent_in = era_.current(),
+               notify = std::move(on_reply)](const call_outcome& ended) {
                 platform_reply reply{id, kv_range_reply{}, ended.sent_at.boot};
                 state_.metrics
                     .get_counter("nutmegspur_store_calls_total",
                                  {{"answered", ended.complete() ? "yes" : "no"}})
                     .add();
-                if (ended.complete()) {
+                if (ended.complete() && !check_era(sent_in, ended.fields)) {
+                  reply.answer = fail({error_code::unavailable, step::platform_call, "store",
+                                       "the store was restored during the call",
+                                       nutmegspur::outcome::unknown});
+                } else if (ended.complete()) {
                   reply.answer = state_.wire.parse_store_reply(request, ended.status, ended.body);
+                  if (reply.answer) {
+                    add_era(*reply.answer, era_.current());
+                  }
                 } else {
                   const bool unsent = ended.end == http1::call_end::unreachable;
                   reply.answer =
@@ -105,6 +117,39 @@
               });
 }
 
+bool
+store_link::check_era(std::int64_t sent_in, const http_fields& fields) {
+  const auto verdict = era_.on_reply(sent_in, state_.wire.store_era(fields));
+  if (verdict == store_era::verdict::restored) {
+    on_restored("store");
+  }
+  return verdict == store_era::verdict::usable;
+}
+
+void
+store_link::on_peer_era(std::int64_t era, const instance_id& peer) {
+  if (era_.on_peer(era)) {
+    on_restored("peer " + peer.value);
+  }
+}
+
+void
+store_link::on_restored(std::string_view source) {
+  const moment now = http1::event_loop::now();
+  restored_at_ = now.boot;
+  log(log_event::store_restored, {{"era", std::to_string(era_.current())},
+                                  {"source", std::string{source}},
+                                  {"revision", std::to_string(number_of(copy_.store))}});
+  state_.upstreams.on_store_restored(now);
+  registration_.on_restored();
+  callbacks_.on_restored();
+}
+
+bool
+store_link::era_settled(const moment& now) const {
+  return now.boot - restored_at_ > relay_read_time;
+}
+
 void
 store_link::set_reachable(bool now_reachable, std::string_view why) {
   if (now_reachable) {
@@ -240,9 +285,19 @@
     follow_active_ = false;
     return;
   }
+  if (era_of(copy_.store) != era_.current()) {
+    // The history that a watch would continue is gone.
+    read_all();
+    return;
+  }
   // One call watches everything: the keys of operators, upstreams and instances.
-  calls_.send(state_.settings.store, state_.wire.watch_call("", copy_.store, watch_wait),
-              watch_timeout, [this](const call_outcome& ended) {
+  const revision after{number_of(copy_.store)};
+  calls_.send(state_.settings.store, state_.wire.watch_call("", after, watch_wait), watch_timeout,
+              [this, sent_in = era_.current()](const call_outcome& ended) {
+                if (ended.complete() && !check_era(sent_in, ended.fields)) {
+                  read_all();
+                  return;
+                }
                 if (ended.complete()) {
                   on_watch(ended.status, ended.body);
                   return;
@@ -254,7 +309,7 @@
 
 void
 store_link::on_watch(int status, const std::string& body) {
-  const auto answer = state_.wire.parse_watch_reply(status, body);
+  auto answer = state_.wire.parse_watch_reply(status, body);
   if (!answer) {
     set_reachable(false, answer.error().message);
     state_.loop.once(retry_pause, [this](const moment&) { watch(); });
@@ -266,7 +321,10 @@
     return;
   }
   set_reachable(true, "watch");
-  for (const auto& it : answer->changes) {
+  answer->store = store_position(era_.current(), answer->store.value);
+  for (auto& it : answer->changes) {
+    it.created = store_position(era_.current(), it.created.value);
+    it.modified = store_position(era_.current(), it.modified.value);
     apply(it, "watch");
   }
   copy_.store = std::max(copy_.store, answer->store);
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -2,7 +2,7 @@
 /// This instance's connection to the platform's store: follows the configuration and the lists of
 /// upstreams and instances, by a watch of its own or through a peer, and sends single calls.
 ///
-/// Invariant: older data never replaces newer data; revisions decide.
+/// Invariant: older data never replaces newer data; positions (store_era.h) decide.
 #pragma once
 
 #include "call_set.h"
@@ -10,6 +10,8 @@
 #include "proxy_state.h"
 #include "store_copy.h"
 
+#include <nutmegspur/store_era.h>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +36,8 @@
     std::function<void(const registered_instance&, bool)> on_instance;
     /// The holder of the lease on the duties; empty if there is none.
     std::function<void(const std::optional<instance_id>&)> on_duties_holder;
+    /// The store was restored from an older copy: what it acknowledged before may be lost.
+    std::function<void()> on_restored;
   };
 
   store_link(proxy_state& state, http1::http_client& client, hooks callbacks,
@@ -49,6 +53,8 @@
   /// Sets whether this instance watches the store itself. If not, apply_update() brings the
   /// changes.
   void set_watching(bool watching);
+  /// A peer has read the store in `era`, at a time when this instance may not have noticed it yet.
+  void on_peer_era(std::int64_t era, const instance_id& peer);
   /// While this instance does not watch: whether the peer that it follows reaches the store.
   void on_peer_state(bool store_reachable, std::string_view peer);
   /// Applies a peer's update of the store.
@@ -72,6 +78,12 @@
 
   [[nodiscard]] bool watching() const { return watching_; }
 
+  /// Number of times that the store was restored, as far as known here.
+  [[nodiscard]] std::int64_t era() const { return era_.current(); }
+
+  /// Whether the store has been in its current era for longer than a relay needs to read it again.
+  [[nodiscard]] bool era_settled(const moment& now) const;
+
   [[nodiscard]] bool reachable() const { return reachable_; }
 
  private:
@@ -85,6 +97,9 @@
   void on_read_done();
   void watch();
   void on_watch(int status, const std::string& body);
+  /// Whether a reply to a call that was made in era `sent_in` may be used.
+  bool check_era(std::int64_t sent_in, const http_fields& fields);
+  void on_restored(std::string_view source);
   void apply(const kv_change& change, std::string_view source);
   void apply_config_value(const std::string& value, std::string_view source);
   void apply_upstream(const kv_change& change, std::string_view source);
@@ -100,6 +115,8 @@
   proxy_state& state_;
   call_set calls_;
   hooks callbacks_;
+  store_era era_;
+  time_point restored_at_{};
   store_copy copy_;
   revision min_read_revision_; ///< Lowest revision of the reads in progress.
   int pending_reads_ = 0;
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -86,6 +86,24 @@
         self.down = False  # Responds to every request with status 503.
         self.lose_answers = False  # Executes writes, then resets the connection instead of responding.
         self.calls = 0
+        self.era = 1  # Number of the store's history; a restore begins another one.
+
+    def copy(self):
+        """Returns a copy that `restore` accepts."""
+        return {"revision": self.revision, "items": dict(self.items), "leases": dict(self.leases),
+                "next_lease": max([6999, *self.leases]) + 1}
+
+    async def restore(self, copy):
+        """Comes back from a copy: later changes are lost, revisions and ids of leases are given out again."""
+        async with self.changed:
+            self.era += 1
+            self.revision = copy["revision"]
+            self.items = dict(copy["items"])
+            now = time.monotonic()
+            self.leases = {it: (ttl, now + ttl / 1000) for it, (ttl, _) in copy["leases"].items()}
+            self.lease_ids = itertools.count(copy["next_lease"])
+            self.history = [it for it in self.history if it["revision"] <= self.revision]
+            self.changed.notify_all()
 
     def item(self, key):
         value, revision, created, lease = self.items[key]
@@ -130,12 +148,16 @@
     async def handle(self, request, _writer):
         self.calls += 1
         if self.down:
-            return make_response(503)
+            return self.with_era(make_response(503))
         parts = request.path.strip("/").split("/")
         reply = await getattr(self, parts[0].replace("-", "_"))(request, parts[1:])
         if self.lose_answers and parts[0] == "kv-txn":
             return None
-        return reply
+        return self.with_era(reply)
+
+    def with_era(self, reply):
+        status_line, rest = reply.split(b"\r\n", 1)
+        return b"%s\r\nStore-Era: %d\r\n%s" % (status_line, self.era, rest)
 
     async def kv_key(self, request, _parts):
         key = request.query["key"]
@@ -153,9 +175,10 @@
     async def kv_watch(self, request, _parts):
         after = int(request.query["after"])
         expires = time.monotonic() + int(request.query["wait_ms"]) / 1000
-        if after < self.compacted_revision:
-            return make_response(410)
+        era = self.era
         while True:
+            if after < self.compacted_revision or after > self.revision or era != self.era:
+                return make_response(410)
             events = [it for it in self.history if it["revision"] > after
                       and it["key"].startswith(request.query["path_prefix"])]
             remaining = expires - time.monotonic()
