Bound what an upstream may send that is no response

Cause: servers in trouble may send bytes without end, in a head or body, until the caller closes. The body of a plain response, the replies to single calls and an unfinished event were held without a bound, and any number of interim or foreign responses was skipped. Ruled out: heads, which the parser bounds at 80 KB, and bytes on an idle connection, which is closed.

Change: a held body may have 8 MiB, an event 1 MiB, a reply to a single call 16 MiB; more than 16 skipped responses, or a longer one, end the attempt as malformed, close the connection and count as the upstream's failure. The caller gets 502, or its stream is cut.

--- a/src/http1/http_client.cpp
+++ b/src/http1/http_client.cpp
@@ -6,6 +6,14 @@
 
 namespace nutmegspur::http1 {
 
+namespace {
+
+/// Maximum number of responses on a connection that are skipped before that of a call: interim ones
+/// and late ones to earlier requests.
+constexpr int max_skipped = 16;
+
+} // namespace
+
 /// A connection of the pool; serves one call at a time (no pipelining).
 class client_connection {
  public:
@@ -38,6 +46,8 @@
     call.connection_ = this;
     complete_ = false;
     accepted_ = true;
+    skipped_ = 0;
+    body_bytes_ = 0;
     reader_.expect_no_body(call.no_body_);
     if (connected_) {
       send();
@@ -92,6 +102,7 @@
     if (!accepted_) {
       // Skipped: an interim response, or a late response to an earlier request.
       reusable_ = reusable_ && head.status < first_final_status;
+      skipped_++;
       return;
     }
     update_keep_alive(head);
@@ -101,11 +112,18 @@
   }
 
   void on_body(std::string_view bytes) {
-    if (call_ != nullptr && accepted_ && call_->events_.on_body) {
+    body_bytes_ += bytes.size();
+    if (call_ != nullptr && accepted_ && call_->events_.on_body && !too_long()) {
       call_->events_.on_body(bytes);
     }
   }
 
+  /// Whether the server has sent more than any response to the call has.
+  [[nodiscard]] bool too_long() const {
+    return skipped_ > max_skipped ||
+           (call_ != nullptr && body_bytes_ > call_->options_.max_body_bytes);
+  }
+
   void update_keep_alive(const http_response_head& head) {
     reusable_ = reusable_ && head.keep_alive;
     idle_timeout_ = client_.limits_.default_idle_timeout;
@@ -133,7 +151,7 @@
       if (closed_) {
         return;
       }
-      if (!progress.violation.empty()) {
+      if (!progress.violation.empty() || too_long()) {
         fail_call(call_end::malformed);
         return;
       }
@@ -198,6 +216,8 @@
   bool complete_ = false;
   bool accepted_ = true;
   bool closed_ = false;
+  int skipped_ = 0;            ///< Responses skipped since the call was assigned.
+  std::size_t body_bytes_ = 0; ///< Of all responses since then.
 };
 
 client_call::client_call(event_loop& loop, call_events events, call_options options,
--- a/src/http1/http_client.h
+++ b/src/http1/http_client.h
@@ -9,6 +9,7 @@
 #include "tcp_stream.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,6 +40,8 @@
   milliseconds connect_timeout{1'000};
   milliseconds timeout{30'000}; ///< From the start of the call to the last byte of the response.
   bool new_connection = false;  ///< Do not reuse an idle connection.
+  /// Maximum body bytes of the response; a longer one ends the call as malformed.
+  std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
   /// Whether a response belongs to this call; others are skipped. Empty accepts any response.
   std::function<bool(const http_response_head&)> accepts_response;
 };
--- a/src/proxy/call_set.cpp
+++ b/src/proxy/call_set.cpp
@@ -3,6 +3,14 @@
 
 namespace nutmegspur::proxy {
 
+namespace {
+
+/// Replies of the platform hold at most 1 MB of values, or one value of the configured maximum,
+/// both longer by a third in their encoding.
+constexpr std::size_t max_reply_bytes = 16UL * 1024 * 1024;
+
+} // namespace
+
 void
 call_set::send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end) {
   const std::uint64_t number = ++last_number_;
@@ -13,6 +21,7 @@
   http1::call_options options;
   options.timeout = limit;
   options.connect_timeout = limit;
+  options.max_body_bytes = max_reply_bytes;
   calls_[number] =
       client_.start(to, format_request(call.method, call.target, fields, call.body),
                     {{},
--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -18,6 +18,9 @@
   /// Removes and returns the next complete event with its terminating blank line; empty if none.
   std::string next_event();
 
+  /// Length of the event that is not complete yet.
+  [[nodiscard]] std::size_t held_bytes() const { return buffer_.size(); }
+
   /// Removes and returns the bytes after the last complete event.
   std::string take_remainder() { return std::exchange(buffer_, {}); }
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -73,6 +73,8 @@
   void on_head(const http_response_head& head);
   void on_body(std::string_view bytes);
   void on_call_end(http1::call_end how);
+  /// Whether the upstream sent more than a response that is held here may have.
+  [[nodiscard]] bool holds_too_much() const;
   void forward_events();
   void forward_event(const std::string& event);
   void on_first_byte();
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -12,6 +12,10 @@
 /// Maximum response bytes that a caller may leave unread before its connection is aborted.
 constexpr std::size_t max_unsent_bytes = 4UL * 1024 * 1024;
 
+/// Maximum length of a response body that is held until it is complete, and of one event.
+constexpr std::size_t max_held_body_bytes = 8UL * 1024 * 1024;
+constexpr std::size_t max_event_bytes = 1024UL * 1024;
+
 /// Whether event `id` comes after `last`. Numeric ids increase; if either is not a number, `id`
 /// counts as later.
 bool
@@ -95,10 +99,21 @@
       streaming() && it.head.status == 200 && !it.marks.not_run && it.marks.stamped_by_upstream;
   if (!is_event_stream) {
     it.body.append(bytes);
-    return;
+  } else {
+    it.events.add(bytes);
+    forward_events();
+  }
+  // Checked last: the end of the attempt may end the request.
+  if (!done_ && attempt_ && attempt_->call != nullptr && holds_too_much()) {
+    attempt_->call->cancel();
+    end_attempt(attempt_end::malformed);
   }
-  it.events.add(bytes);
-  forward_events();
+}
+
+bool
+request_flow::holds_too_much() const {
+  return attempt_->body.size() > max_held_body_bytes ||
+         attempt_->events.held_bytes() > max_event_bytes;
 }
 
 void
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -242,6 +242,9 @@
         self.born = int(time.time() * 1000)
         self.heartbeats = 0
         self.server = None
+        self.closed_by_caller = []  # Endless faults that the caller ended.
+        self.says_leaving = False  # In the head of each response, whatever its registration says.
+        self.pause_s = None  # Rejects all requests and asks for this pause.
 
     def registration(self):
         self.heartbeats += 1
@@ -259,6 +262,34 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def handle(self, request, writer):
+        reply = await self.respond(request, writer)
+        if reply is not None and self.says_leaving:
+            status_line, rest = reply.split(b"\r\n", 1)
+            reply = status_line + b"\r\nServer-Leaving: 1\r\n" + rest
+        return reply
+
+    async def send_endlessly(self, fault, writer, headers):
+        """Sends bytes that are no response until the caller closes the connection."""
+        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(lines).encode() + b"\r\n"
+        first, repeated = {
+            "endless_head": (b"HTTP/1.1 200 OK\r\nX-Noise: ", b"x" * 1000),
+            "endless_fields": (head, b"X-Noise: " + b"x" * 500 + b"\r\n"),
+            "endless_interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 20),
+            "endless_body": (head + b"\r\n", b"x" * 65536),
+            "endless_event": (head + b"Content-Type: text/event-stream\r\n\r\ndata: ", b"x" * 65536),
+            "endless_chunk_size": (head + b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 1000),
+        }[fault]
+        try:
+            writer.write(first)
+            while not writer.transport.is_closing():
+                writer.write(repeated)
+                await writer.drain()
+                await asyncio.sleep(0)
+        finally:
+            self.closed_by_caller.append(fault)
+
+    async def respond(self, request, writer):
         if request.path == "/order":
             self.orders.append(json.loads(request.body))
             self.stage = self.orders[-1]["stage"]
@@ -271,6 +302,9 @@
         if request.headers.get("x-expect-instance") != self.name:
             return make_response(421, headers={"X-Instance-Id": self.name})
         fault = self.faults.pop(request_id, "")
+        if self.pause_s is not None:
+            return make_response(503, headers={"X-Not-Executed": "1", "X-Request-Id": request_id,
+                                               "Retry-After": str(self.pause_s)})
         if fault == "reject":
             return make_response(503, headers={"X-Not-Executed": "1", "X-Request-Id": request_id})
         if request.headers.get("x-serving-stage") == "prefill":
@@ -289,6 +323,9 @@
             self.disconnected.append(request_id)
             return None
         headers = {"X-Request-Id": request_id, "X-Response-Stamp": f"{self.name}.{request_id}"}
+        if fault.startswith("endless"):
+            await self.send_endlessly(fault, writer, headers)
+            return None
         if fault == "error":
             return make_response(500, b"broken", headers)
         if "x-prompt-prefix" in request.headers:
