Upstreams that say they leave, and those that ask for a pause

Change: response_metadata carries both. A process that is leaving is withheld until another one has its id; peers are told for five seconds (withheld_upstreams), and an outdated entry of the list does not bring it back. When all upstreams of a service pause, callers are refused at once with the first end as the time to come back.

--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -96,6 +96,8 @@
   bool stamped_by_upstream = false; ///< The response carries an upstream stamp.
   std::string request_id;
   std::optional<int> weights_version;
+  bool leaving = false;              ///< The upstream is about to stop and takes no new requests.
+  std::optional<milliseconds> pause; ///< It rejected the request and wants none for this long.
 };
 
 /// A call to the store, the platform or an upstream.
--- a/src/include/nutmegspur/withheld_upstreams.h
+++ b/src/include/nutmegspur/withheld_upstreams.h
@@ -1,7 +1,8 @@
 /// \file withheld_upstreams.h
-/// Upstreams that temporarily get no new requests, by notices that instances share. There are two
-/// reasons: an engine whose stage is about to change rejects requests that it has not started, and
-/// an address may have been taken over by another process before the upstream list shows it.
+/// Upstreams that get no new requests, by notices that instances share. There are three reasons:
+/// an engine whose stage is about to change rejects requests that it has not started, an address
+/// may have been taken over by another process before the upstream list shows it, and an upstream
+/// stated in a response that it is leaving, which the list may show later or never.
 ///
 /// The end is a wall-clock time on which all instances agree, so that forwarding a notice does not
 /// extend it.
@@ -11,7 +12,9 @@
 #include <nutmegspur/ids.h>
 #include <nutmegspur/upstream_list.h>
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace nutmegspur {
@@ -22,6 +25,9 @@
   /// The notice also ends when the upstream is listed with this stage; `none`: only at `until`.
   engine_stage until_stage = engine_stage::none;
   wall_time until{}; ///< Agreed wall-clock time at which the notice ends in any case.
+  /// Start of the process that is leaving (`listed_upstream::started_ms`); the notice does not
+  /// concern another process of the upstream. Empty for the other reasons.
+  std::optional<std::int64_t> leaving_process;
 
   bool operator==(const withheld_notice&) const = default;
 };
@@ -29,16 +35,29 @@
 /// The notices in force, at most one per upstream.
 class withheld_upstreams {
  public:
+  /// How long it is remembered that a process is leaving; longer than such processes take.
+  static constexpr milliseconds leaving_period{600'000};
+  /// Peers are told of a leaving process for this long.
+  static constexpr milliseconds leaving_shared_period{5'000};
+
   /// Adds a local notice or a peer's. If an upstream already has a notice, the one that ends later
   /// applies. Returns whether `notice` was stored.
   bool add(const withheld_notice& notice);
+  /// The process behind `it` stated at the agreed time `now` that it is leaving.
+  bool add_leaving(wall_time now, const listed_upstream& it);
 
-  /// Removes the notice of an upstream that is gone or is now another process.
+  /// Removes the notice of an upstream that is now another process.
   void forget(const upstream_id& id) { notices_.erase(id); }
 
+  /// Removes the notice of an upstream that is gone. That it was leaving is kept: an outdated entry
+  /// may list it again.
+  void on_removed(const upstream_id& id);
+
   /// Whether `it` must get no new requests at the agreed time `now`.
   [[nodiscard]] bool withheld(wall_time now, const listed_upstream& it) const;
-  /// Returns all notices in force, for peers, and removes the expired ones.
+  /// Whether the process behind `it` is leaving, by its own word.
+  [[nodiscard]] bool leaving(wall_time now, const listed_upstream& it) const;
+  /// Returns the notices in force that peers may not have yet, and removes the expired ones.
   std::vector<withheld_notice> current(wall_time now);
 
  private:
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 46> catalogue{{
+constexpr std::array<log_event_info, 47> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -84,6 +84,8 @@
     {log_event::upstream_withheld, "upstream_withheld", severity::info,
      "An upstream gets no new requests for a while: its stage changes, or another process replaced "
      "it."},
+    {log_event::upstream_paused, "upstream_paused", severity::info,
+     "An upstream rejected a request and asked for a pause; this instance sends it nothing."},
     {log_event::peer_connected, "peer_connected", severity::info,
      "A peer connection was established."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -83,8 +83,13 @@
 read_withheld(const msgpack::object& from) {
   const auto row = from.as<std::vector<msgpack::object>>();
   const auto stage = from_name<engine_stage>(row.at(1).as<std::string>());
-  return {upstream_id{row.at(0).as<std::string>()}, stage.value_or(engine_stage::none),
-          wall_time{microseconds{row.at(2).as<std::int64_t>()}}};
+  withheld_notice it{upstream_id{row.at(0).as<std::string>()}, stage.value_or(engine_stage::none),
+                     wall_time{microseconds{row.at(2).as<std::int64_t>()}}, std::nullopt};
+  // Instances of earlier versions send rows without it.
+  if (constexpr std::size_t leaving_process_at = 3; row.size() > leaving_process_at) {
+    it.leaving_process = row[leaving_process_at].as<std::int64_t>();
+  }
+  return it;
 }
 
 peer_notice
@@ -155,10 +160,13 @@
   out.pack(it.zone.value);
   out.pack_array(static_cast<std::uint32_t>(it.withheld.size()));
   for (const auto& withheld : it.withheld) {
-    out.pack_array(3);
+    out.pack_array(withheld.leaving_process ? 4 : 3);
     out.pack(withheld.upstream.value);
     out.pack(std::string{to_name(withheld.until_stage)});
     out.pack(withheld.until.time_since_epoch().count());
+    if (withheld.leaving_process) {
+      out.pack(*withheld.leaving_process);
+    }
   }
   return {buf.data(), buf.size()};
 }
--- a/src/libnutmegspur/peer_notice_test.cpp
+++ b/src/libnutmegspur/peer_notice_test.cpp
@@ -26,7 +26,8 @@
   it.sealed = 353445120;
   it.loads = {{upstream_id{"u-1"}, {3, 250}}};
   it.placed = {{upstream_id{"u-1"}, {0xABCDEF0123456789ULL, 800}}};
-  it.withheld = {{upstream_id{"u-2"}, engine_stage::prefill, wall_time{seconds{12}}}};
+  it.withheld = {{upstream_id{"u-2"}, engine_stage::prefill, wall_time{seconds{12}}, std::nullopt},
+                 {upstream_id{"u-3"}, engine_stage::none, wall_time{seconds{600}}, 1773255867046}};
   it.usage = {{353445121, {{team_id{"a"}, 7}}}};
   return it;
 }
--- a/src/libnutmegspur/withheld_upstreams.cpp
+++ b/src/libnutmegspur/withheld_upstreams.cpp
@@ -13,12 +13,35 @@
   return added;
 }
 
+bool
+withheld_upstreams::add_leaving(wall_time now, const listed_upstream& it) {
+  return !leaving(now, it) && add({it.id, engine_stage::none, now + leaving_period, it.started_ms});
+}
+
+void
+withheld_upstreams::on_removed(const upstream_id& id) {
+  const auto it = notices_.find(id);
+  if (it != notices_.end() && !it->second.leaving_process) {
+    notices_.erase(it);
+  }
+}
+
+bool
+withheld_upstreams::leaving(wall_time now, const listed_upstream& it) const {
+  const auto found = notices_.find(it.id);
+  return found != notices_.end() && now < found->second.until &&
+         found->second.leaving_process == it.started_ms;
+}
+
 bool
 withheld_upstreams::withheld(wall_time now, const listed_upstream& it) const {
   const auto found = notices_.find(it.id);
   if (found == notices_.end() || now >= found->second.until) {
     return false;
   }
+  if (found->second.leaving_process) {
+    return found->second.leaving_process == it.started_ms;
+  }
   const engine_stage awaited_stage = found->second.until_stage;
   return awaited_stage == engine_stage::none || awaited_stage != it.stage;
 }
@@ -31,7 +54,11 @@
       it = notices_.erase(it);
       continue;
     }
-    active.push_back(it->second);
+    const bool known_to_peers = it->second.leaving_process &&
+                                it->second.until - now < leaving_period - leaving_shared_period;
+    if (!known_to_peers) {
+      active.push_back(it->second);
+    }
     ++it;
   }
   return active;
--- a/src/libnutmegspur/withheld_upstreams_test.cpp
+++ b/src/libnutmegspur/withheld_upstreams_test.cpp
@@ -70,5 +70,36 @@
   EXPECT_FALSE(all.withheld(at(5), listed(engine_stage::decode)));
 }
 
+listed_upstream
+process(std::int64_t started) {
+  listed_upstream it = listed(engine_stage::decode);
+  it.started_ms = started;
+  return it;
+}
+
+TEST(withheld_upstreams, a_process_that_says_it_is_leaving_gets_nothing_whatever_the_list_says) {
+  withheld_upstreams all;
+  EXPECT_TRUE(all.add_leaving(at(0), process(5)));
+  EXPECT_FALSE(all.add_leaving(at(1), process(5)));
+  EXPECT_TRUE(all.withheld(at(100), process(5)));
+  // It is removed from the list, and an outdated entry lists it again.
+  all.on_removed(engine);
+  EXPECT_TRUE(all.withheld(at(101), process(5)));
+  EXPECT_TRUE(all.leaving(at(101), process(5)));
+  EXPECT_FALSE(all.withheld(at(101), process(6)));
+}
+
+TEST(withheld_upstreams, peers_are_told_of_a_leaving_process_for_a_while_only) {
+  withheld_upstreams all;
+  all.add_leaving(at(0), process(5));
+  ASSERT_EQ(all.current(at(1)).size(), 1U);
+  withheld_upstreams peer;
+  EXPECT_TRUE(peer.add(all.current(at(1)).front()));
+  EXPECT_TRUE(peer.withheld(at(2), process(5)));
+  EXPECT_TRUE(all.current(at(6)).empty());
+  EXPECT_TRUE(peer.current(at(6)).empty());
+  EXPECT_TRUE(peer.withheld(at(60), process(5)));
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -331,7 +331,7 @@
 void
 duty_holder::order_stage(const stage_change& change, const authority& granted) {
   const auto* upstream = state_.upstreams.usable(change.upstream);
-  if (upstream == nullptr) {
+  if (upstream == nullptr || !state_.accepts_calls(http1::event_loop::now(), *upstream)) {
     return;
   }
   const stage_order order{change.upstream, change.target, state_.settings.instance, granted.number};
@@ -339,11 +339,17 @@
                               {"zone", upstream->zone.value},
                               {"stage", std::string{to_name(change.target)}},
                               {"fence", std::to_string(granted.number.value)}});
-  send({upstream->address, upstream->port}, state_.wire.stage_call(order),
-       [id = change.upstream](std::optional<int> status) {
-         log(log_event::order_resolved,
-             {{"upstream", id.value}, {"status", status ? std::to_string(*status) : "no answer"}});
-       });
+  calls_.send({upstream->address, upstream->port}, state_.wire.stage_call(order), call_timeout,
+              [this, it = *upstream](const call_outcome& ended) {
+                log(log_event::order_resolved,
+                    {{"upstream", it.id.value},
+                     {"status", ended.complete() ? std::to_string(ended.status) : "no answer"}});
+                if (ended.complete()) {
+                  state_.on_response_head(
+                      http1::event_loop::now(), it,
+                      state_.wire.parse_response_head({ended.status, "", ended.fields}));
+                }
+              });
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -30,9 +30,31 @@
                                      {"span_ms", std::to_string(period.count())}});
 }
 
+void
+proxy_state::on_response_head(const moment& now, const listed_upstream& it,
+                              const response_metadata& marks) {
+  if (marks.leaving && withheld.add_leaving(clock.agreed(now).wall, it)) {
+    log(log_event::upstream_withheld,
+        {{"upstream", it.id.value},
+         {"why", "its response says that it is leaving"},
+         {"until_stage", std::string{to_name(engine_stage::none)}},
+         {"span_ms", std::to_string(withheld_upstreams::leaving_period.count())}});
+  }
+  if (marks.pause && pauses.add(now, it.id, *marks.pause)) {
+    log(log_event::upstream_paused,
+        {{"upstream", it.id.value}, {"span_ms", std::to_string(marks.pause->count())}});
+  }
+}
+
+bool
+proxy_state::accepts_calls(const moment& now, const listed_upstream& it) const {
+  return !pauses.paused(now, it.id) && !withheld.leaving(clock.agreed(now).wall, it);
+}
+
 bool
 proxy_state::upstream_available(const moment& now, const listed_upstream& it) const {
-  return health.allows(now, it.id) && !withheld.withheld(clock.agreed(now).wall, it);
+  return health.allows(now, it.id) && !pauses.paused(now, it.id) &&
+         !withheld.withheld(clock.agreed(now).wall, it);
 }
 
 bool
@@ -73,7 +95,12 @@
   if (how == upstream_change::restarted || how == upstream_change::removed) {
     caches.forget(id);
     health.forget(id);
+  }
+  if (how == upstream_change::restarted) {
     withheld.forget(id);
+    pauses.forget(id);
+  } else if (how == upstream_change::removed) {
+    withheld.on_removed(id);
   }
   const auto* it = upstreams.find(id);
   log(number, {{"upstream", id.value},
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -14,6 +14,7 @@
 #include <nutmegspur/retry_budget.h>
 #include <nutmegspur/upstream_health.h>
 #include <nutmegspur/upstream_list.h>
+#include <nutmegspur/upstream_pauses.h>
 #include <nutmegspur/usage_windows.h>
 #include <nutmegspur/wall_clock_vote.h>
 #include <nutmegspur/wire_binding.h>
@@ -71,6 +72,7 @@
   upstream_list upstreams;
   upstream_health health;
   withheld_upstreams withheld;
+  upstream_pauses pauses;
   load_view loads;
   prompt_cache_view caches;
   std::map<service_id, engine_calibrations> calibrations;
@@ -99,6 +101,12 @@
   /// notified.
   void withhold(const moment& now, const upstream_id& id, engine_stage until_stage,
                 milliseconds period, std::string_view why);
+  /// Applies what a response of `it` says about the upstream itself: that it is leaving, or wants a
+  /// pause.
+  void on_response_head(const moment& now, const listed_upstream& it,
+                        const response_metadata& marks);
+  /// Whether calls of any kind may go to `it` now: not to a process that is leaving or paused.
+  [[nodiscard]] bool accepts_calls(const moment& now, const listed_upstream& it) const;
   /// Whether new requests may go to `it` now.
   [[nodiscard]] bool upstream_available(const moment& now, const listed_upstream& it) const;
   /// Applies `config` if it is newer than the one in force; returns false otherwise.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -185,10 +185,21 @@
     return;
   }
   const auto& refusal = placed.error();
-  end_request(after_last_attempt(history_), to_name(refusal.why), refusal.retry_after,
+  const bool none_left = refusal.why == placement_refusal::reason::no_upstream;
+  end_request(after_last_attempt(history_), to_name(refusal.why),
+              none_left ? first_pause_end().value_or(refusal.retry_after) : refusal.retry_after,
               refusal.expected_millis);
 }
 
+std::optional<milliseconds>
+request_flow::first_pause_end() const {
+  std::vector<upstream_id> ids;
+  for (const auto* it : state_.upstreams.usable_of(service_name_)) {
+    ids.push_back(it->id);
+  }
+  return state_.pauses.first_end(http1::event_loop::now(), ids);
+}
+
 void
 request_flow::start_placement() {
   const bool separate_prefill = !placement_.prefill_upstream.empty();
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -43,6 +43,7 @@
 request_flow::on_head(const http_response_head& head) {
   attempt_->head = head;
   attempt_->marks = state_.wire.parse_response_head(head);
+  state_.on_response_head(http1::event_loop::now(), attempt_->upstream, attempt_->marks);
   if (attempt_->task == attempt_task::decode) {
     prompt_handle_.reset(); // The engine has fetched the prompt, or the prompt is gone.
   }
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -163,8 +163,12 @@
     return;
   }
   constexpr milliseconds free_timeout{1'000};
-  background_calls_.send(prompt_handle_->at, state_.wire.release_call(*prompt_handle_),
-                         free_timeout, {});
+  const auto* engine = state_.upstreams.find(prefill_upstream_);
+  // An engine that is paused or leaving frees the cache by itself after its retention time.
+  if (engine == nullptr || state_.accepts_calls(http1::event_loop::now(), *engine)) {
+    background_calls_.send(prompt_handle_->at, state_.wire.release_call(*prompt_handle_),
+                           free_timeout, {});
+  }
   prompt_handle_.reset();
 }
 
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -71,6 +71,7 @@
 void
 store_link::tick(const moment& now) {
   on_upstreams_removed(state_.upstreams.expire(now), "grace");
+  state_.pauses.expire(now);
 }
 
 void
