A call is not written after its latest time, also when the process was paused

The duties' tick renewed the lease and then judged the authority by the time at which the tick had begun, and a call that waited for its connection was written whenever that came. Both send what was decided before the pause.

Change: call_options::not_after, read against the clock right before the write; a call's timeout is one, and the duties' calls pass the end of their authority. The duties' tick reads the clock again after the renewal.

Measured: http1_test request_is_not_written_after_its_latest_time reads a request without the check and nothing with it.

--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -179,6 +179,45 @@
   EXPECT_EQ(it.body, "new");
 }
 
+// Regression: the holder of duties was paused after it had checked its lease, and its report was
+// written when it resumed, while another holder was active.
+TEST(http_client, request_is_not_written_after_its_latest_time) {
+  raw_listener listener;
+  std::string received = "nothing read";
+  std::thread server{[&] {
+    const int fd = listener.accept_one();
+    received = read_until(fd, "\r\n\r\n");
+    close(fd);
+  }};
+  event_loop loop;
+  std::optional<call_end> end;
+  {
+    http_client client{loop, {}};
+    http_fields fields;
+    fields.add("Host", "a");
+    call_options options;
+    options.not_after = event_loop::now().boot + milliseconds{20};
+    auto call = client.start(listener.at(), format_request("GET", "/", fields, ""),
+                             {{},
+                              {},
+                              {},
+                              [&](call_end how) {
+                                end = how;
+                                loop.stop();
+                              }},
+                             options);
+    // The pause: nothing runs between the start of the call and its latest time.
+    while (event_loop::now().boot < options.not_after) {
+    }
+    loop.once(test_timeout, [&](const moment&) { loop.stop(); });
+    loop.run();
+    discard(loop, std::move(call));
+  }
+  server.join();
+  EXPECT_EQ(end, call_end::unreachable);
+  EXPECT_EQ(received, "");
+}
+
 TEST(http_client, closed_port_is_unreachable) {
   endpoint nowhere;
   {
--- a/src/http1/http_client.cpp
+++ b/src/http1/http_client.cpp
@@ -89,7 +89,9 @@
   void on_connected() {
     connected_ = true;
     client_.loop_.cancel(connect_timer_);
-    if (call_ != nullptr) {
+    if (call_ != nullptr && call_->expired()) {
+      fail_call(call_end::unreachable);
+    } else if (call_ != nullptr) {
       send();
     }
   }
@@ -224,6 +226,7 @@
                          std::string bytes, bool no_body)
     : loop_(loop), events_(std::move(events)), options_(std::move(options)),
       bytes_(std::move(bytes)), no_body_(no_body) {
+  options_.not_after = std::min(options_.not_after, event_loop::now().boot + options_.timeout);
   timer_ = loop_.once(options_.timeout, [this](const moment&) {
     if (connection_ != nullptr) {
       std::exchange(connection_, nullptr)->abandon_call();
@@ -300,12 +303,13 @@
   const milliseconds connect_timeout = std::min(options.connect_timeout, options.timeout);
   auto call = std::make_unique<client_call>(loop_, std::move(events), std::move(options),
                                             std::move(bytes), no_body);
-  if (client_connection* idle = force_new ? nullptr : take_idle(to)) {
+  client_connection* idle = force_new ? nullptr : take_idle(to);
+  if (idle != nullptr && !call->expired()) {
     idle->assign(*call);
     return call;
   }
   auto& all = connections_[to];
-  if (all.size() >= limits_.connections_per_endpoint) {
+  if (call->expired() || all.size() >= limits_.connections_per_endpoint) {
     // Reported on a later loop iteration, when the owner holds the call.
     loop_.cancel(call->timer_);
     call->timer_ = loop_.once(duration{0},
--- a/src/http1/http_client.h
+++ b/src/http1/http_client.h
@@ -39,7 +39,10 @@
 struct call_options {
   milliseconds connect_timeout{1'000};
   milliseconds timeout{30'000}; ///< From the start of the call to the last byte of the response.
-  bool new_connection = false;  ///< Do not reuse an idle connection.
+  /// Latest time at which the request is written. The clock is read right before the write, so that
+  /// a process that was paused in between sends nothing late. Never later than the timeout.
+  time_point not_after = time_point::max();
+  bool new_connection = false; ///< Do not reuse an idle connection.
   /// Maximum body bytes of the response; a longer one ends the call as malformed.
   std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
   /// Whether a response belongs to this call; others are skipped. Empty accepts any response.
@@ -59,6 +62,9 @@
 
   [[nodiscard]] bool sent() const { return sent_; }
 
+  /// Whether it is too late to write the request.
+  [[nodiscard]] bool expired() const { return event_loop::now().boot >= options_.not_after; }
+
   /// Ends the call without calling `on_end`, and closes its connection.
   void cancel();
 
--- a/src/proxy/call_set.cpp
+++ b/src/proxy/call_set.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 void
-call_set::send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end) {
+call_set::send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end,
+               time_point not_after) {
   const std::uint64_t number = ++last_number_;
   const auto outcome = std::make_shared<call_outcome>();
   outcome->sent_at = http1::event_loop::now();
@@ -22,6 +23,7 @@
   options.timeout = limit;
   options.connect_timeout = limit;
   options.max_body_bytes = max_reply_bytes;
+  options.not_after = not_after;
   calls_[number] =
       client_.start(to, format_request(call.method, call.target, fields, call.body),
                     {{},
--- a/src/proxy/call_set.h
+++ b/src/proxy/call_set.h
@@ -32,8 +32,10 @@
 
   call_set(http1::event_loop& loop, http1::http_client& client) : loop_(loop), client_(client) {}
 
-  /// Sends `call` once. `on_end` runs within `limit`, in a later iteration of the loop.
-  void send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end);
+  /// Sends `call` once, and not after `not_after`. `on_end` runs within `limit`, in a later
+  /// iteration of the loop.
+  void send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end,
+            time_point not_after = time_point::max());
 
   [[nodiscard]] bool empty() const { return calls_.empty(); }
 
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -129,7 +129,8 @@
 void
 duty_holder::tick(const moment& now) {
   step(nutmegspur::tick{});
-  const auto granted = authority_for_call(now);
+  // The process may have been paused since `now`, for example while it sent a renewal.
+  const auto granted = authority_for_call(http1::event_loop::now());
   if (!granted || state_.stopping || state_.config == nullptr) {
     return;
   }
@@ -143,10 +144,14 @@
 }
 
 void
-duty_holder::send(const endpoint& to, const wire_call& call, status_handler on_result) {
-  calls_.send(to, call, call_timeout, [notify = std::move(on_result)](const call_outcome& ended) {
-    notify(ended.complete() ? std::optional{ended.status} : std::nullopt);
-  });
+duty_holder::send(const endpoint& to, const wire_call& call, const authority& granted,
+                  status_handler on_result) {
+  calls_.send(
+      to, call, call_timeout,
+      [notify = std::move(on_result)](const call_outcome& ended) {
+        notify(ended.complete() ? std::optional{ended.status} : std::nullopt);
+      },
+      granted.until);
 }
 
 void
@@ -240,7 +245,7 @@
   phase_ = seal_phase::reporting;
   next_report_ = http1::event_loop::now().boot + report_retry_delay;
   const wire_call call = state_.wire.usage_call(sealed_, state_.settings.instance, granted.number);
-  send(state_.settings.platform_interface, call, [this](std::optional<int> status) {
+  send(state_.settings.platform_interface, call, granted, [this](std::optional<int> status) {
     constexpr int ok = 200;
     if (status == ok) {
       log(log_event::usage_reported, {{"window", std::to_string(sealed_.number)}});
@@ -282,15 +287,16 @@
            {"fence", std::to_string(granted.number.value)}});
       const wire_call call =
           state_.wire.fleet_call(order, state_.settings.instance, granted.number);
-      send(state_.settings.platform_interface, call, [this, order](std::optional<int> status) {
-        const order_result answer =
-            status ? state_.wire.parse_fleet_reply(*status) : order_result::unknown;
-        log(log_event::fleet_answered, {{"zone", order.zone.value},
-                                        {"reclaimable", order.reclaimable ? "yes" : "no"},
-                                        {"wanted", std::to_string(order.wanted)},
-                                        {"how", std::string{to_name(answer)}}});
-        fleet_.on_result(http1::event_loop::now(), order, answer);
-      });
+      send(state_.settings.platform_interface, call, granted,
+           [this, order](std::optional<int> status) {
+             const order_result answer =
+                 status ? state_.wire.parse_fleet_reply(*status) : order_result::unknown;
+             log(log_event::fleet_answered, {{"zone", order.zone.value},
+                                             {"reclaimable", order.reclaimable ? "yes" : "no"},
+                                             {"wanted", std::to_string(order.wanted)},
+                                             {"how", std::string{to_name(answer)}}});
+             fleet_.on_result(http1::event_loop::now(), order, answer);
+           });
     }
   }
 }
@@ -339,17 +345,19 @@
                               {"zone", upstream->zone.value},
                               {"stage", std::string{to_name(change.target)}},
                               {"fence", std::to_string(granted.number.value)}});
-  calls_.send({upstream->address, upstream->port}, state_.wire.stage_call(order), call_timeout,
-              [this, it = *upstream](const call_outcome& ended) {
-                log(log_event::order_resolved,
-                    {{"upstream", it.id.value},
-                     {"status", ended.complete() ? std::to_string(ended.status) : "no answer"}});
-                if (ended.complete()) {
-                  state_.on_response_head(
-                      http1::event_loop::now(), it,
-                      state_.wire.parse_response_head({ended.status, "", ended.fields}));
-                }
-              });
+  calls_.send(
+      {upstream->address, upstream->port}, state_.wire.stage_call(order), call_timeout,
+      [this, it = *upstream](const call_outcome& ended) {
+        log(log_event::order_resolved,
+            {{"upstream", it.id.value},
+             {"status", ended.complete() ? std::to_string(ended.status) : "no answer"}});
+        if (ended.complete()) {
+          state_.on_response_head(
+              http1::event_loop::now(), it,
+              state_.wire.parse_response_head({ended.status, "", ended.fields}));
+        }
+      },
+      granted.until);
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -58,7 +58,9 @@
   void tick(const moment& now);
   /// The authority, if it is valid for another call and the handover period has passed.
   [[nodiscard]] std::optional<authority> authority_for_call(const moment& now);
-  void send(const endpoint& to, const wire_call& call, status_handler on_result);
+  /// Sends a call of the duties while `granted` is valid.
+  void send(const endpoint& to, const wire_call& call, const authority& granted,
+            status_handler on_result);
 
   void report_usage(const moment& now, const authority& granted);
   void read_sealed(const authority& granted);
