Store eras: the first replies of a process are all used

Cause: found while reading the diff. Calls that were made before the first reply carried era 0, so in a store of era 1 or later the other replies of the first reads counted as outdated and were repeated after 300 ms; and a notice of a peer that had read nothing set era 0, so that the first own reply looked like a restore.

Change: before the first reply the era is unknown rather than 0; peers' eras count only after it.

--- a/src/include/nutmegspur/store_era.h
+++ b/src/include/nutmegspur/store_era.h
@@ -61,10 +61,14 @@
   /// The current era; zero while none is known, or if the store states none.
   [[nodiscard]] std::int64_t current() const { return current_.value_or(0); }
 
-  /// Judges a reply to a call that was made in era `sent_in`. `stated` is the era that the reply
-  /// states, if any.
-  verdict on_reply(std::int64_t sent_in, std::optional<std::int64_t> stated);
-  /// A peer has read the store in `era`. Returns whether that is a new era.
+  /// The current era; empty before the first reply.
+  [[nodiscard]] std::optional<std::int64_t> known() const { return current_; }
+
+  /// Judges a reply to a call that was made when `known()` was `sent_in`. `stated` is the era that
+  /// the reply states, if any.
+  verdict on_reply(std::optional<std::int64_t> sent_in, std::optional<std::int64_t> stated);
+  /// A peer has read the store in `era`. Returns whether that is a new era. Has no effect before
+  /// the first reply: a peer that has read nothing yet is in era 0.
   bool on_peer(std::int64_t era);
 
  private:
--- a/src/libnutmegspur/store_era.cpp
+++ b/src/libnutmegspur/store_era.cpp
@@ -1,8 +1,6 @@
 // Eras of the store, and the conversion between its revision numbers and positions.
 #include <nutmegspur/store_era.h>
 
-#include <algorithm>
-
 namespace nutmegspur {
 
 void
@@ -29,7 +27,7 @@
 }
 
 store_era::verdict
-store_era::on_reply(std::int64_t sent_in, std::optional<std::int64_t> stated) {
+store_era::on_reply(std::optional<std::int64_t> sent_in, std::optional<std::int64_t> stated) {
   if (!current_) {
     current_ = stated.value_or(0);
     return verdict::usable;
@@ -39,14 +37,17 @@
     current_ = era;
     return verdict::restored;
   }
-  return era < *current_ || sent_in < *current_ ? verdict::outdated : verdict::usable;
+  const bool earlier_call = sent_in && *sent_in < *current_;
+  return era < *current_ || earlier_call ? verdict::outdated : verdict::usable;
 }
 
 bool
 store_era::on_peer(std::int64_t era) {
-  const bool later = current_ && era > *current_;
-  current_ = std::max(current(), era);
-  return later;
+  if (!current_ || era <= *current_) {
+    return false;
+  }
+  current_ = era;
+  return true;
 }
 
 } // namespace nutmegspur
--- a/src/libnutmegspur/store_era_test.cpp
+++ b/src/libnutmegspur/store_era_test.cpp
@@ -47,6 +47,18 @@
   EXPECT_EQ(era.on_reply(2, 2), verdict::usable);
 }
 
+// Several calls are in progress at the start of a process, and peers that start with it have read
+// nothing.
+TEST(store_era, the_first_replies_are_all_used) {
+  store_era era;
+  EXPECT_FALSE(era.on_peer(0));
+  EXPECT_EQ(era.known(), std::nullopt);
+  EXPECT_EQ(era.on_reply(std::nullopt, 3), verdict::usable);
+  EXPECT_EQ(era.on_reply(std::nullopt, 3), verdict::usable);
+  EXPECT_FALSE(era.on_peer(0));
+  EXPECT_EQ(era.known(), 3);
+}
+
 TEST(store_era, two_restores_in_a_row_are_two_eras) {
   store_era era;
   era.on_reply(0, 1);
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -89,7 +89,7 @@
   platform_request sent = request;
   remove_era(sent);
   calls_.send(state_.settings.store, state_.wire.store_call(sent), limit,
-              [this, id, request, sent_in = era_.current(),
+              [this, id, request, sent_in = era_.known(),
                notify = std::move(on_reply)](const call_outcome& ended) {
                 platform_reply reply{id, kv_range_reply{}, ended.sent_at.boot};
                 state_.metrics
@@ -119,7 +119,7 @@
 }
 
 bool
-store_link::check_era(std::int64_t sent_in, const http_fields& fields) {
+store_link::check_era(std::optional<std::int64_t> sent_in, const http_fields& fields) {
   const auto verdict = era_.on_reply(sent_in, state_.wire.store_era(fields));
   if (verdict == store_era::verdict::restored) {
     on_restored("store");
@@ -294,7 +294,7 @@
   // One call watches everything: the keys of operators, upstreams and instances.
   const revision after{number_of(copy_.store)};
   calls_.send(state_.settings.store, state_.wire.watch_call("", after, watch_wait), watch_timeout,
-              [this, sent_in = era_.current()](const call_outcome& ended) {
+              [this, sent_in = era_.known()](const call_outcome& ended) {
                 if (ended.complete() && !check_era(sent_in, ended.fields)) {
                   read_all();
                   return;
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -97,8 +97,8 @@
   void on_read_done();
   void watch();
   void on_watch(int status, const std::string& body);
-  /// Whether a reply to a call that was made in era `sent_in` may be used.
-  bool check_era(std::int64_t sent_in, const http_fields& fields);
+  /// Whether a reply to a call may be used that was made when the era `sent_in` was known.
+  bool check_era(std::optional<std::int64_t> sent_in, const http_fields& fields);
   void on_restored(std::string_view source);
   void apply(const kv_change& change, std::string_view source);
   void apply_config_value(const std::string& value, std::string_view source);
