--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -69,6 +69,8 @@
                                      {"upstream", it.upstream.id.value},
                                      {"how", std::string{to_name(how)}},
                                      {"status", std::to_string(it.head.status)},
+                                     {"close_delimited", it.head.close_delimited ? "yes" : "no"},
+                                     {"partial_event", std::to_string(it.events.held_bytes())},
                                      {"elapsed_ms", elapsed_text()}});
   }
 }
@@ -224,6 +226,7 @@
 request_flow::forward_response() {
   upstream_attempt& it = *attempt_;
   const int status = it.head.status;
+  const std::size_t partial_event = it.events.held_bytes();
   if (history_.response_started) {
     caller_->write(it.events.take_remainder());
     caller_->finish();
@@ -236,6 +239,8 @@
                                     {"status", std::to_string(status)},
                                     {"first_event_ms", first_event_text()},
                                     {"longest_gap_ms", rounded(to_millis(longest_gap_))},
+                                    {"close_delimited", it.head.close_delimited ? "yes" : "no"},
+                                    {"partial_event", std::to_string(partial_event)},
                                     {"elapsed_ms", elapsed_text()}});
   finish(status);
 }
