Failing test: a stream that ends inside an event looks complete

An upstream's stream that has neither a length nor chunks and ends cleanly inside an event reaches its caller with the partial event and the last chunk.

--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -334,19 +334,34 @@
         return make_response(200, body.encode(), headers)
 
     async def stream(self, request, writer, headers, fault):
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        """Streams ten events. With an `unframed` fault the response has neither a length nor chunks and
+        ends with its connection."""
+        unframed = fault.startswith("unframed")
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
+                 "Connection: close" if unframed else "Transfer-Encoding: chunked"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first = int(request.headers.get("last-event-id", "0") or "0") + 1
+        # The event that is truncated; the response ends there.
+        truncated = {"cut": 5, "chunked_end_inside": 5, "unframed_end_inside": 5, "unframed_reset_inside": 5,
+                     "unframed_end_inside_first": first, "unframed_end_empty": first}.get(fault)
         for event_id in range(first, 11):
             event = f"id: {event_id}\ndata: token {event_id}\n\n".encode()
-            if fault == "cut" and event_id == 5:
-                event = event[:7]  # Truncated in the middle of an event.
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if event_id == truncated:
+                event = b"" if fault == "unframed_end_empty" else event[:7]
+            if event:
+                writer.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            if fault == "cut" and event_id == 5:
-                return None
+            if event_id == truncated:
+                break
             await asyncio.sleep(0.01)
+        if fault == "unframed_reset_inside":
+            await asyncio.sleep(0.02)  # The bytes before the reset are read first.
+        if fault in ("cut", "unframed_reset_inside"):
+            return None
+        if unframed:
+            writer.close()
+            return b""
         return b"0\r\n\r\n"
 
 
