A stream that ends inside an event is broken off

Cause: for a response without a length or chunks the end of the connection is the end of the body. http_client reports such a response as completed, and request_flow forwarded the partial event and ended the caller's response. Class of fault: the end of a transport taken for the end of its content. Change: end_of_response() classifies a received response in the core.

--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -38,6 +38,19 @@
   }};
 };
 
+/// A response whose end was received, as input to the rules.
+struct ended_response {
+  int status = 0;
+  bool not_run = false;   ///< The upstream reported that it did not run the request.
+  bool authentic = false; ///< It bears the upstream's mark; prefill calls need none.
+  /// Its body ended with the connection: that alone does not show that it is whole.
+  bool close_delimited = false;
+  bool event_stream = false; ///< The body is a stream of events.
+  bool resumed = false;      ///< It resumes a stream, which may have no event left.
+  bool has_events = false;   ///< At least one event is complete.
+  bool inside_event = false; ///< The body ends inside an event.
+};
+
 /// The state of a request, as input to the rules.
 struct attempt_history {
   route_kind kind = route_kind::once;
@@ -70,6 +83,11 @@
   }};
 };
 
+/// How an attempt ended whose response was received up to its end. A stream is whole only if it
+/// ends between two events; one that ends with its connection also needs an event, unless it
+/// resumes another.
+attempt_end end_of_response(const ended_response& response);
+
 /// Whether the work of an attempt with this end may have run.
 bool may_have_run(attempt_end end);
 
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -5,6 +5,26 @@
 
 namespace nutmegspur {
 
+attempt_end
+end_of_response(const ended_response& response) {
+  constexpr int first_redirect = 300;
+  constexpr int first_server_error = 500;
+  if (response.not_run) {
+    return attempt_end::rejected;
+  }
+  if (response.status < first_redirect && !response.authentic) {
+    return attempt_end::malformed;
+  }
+  if (response.status >= first_server_error) {
+    return attempt_end::server_error;
+  }
+  const bool empty = response.close_delimited && !response.has_events && !response.resumed;
+  if (response.event_stream && (response.inside_event || empty)) {
+    return attempt_end::broken;
+  }
+  return attempt_end::answered;
+}
+
 bool
 may_have_run(attempt_end end) {
   return end != attempt_end::rejected && end != attempt_end::unreachable;
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -31,6 +31,60 @@
                            attempt_end::timed_out);
 }
 
+ended_response
+complete_stream() {
+  ended_response it;
+  it.status = 200;
+  it.authentic = true;
+  it.event_stream = true;
+  it.has_events = true;
+  return it;
+}
+
+// A stream that its upstream broke off inside an event was passed on as complete.
+RC_GTEST_PROP(attempt_rules, a_stream_that_ends_inside_an_event_is_broken, ()) {
+  ended_response it = complete_stream();
+  it.inside_event = true;
+  it.close_delimited = *rc::gen::arbitrary<bool>();
+  it.resumed = *rc::gen::arbitrary<bool>();
+  it.has_events = *rc::gen::arbitrary<bool>();
+  RC_ASSERT(end_of_response(it) == attempt_end::broken);
+}
+
+// A connection that closed before the first event looked like an empty stream.
+TEST(attempt_rules, a_close_delimited_stream_without_an_event_is_broken) {
+  ended_response it = complete_stream();
+  it.has_events = false;
+  EXPECT_EQ(end_of_response(it), attempt_end::answered);
+  it.close_delimited = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::broken);
+}
+
+// A resumed stream of which no event was left was broken off.
+TEST(attempt_rules, a_stream_that_ends_between_events_is_complete) {
+  ended_response it = complete_stream();
+  it.close_delimited = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::answered);
+  it.has_events = false;
+  it.resumed = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::answered);
+}
+
+// A success without the upstream's mark was passed on, or an upstream's own failure was not.
+TEST(attempt_rules, a_complete_response_is_classified_by_its_status_and_marks) {
+  ended_response it;
+  it.status = 200;
+  EXPECT_EQ(end_of_response(it), attempt_end::malformed);
+  it.authentic = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::answered);
+  it.inside_event = true; // Not a stream.
+  EXPECT_EQ(end_of_response(it), attempt_end::answered);
+  it.status = 500;
+  EXPECT_EQ(end_of_response(it), attempt_end::server_error);
+  it.not_run = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::rejected);
+}
+
 RC_GTEST_PROP(attempt_rules, not_run_is_reported_only_if_no_attempt_may_have_run, ()) {
   const auto history = arbitrary_history();
   const auto end = arbitrary_end();
--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -18,6 +18,11 @@
   /// Removes and returns the next complete event with its terminating blank line; empty if none.
   std::string next_event();
 
+  /// Whether bytes of an event follow the last complete one; line breaks between events are none.
+  [[nodiscard]] bool inside_event() const {
+    return buffer_.find_first_not_of("\r\n") != std::string::npos;
+  }
+
   /// Length of the event that is not complete yet.
   [[nodiscard]] std::size_t held_bytes() const { return buffer_.size(); }
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -44,6 +44,7 @@
   response_metadata marks;
   std::string body;
   event_splitter events;
+  bool has_events = false; ///< A complete event was received.
 };
 
 class request_flow {
@@ -75,6 +76,8 @@
   void on_head(const http_response_head& head);
   void on_body(std::string_view bytes);
   void on_call_end(http1::call_end how);
+  /// Whether the response of the attempt is a stream of events that is forwarded as it arrives.
+  [[nodiscard]] bool is_event_stream() const;
   /// Whether the upstream sent more than a response that is held here may have.
   [[nodiscard]] bool holds_too_much() const;
   void forward_events();
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -92,13 +92,19 @@
       .add_sample(uncached, passed.count());
 }
 
+bool
+request_flow::is_event_stream() const {
+  constexpr int ok = 200;
+  const upstream_attempt& it = *attempt_;
+  return streaming() && it.task != attempt_task::prefill && it.head.status == ok &&
+         !it.marks.not_run && it.marks.stamped_by_upstream;
+}
+
 void
 request_flow::on_body(std::string_view bytes) {
   on_first_byte();
   upstream_attempt& it = *attempt_;
-  const bool is_event_stream =
-      streaming() && it.head.status == 200 && !it.marks.not_run && it.marks.stamped_by_upstream;
-  if (!is_event_stream) {
+  if (!is_event_stream()) {
     it.body.append(bytes);
   } else {
     it.events.add(bytes);
@@ -121,6 +127,7 @@
 request_flow::forward_events() {
   for (std::string event = attempt_->events.next_event(); !event.empty();
        event = attempt_->events.next_event()) {
+    attempt_->has_events = true;
     forward_event(event);
   }
   if (caller_->unsent() > max_unsent_bytes) {
@@ -171,18 +178,16 @@
     return;
   }
   const upstream_attempt& it = *attempt_;
-  constexpr int first_server_error = 500;
-  constexpr int first_redirect = 300;
-  if (it.marks.not_run) {
-    end_attempt(attempt_end::rejected);
-  } else if (it.task != attempt_task::prefill && it.head.status < first_redirect &&
-             !it.marks.stamped_by_upstream) {
-    end_attempt(attempt_end::malformed);
-  } else if (it.head.status >= first_server_error) {
-    end_attempt(attempt_end::server_error);
-  } else {
-    end_attempt(attempt_end::answered);
-  }
+  ended_response response;
+  response.status = it.head.status;
+  response.not_run = it.marks.not_run;
+  response.authentic = it.task == attempt_task::prefill || it.marks.stamped_by_upstream;
+  response.close_delimited = it.head.close_delimited;
+  response.event_stream = is_event_stream();
+  response.resumed = history_.response_started || !request_.last_event_id.empty();
+  response.has_events = it.has_events;
+  response.inside_event = it.events.inside_event();
+  end_attempt(end_of_response(response));
 }
 
 } // namespace nutmegspur::proxy
