--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -52,10 +52,13 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-async def serve(port, handle):
-    """Listens; `handle(request, writer)` returns the bytes of a response, or None to reset the connection."""
+async def serve(port, handle, writers=None):
+    """Listens; `handle(request, writer)` returns the bytes of a response, or None to reset the connection.
+    `writers` holds the open connections."""
+    writers = set() if writers is None else writers
 
     async def connection(reader, writer):
+        writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 reply = await handle(request, writer)
@@ -67,6 +70,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
     return await asyncio.start_server(connection, LOOPBACK, port)
@@ -245,6 +249,10 @@
         self.closed_by_caller = []  # Endless faults that the caller ended.
         self.says_leaving = False  # In the head of each response, whatever its registration says.
         self.pause_s = None  # Rejects all requests and asks for this pause.
+        self.deadly_part = None  # The process ends when it begins to generate for a prompt with this part.
+        self.restart_s = 1.0  # How long it is down then.
+        self.crashes = []  # Times of these ends.
+        self.writers = set()  # Open connections.
 
     def registration(self):
         self.heartbeats += 1
@@ -257,7 +265,7 @@
 
     async def send_heartbeats(self, store):
         while True:
-            if not store.down:
+            if not store.down and self.server.is_serving():
                 await store.write(puts=[("servers/" + self.name, self.registration())])
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -289,7 +297,27 @@
         finally:
             self.closed_by_caller.append(fault)
 
+    async def crash(self):
+        """Ends like a killed process: all connections are reset and new ones refused. Comes back as another
+        process with the same id."""
+        if not self.server.is_serving():
+            return
+        self.crashes.append(time.monotonic())
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.kv_handles.clear()
+        await asyncio.sleep(self.restart_s)
+        self.born = int(time.time() * 1000)
+        self.server = await serve(self.port, self.handle, self.writers)
+
+    def is_deadly(self, request):
+        parts = [it.partition(":")[0] for it in request.headers.get("x-prompt-prefix", "").split(",")]
+        return self.deadly_part is not None and self.deadly_part in parts
+
     async def respond(self, request, writer):
+        if request.path == "/report":
+            return make_response(200, {"stage": self.stage})
         if request.path == "/order":
             self.orders.append(json.loads(request.body))
             self.stage = self.orders[-1]["stage"]
@@ -313,6 +341,10 @@
             self.kv_handles.add("h" + request_id)
             return make_response(200, {"kv_handle": "h" + request_id, "tokens": 1, "version": 1})
         self.executed.append(request_id)
+        if self.is_deadly(request):
+            asyncio.get_running_loop().create_task(self.crash())
+            await asyncio.sleep(0)
+            return None
         if fault == "reset":
             return None
         if fault == "slow":
@@ -406,7 +438,7 @@
         worker = Worker(name, service, zone, port, stage)
 
         async def start():
-            worker.server = await serve(port, worker.handle)
+            worker.server = await serve(port, worker.handle, worker.writers)
             self.tasks[name] = self.loop.create_task(worker.send_heartbeats(self.store))
 
         self.run(start())
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -103,14 +103,15 @@
         return f"{next(self.request_numbers):016x}"
 
     def send(self, route, request_id=None, key="key-1", method="POST", entry="front-1", headers=None,
-             body=b"hello", timeout_s=30.0):
-        """Sends one request on a new connection. The response's `complete` is False if its body was truncated."""
+             body=b"hello", timeout_s=30.0, shared_parts=("aa:3000",)):
+        """Sends one request on a new connection. The response's `complete` is False if its body was truncated.
+        A streamed request's prompt has the shared parts and one of its own."""
         request_id = request_id or self.new_id()
         all_headers = {"Host": "a.example", "X-Request-Id": request_id, "X-Deadline-Ms": "8000",
                        "X-Api-Key": key, **(headers or {})}
         if route in ("chat", "resume"):
             all_headers.update({"X-Model-Name": "m", "X-Token-Usage": "4000,20",
-                                "X-Prompt-Prefix": f"aa:3000,{request_id[:8]}:1000"})
+                                "X-Prompt-Prefix": ",".join([*shared_parts, f"{request_id[:8]}:1000"])})
         connection = http.client.HTTPConnection(processes.LOOPBACK, self.ports[entry]["front"], timeout=timeout_s)
         try:
             connection.request(method, f"/{route}/x?y=1", body=body, headers=all_headers)
