E608 tells that an engine's process ended, and the prompt parts it worked on

Cause: the logs show broken attempts (E603), but not whether the process ended or one stream was cut off, nor what the prompts had in common. Change: when an attempt breaks at an engine, the instance asks the engine once whether it runs (crash_watch, a call that takes no slot); if it refuses the connection, E608 lists the shared prompt parts of the attempts that broke there. An engine that said it leaves is not asked.

--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -177,6 +177,10 @@
   /// Tells an engine to free the KV cache of a handle that no engine will fetch.
   [[nodiscard]] virtual wire_call release_call(const prompt_handle& handle) const = 0;
 
+  /// Asks an engine whether it runs; takes none of its slots. Another process at its address responds
+  /// that it is another (`response_metadata::not_run`).
+  [[nodiscard]] virtual wire_call running_check_call(const upstream_id& engine) const = 0;
+
   // Duties.
   [[nodiscard]] virtual wire_call usage_call(const usage_window& window, const instance_id& holder,
                                              fence authority) const = 0;
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 47> catalogue{{
+constexpr std::array<log_event_info, 48> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -86,6 +86,9 @@
      "it."},
     {log_event::upstream_paused, "upstream_paused", severity::info,
      "An upstream rejected a request and asked for a pause; this instance sends it nothing."},
+    {log_event::upstream_crashed, "upstream_crashed", severity::warning,
+     "An engine's process ended while it worked; shows the prompt parts of the attempts that broke "
+     "there."},
     {log_event::peer_connected, "peer_connected", severity::info,
      "A peer connection was established."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
--- /dev/null
+++ b/src/proxy/engine_crashes.cpp
@@ -0,0 +1,79 @@
+// Checks of engines at which attempts broke.
+#include "engine_crashes.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace nutmegspur::proxy {
+
+namespace {
+
+/// Longer than a connection to another region takes, shorter than an engine's restart.
+constexpr milliseconds check_timeout{1'000};
+/// Maximum number of parts in a log line.
+constexpr std::size_t max_logged_parts = 16;
+
+std::string
+to_hex(std::uint64_t n) {
+  constexpr int hexadecimal = 16;
+  std::array<char, 16> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), n, hexadecimal).ptr;
+  return {digits.data(), end};
+}
+
+std::string
+to_text(const part_ids& parts) {
+  std::string text;
+  for (std::size_t n = 0; n < std::min(parts.size(), max_logged_parts); ++n) {
+    text.append(n == 0 ? "" : ",").append(to_hex(parts[n]));
+  }
+  return text;
+}
+
+} // namespace
+
+engine_crashes::engine_crashes(proxy_state& state, http1::http_client& client)
+    : state_(state), checks_(state.loop, client) {}
+
+void
+engine_crashes::record_crash(const listed_upstream& engine, const part_ids& parts) {
+  if (parts.empty()) {
+    return;
+  }
+  log(log_event::upstream_crashed, {{"upstream", engine.id.value},
+                                    {"started_ms", std::to_string(engine.started_ms)},
+                                    {"parts", to_text(parts)}});
+}
+
+void
+engine_crashes::on_attempt_broken(const listed_upstream& engine, const part_ids& parts) {
+  const moment now = http1::event_loop::now();
+  // A process that was about to stop anyway did not end because of a request.
+  if (engine.leaving || !state_.accepts_calls(now, engine)) {
+    return;
+  }
+  const upstream_process process{engine.id, engine.started_ms};
+  switch (watch_.on_broken(now, process, parts)) {
+  case crash_watch::next_step::none:
+    return;
+  case crash_watch::next_step::count:
+    record_crash(engine, parts);
+    return;
+  case crash_watch::next_step::check:
+    break;
+  }
+  checks_.send({engine.address, engine.port}, state_.wire.running_check_call(engine.id),
+               check_timeout, [this, process, engine](const call_outcome& outcome) {
+                 const bool other_process =
+                     outcome.complete() &&
+                     state_.wire.parse_response_head({outcome.status, "", outcome.fields}).not_run;
+                 if (outcome.end == http1::call_end::unreachable || other_process) {
+                   record_crash(engine, watch_.on_ended(process));
+                 } else if (outcome.complete()) {
+                   watch_.on_running(process);
+                 }
+               });
+}
+
+} // namespace nutmegspur::proxy
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -36,6 +36,7 @@
       state_(loop, wire, std::move(settings), options),
       upstream_client_(loop, {upstream_connections}),
       platform_client_(loop, {platform_connections}), background_calls_(loop, upstream_client_),
+      crashes_(state_, platform_client_),
       store_(state_, platform_client_,
              {[this](const registered_instance& entry, bool present) {
                 peers_.on_instance(entry, present);
@@ -88,7 +89,8 @@
 void
 proxy_node::on_request(http1::exchange_ptr caller) {
   auto flow = std::make_unique<request_flow>(
-      state_, upstream_client_, background_calls_, std::move(caller), [this](request_flow* done) {
+      state_, upstream_client_, background_calls_, crashes_, std::move(caller),
+      [this](request_flow* done) {
         // Deferred to a later iteration of the loop, since `done` is still on the call stack.
         loop_.once(duration{0}, [this, done](const moment&) { flows_.erase(done); });
       });
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "duty_holder.h"
+#include "engine_crashes.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "log_writer.h"
@@ -47,6 +48,7 @@
   http1::http_client upstream_client_;
   http1::http_client platform_client_;
   call_set background_calls_;
+  engine_crashes crashes_;
   store_link store_;
   peer_group peers_;
   duty_holder duties_;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -32,9 +32,9 @@
 }
 
 request_flow::request_flow(proxy_state& state, http1::http_client& client,
-                           call_set& background_calls, http1::exchange_ptr caller,
-                           std::function<void(request_flow*)> on_done)
-    : state_(state), client_(client), background_calls_(background_calls),
+                           call_set& background_calls, engine_crashes& crashes,
+                           http1::exchange_ptr caller, std::function<void(request_flow*)> on_done)
+    : state_(state), client_(client), background_calls_(background_calls), crashes_(crashes),
       caller_(std::move(caller)), on_done_(std::move(on_done)) {}
 
 request_flow::~request_flow() {
@@ -96,6 +96,9 @@
   service_ = config_->find_service(service_name_);
   prompt_ = {chain_parts(request_.model, request_.parts), request_.prompt_tokens,
              request_.output_tokens};
+  for (std::size_t n = 0; n + 1 < request_.parts.size(); ++n) {
+    shared_parts_.push_back(request_.parts[n].id);
+  }
   milliseconds timeout = route_->timeout;
   if (request_.wait_limit) {
     timeout = std::min(timeout, *request_.wait_limit);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "call_set.h"
+#include "engine_crashes.h"
 #include "event_splitter.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -50,7 +51,8 @@
 class request_flow {
  public:
   request_flow(proxy_state& state, http1::http_client& client, call_set& background_calls,
-               http1::exchange_ptr caller, std::function<void(request_flow*)> on_done);
+               engine_crashes& crashes, http1::exchange_ptr caller,
+               std::function<void(request_flow*)> on_done);
   request_flow(const request_flow&) = delete;
   request_flow& operator=(const request_flow&) = delete;
   ~request_flow();
@@ -120,6 +122,7 @@
   proxy_state& state_;
   http1::http_client& client_;
   call_set& background_calls_; ///< Calls that outlive the request.
+  engine_crashes& crashes_;
   http1::exchange_ptr caller_;
   std::function<void(request_flow*)> on_done_;
 
@@ -130,6 +133,7 @@
   team_id team_;
   caller_request request_;
   prompt_shape prompt_;
+  part_ids shared_parts_; ///< The ids of all parts of the prompt except the last.
   time_point deadline_{};
   timer_id deadline_timer_;
   timer_id silence_timer_;
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -73,6 +73,9 @@
                                      {"partial_event", std::to_string(it.events.held_bytes())},
                                      {"elapsed_ms", elapsed_text()}});
   }
+  if (how == attempt_end::broken && it.task != attempt_task::prefill && !shared_parts_.empty()) {
+    crashes_.on_attempt_broken(it.upstream, shared_parts_);
+  }
 }
 
 void
