Prompt parts on which engine after engine crashes are quarantined

Cause: a failure counted against the engine only; the circuit breaker passed the request that caused it on to the next engine, and no instance sees enough of these requests alone. Change: prompt_quarantine keeps for each part the crashes since its last completed response; instances exchange the evidence with their notices. Three crashes, one after the other, quarantine the part that has most; requests with it are refused at once (503, Retry-After) before each placement and between prefill and decode. Completed responses clear sound parts; a quarantine ends after 60 s, doubled if the next request crashes an engine again.

--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -60,6 +60,8 @@
   request_answered = 505,
   request_retried = 506,
   caller_left = 507,
+  part_quarantined = 508,
+  part_released = 509,
   upstream_added = 600,
   upstream_leaving = 601,
   upstream_gone = 602,
--- a/src/include/nutmegspur/peer_notice.h
+++ b/src/include/nutmegspur/peer_notice.h
@@ -1,7 +1,7 @@
 /// \file peer_notice.h
-/// Datagrams between proxying instances: work in progress, newly cached prompt parts and
-/// configuration progress; and usage counts for the holder of the reporting duty. zone_relays.h
-/// decides which instances exchange them.
+/// Datagrams between proxying instances: work in progress, newly cached prompt parts, prompt parts
+/// on which engines crash, and configuration progress; and usage counts for the holder of the
+/// reporting duty. zone_relays.h decides which instances exchange them.
 ///
 /// Each datagram holds complete state or is repeated, so that losing one is harmless.
 #pragma once
@@ -10,6 +10,7 @@
 #include <nutmegspur/ids.h>
 #include <nutmegspur/load_view.h>
 #include <nutmegspur/prompt_cache_view.h>
+#include <nutmegspur/prompt_quarantine.h>
 #include <nutmegspur/usage_windows.h>
 #include <nutmegspur/withheld_upstreams.h>
 
@@ -53,6 +54,7 @@
   std::vector<upstream_load_notice> loads;
   std::vector<cached_part_notice> placed; ///< Added since about three notices ago.
   std::vector<withheld_notice> withheld;  ///< All withheld upstreams known to the sender.
+  std::vector<suspect_notice> suspects;   ///< Evidence against prompt parts, from all instances.
   std::vector<usage_window> usage;
   bool usage_only = false; ///< Only `usage` and `sealed` are valid.
 };
--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -177,8 +177,8 @@
   /// Tells an engine to free the KV cache of a handle that no engine will fetch.
   [[nodiscard]] virtual wire_call release_call(const prompt_handle& handle) const = 0;
 
-  /// Asks an engine whether it runs; takes none of its slots. Another process at its address responds
-  /// that it is another (`response_metadata::not_run`).
+  /// Asks an engine whether it runs; takes none of its slots. Another process at its address
+  /// responds that it is another (`response_metadata::not_run`).
   [[nodiscard]] virtual wire_call running_check_call(const upstream_id& engine) const = 0;
 
   // Duties.
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 48> catalogue{{
+constexpr std::array<log_event_info, 50> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -69,6 +69,10 @@
      "An attempt ended without a response; the request is retried."},
     {log_event::caller_left, "caller_left", severity::info,
      "The caller closed its connection; its attempt was cancelled."},
+    {log_event::part_quarantined, "part_quarantined", severity::warning,
+     "Engines crashed on a prompt part; requests with it are refused for a while."},
+    {log_event::part_released, "part_released", severity::info,
+     "A response to a prompt with a quarantined part completed; the part is accepted again."},
     {log_event::upstream_added, "upstream_added", severity::info,
      "An upstream was added to the list."},
     {log_event::upstream_leaving, "upstream_leaving", severity::info,
--- a/src/libnutmegspur/log_reader.cpp
+++ b/src/libnutmegspur/log_reader.cpp
@@ -92,7 +92,7 @@
   std::string_view text;
 };
 
-constexpr std::array<advice, 18> advice_table{{
+constexpr std::array<advice, 19> advice_table{{
     {log_event::request_answered, "",
      "An upstream's response was forwarded completely. If it was late, compare first_event_ms and "
      "longest_gap_ms with the route's objectives, and expected_ms of E504 with the actual time. "
@@ -103,6 +103,9 @@
      "E305 and E306 show how many upstreams were ordered."},
     {log_event::request_refused, "no_upstream",
      "No upstream was usable: none is listed (E602), or all fail (E603) or are withheld (E606)."},
+    {log_event::request_refused, "quarantined",
+     "Engines crashed on a part of the prompt. E508 names the part and the number of crashes, and "
+     "E608 the engines that ended."},
     {log_event::request_refused, "rejected",
      "The upstream reported that it did not run the request, and the route allows no other "
      "attempt. E302 and E606 show whether it was changing its stage, E602 whether another process "
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -14,6 +14,9 @@
 /// First element of each datagram; increased when the layout changes.
 constexpr int layout_version = 2;
 constexpr std::size_t element_count = 19;
+/// Instances of earlier versions neither send nor accept the element after the others. It is left
+/// out while there is nothing to tell.
+constexpr std::size_t suspects_at = element_count;
 
 template <class Packer>
 void
@@ -92,6 +95,58 @@
   return it;
 }
 
+std::int64_t
+to_micros(wall_time t) {
+  return t.time_since_epoch().count();
+}
+
+wall_time
+read_time(const msgpack::object& from) {
+  return wall_time{microseconds{from.as<std::int64_t>()}};
+}
+
+/// Packs each suspect as its part, the time it was cleared, its crashes as pairs of process and
+/// time, and its quarantine, which is empty or three numbers.
+template <class Packer>
+void
+pack_suspects(Packer& out, const std::vector<suspect_notice>& suspects) {
+  out.pack_array(static_cast<std::uint32_t>(suspects.size()));
+  for (const auto& it : suspects) {
+    out.pack_array(4);
+    out.pack(it.part);
+    out.pack(to_micros(it.cleared));
+    out.pack_array(static_cast<std::uint32_t>(it.crashes.size()));
+    for (const auto& crash : it.crashes) {
+      out.pack_array(2);
+      out.pack(crash.process);
+      out.pack(to_micros(crash.at));
+    }
+    out.pack_array(it.span ? 3 : 0);
+    if (it.span) {
+      out.pack(to_micros(it.span->since));
+      out.pack(to_micros(it.span->until));
+      out.pack(it.span->times);
+    }
+  }
+}
+
+suspect_notice
+read_suspect(const msgpack::object& from) {
+  const auto row = from.as<std::vector<msgpack::object>>();
+  suspect_notice it;
+  it.part = row.at(0).as<std::uint64_t>();
+  it.cleared = read_time(row.at(1));
+  for (const auto& crash : row.at(2).as<std::vector<msgpack::object>>()) {
+    const auto pair = crash.as<std::vector<msgpack::object>>();
+    it.crashes.push_back({pair.at(0).as<std::uint64_t>(), read_time(pair.at(1))});
+  }
+  const auto span = row.at(3).as<std::vector<msgpack::object>>();
+  if (!span.empty()) {
+    it.span = {read_time(span.at(0)), read_time(span.at(1)), span.at(2).as<unsigned>()};
+  }
+  return it;
+}
+
 peer_notice
 read_notice(const msgpack::object& from) {
   const auto row = from.as<std::vector<msgpack::object>>();
@@ -124,6 +179,11 @@
   for (const auto& window : row.at(15).as<std::vector<msgpack::object>>()) {
     it.usage.push_back(read_usage(window));
   }
+  if (row.size() > suspects_at) {
+    for (const auto& suspect : row[suspects_at].as<std::vector<msgpack::object>>()) {
+      it.suspects.push_back(read_suspect(suspect));
+    }
+  }
   return it;
 }
 
@@ -133,7 +193,7 @@
 pack_notice(const peer_notice& it) {
   msgpack::sbuffer buf;
   msgpack::packer<msgpack::sbuffer> out{buf};
-  out.pack_array(element_count);
+  out.pack_array(it.suspects.empty() ? element_count : element_count + 1);
   out.pack(layout_version);
   out.pack(it.sender.value);
   out.pack(it.started_ms);
@@ -168,6 +228,9 @@
       out.pack(*withheld.leaving_process);
     }
   }
+  if (!it.suspects.empty()) {
+    pack_suspects(out, it.suspects);
+  }
   return {buf.data(), buf.size()};
 }
 
@@ -198,8 +261,10 @@
   try {
     const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
     const msgpack::object& top = handle.get();
-    if (top.type != msgpack::type::ARRAY || top.via.array.size != element_count ||
-        top.via.array.ptr[0].as<int>() != layout_version) {
+    const bool valid_size =
+        top.type == msgpack::type::ARRAY &&
+        (top.via.array.size == element_count || top.via.array.size == element_count + 1);
+    if (!valid_size || top.via.array.ptr[0].as<int>() != layout_version) {
       return bad("unknown layout version or wrong element count");
     }
     return read_notice(top);
--- a/src/proxy/engine_crashes.cpp
+++ b/src/proxy/engine_crashes.cpp
@@ -1,9 +1,7 @@
 // Checks of engines at which attempts broke.
 #include "engine_crashes.h"
 
-#include <algorithm>
-#include <array>
-#include <charconv>
+#include "part_text.h"
 
 namespace nutmegspur::proxy {
 
@@ -11,26 +9,6 @@
 
 /// Longer than a connection to another region takes, shorter than an engine's restart.
 constexpr milliseconds check_timeout{1'000};
-/// Maximum number of parts in a log line.
-constexpr std::size_t max_logged_parts = 16;
-
-std::string
-to_hex(std::uint64_t n) {
-  constexpr int hexadecimal = 16;
-  std::array<char, 16> digits{};
-  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), n, hexadecimal).ptr;
-  return {digits.data(), end};
-}
-
-std::string
-to_text(const part_ids& parts) {
-  std::string text;
-  for (std::size_t n = 0; n < std::min(parts.size(), max_logged_parts); ++n) {
-    text.append(n == 0 ? "" : ",").append(to_hex(parts[n]));
-  }
-  return text;
-}
-
 } // namespace
 
 engine_crashes::engine_crashes(proxy_state& state, http1::http_client& client)
@@ -41,9 +19,13 @@
   if (parts.empty()) {
     return;
   }
+  const moment now = http1::event_loop::now();
   log(log_event::upstream_crashed, {{"upstream", engine.id.value},
                                     {"started_ms", std::to_string(engine.started_ms)},
-                                    {"parts", to_text(parts)}});
+                                    {"parts", part_list_text(parts)}});
+  const std::uint64_t process = process_key({engine.id, engine.started_ms});
+  state_.log_quarantine(state_.quarantine.on_crash(state_.clock.agreed(now).wall, process, parts),
+                        "own");
 }
 
 void
--- a/src/proxy/engine_crashes.h
+++ b/src/proxy/engine_crashes.h
@@ -1,6 +1,6 @@
 /// \file engine_crashes.h
-/// Finds out whether attempts broke because an engine's process ended, and records which prompt
-/// parts it worked on then.
+/// Finds out whether attempts broke because an engine's process ended, and counts that against the
+/// prompt parts that it worked on.
 #pragma once
 
 #include "call_set.h"
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -142,7 +142,9 @@
   it.content_hash = store_.content_hash();
   it.lifetime = std::max(min_lifetime, period() * lifetime_rounds);
   it.sealed = sealed_window_;
-  it.withheld = state_.withheld.current(state_.clock.agreed(now).wall);
+  const wall_time agreed = state_.clock.agreed(now).wall;
+  it.withheld = state_.withheld.current(agreed);
+  it.suspects = state_.quarantine.current(agreed);
   return it;
 }
 
@@ -380,6 +382,8 @@
   for (const auto& withheld : read->withheld) {
     state_.withheld.add(withheld);
   }
+  state_.log_quarantine(state_.quarantine.merge(state_.clock.agreed(now).wall, read->suspects),
+                        "peer " + read->sender.value);
   apply_load_and_placements(now, *read);
   sync_with_sender(now, read->sender, it);
 }
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -1,6 +1,8 @@
 // Changes of the shared state, with their log lines.
 #include "proxy_state.h"
 
+#include "part_text.h"
+
 namespace nutmegspur::proxy {
 
 bool
@@ -46,6 +48,21 @@
   }
 }
 
+void
+proxy_state::log_quarantine(const quarantine_changes& changes, std::string_view source) {
+  for (const auto& it : changes) {
+    if (it.quarantined) {
+      log(log_event::part_quarantined, {{"part", part_text(it.part)},
+                                        {"crashes", std::to_string(it.crashes)},
+                                        {"span_ms", std::to_string(it.span.count())},
+                                        {"source", std::string{source}}});
+    } else {
+      log(log_event::part_released,
+          {{"part", part_text(it.part)}, {"source", std::string{source}}});
+    }
+  }
+}
+
 bool
 proxy_state::accepts_calls(const moment& now, const listed_upstream& it) const {
   return !pauses.paused(now, it.id) && !withheld.leaving(clock.agreed(now).wall, it);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -11,6 +11,7 @@
 #include <nutmegspur/metrics.h>
 #include <nutmegspur/placement.h>
 #include <nutmegspur/prompt_cache_view.h>
+#include <nutmegspur/prompt_quarantine.h>
 #include <nutmegspur/retry_budget.h>
 #include <nutmegspur/upstream_health.h>
 #include <nutmegspur/upstream_list.h>
@@ -73,6 +74,7 @@
   upstream_health health;
   withheld_upstreams withheld;
   upstream_pauses pauses;
+  prompt_quarantine quarantine;
   load_view loads;
   prompt_cache_view caches;
   std::map<service_id, engine_calibrations> calibrations;
@@ -105,6 +107,8 @@
   /// pause.
   void on_response_head(const moment& now, const listed_upstream& it,
                         const response_metadata& marks);
+  /// Logs parts that were quarantined or released, by evidence from `source`.
+  static void log_quarantine(const quarantine_changes& changes, std::string_view source);
   /// Whether calls of any kind may go to `it` now: not to a process that is leaving or paused.
   [[nodiscard]] bool accepts_calls(const moment& now, const listed_upstream& it) const;
   /// Whether new requests may go to `it` now.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -174,8 +174,21 @@
   return to;
 }
 
+bool
+request_flow::stop_if_quarantined() {
+  const moment now = http1::event_loop::now();
+  const auto left = state_.quarantine.time_left(state_.clock.agreed(now).wall, shared_parts_);
+  if (left) {
+    end_request(after_last_attempt(history_), "quarantined", *left, 0);
+  }
+  return left.has_value();
+}
+
 void
 request_flow::place() {
+  if (stop_if_quarantined()) {
+    return;
+  }
   auto choices = candidates();
   if (choices.upstreams.empty() && !tried_.empty() && route_->kind == route_kind::repeatable) {
     tried_.clear();
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -69,6 +69,8 @@
   [[nodiscard]] placement_request placement_inputs() const;
   void send(attempt_task task, const upstream_id& to, double prefill_millis);
   void start_placement();
+  /// Ends the request if engines crash on one of its prompt parts. Returns whether it did.
+  bool stop_if_quarantined();
   /// Time until the first upstream that asked for a pause may be used again.
   [[nodiscard]] std::optional<milliseconds> first_pause_end() const;
   [[nodiscard]] std::string request_bytes(const upstream_attempt& to) const;
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -135,6 +135,9 @@
 
 void
 request_flow::start_decode() {
+  if (stop_if_quarantined()) {
+    return;
+  }
   const moment now = http1::event_loop::now();
   const auto* planned = state_.upstreams.usable(placement_.upstream);
   if (planned != nullptr && planned->stage != engine_stage::prefill &&
@@ -203,6 +206,10 @@
   history_.may_have_run = history_.may_have_run || may_have_run(how);
   switch (step) {
   case next_step::pass_on:
+    if (is_event_stream() && !shared_parts_.empty() && how == attempt_end::answered) {
+      state_.log_quarantine(
+          state_.quarantine.on_completed(state_.clock.agreed(now).wall, shared_parts_), "own");
+    }
     forward_response();
     break;
   case next_step::retry:
