Prompt parts that nothing tells apart are quarantined as a group

Cause: parts were judged one by one, at once, by crashes 400 ms apart. In quick succession a rare part reaches as many as the deadly one before peers have told the rest, and a sound part that always accompanies the deadly one was refused with it, so that no response could clear it. Change: the parts at most of the ended processes are refused only together; completed responses and further crashes narrow the group. A crash counts after 500 ms. Crashes are matched by process.

--- a/src/include/nutmegspur/crash_watch.h
+++ b/src/include/nutmegspur/crash_watch.h
@@ -16,7 +16,7 @@
 
 namespace nutmegspur {
 
-/// Ids of prompt parts, as the caller gave them.
+/// Ids of prompt parts, as the caller gave them; sorted and without duplicates.
 using part_ids = std::vector<std::uint64_t>;
 
 /// One process behind an upstream.
--- a/src/include/nutmegspur/peer_notice.h
+++ b/src/include/nutmegspur/peer_notice.h
@@ -54,7 +54,7 @@
   std::vector<upstream_load_notice> loads;
   std::vector<cached_part_notice> placed; ///< Added since about three notices ago.
   std::vector<withheld_notice> withheld;  ///< All withheld upstreams known to the sender.
-  std::vector<suspect_notice> suspects;   ///< Evidence against prompt parts, from all instances.
+  quarantine_notice quarantine;           ///< Evidence against prompt parts, from all instances.
   std::vector<usage_window> usage;
   bool usage_only = false; ///< Only `usage` and `sealed` are valid.
 };
--- a/src/include/nutmegspur/prompt_quarantine.h
+++ b/src/include/nutmegspur/prompt_quarantine.h
@@ -1,16 +1,18 @@
 /// \file prompt_quarantine.h
 /// Finds prompt parts on which engines crash, and keeps requests with them from further engines.
 ///
-/// The evidence about a part is when processes ended while they worked on prompts with it, and when
-/// a response to such a prompt last completed. A part is quarantined once several processes have
-/// ended with it, one after the other, and no response has completed since. Sound parts are cleared
-/// by the responses of other requests. Instances exchange their evidence, because each of them sees
-/// only some of the requests.
+/// The evidence about a part is which processes ended while they worked on prompts with it, and
+/// when a response to such a prompt last completed, which clears the part. After several crashes,
+/// one after the other, the parts with most of them are quarantined together: a prompt that has all
+/// of them is refused. Further crashes and completed responses narrow such a group down to the part
+/// that causes the crashes. Instances exchange their evidence, because each of them sees only some
+/// of the requests.
 ///
-/// A quarantine ends after a while. Until a response completes, the part is then on probation: the
-/// next crash quarantines it again, for twice as long.
+/// A quarantine ends after a while. The group is then on probation: the next crash quarantines it
+/// again, for twice as long.
 ///
-/// All times are wall-clock times on which the instances agree.
+/// All times are wall-clock times on which the instances agree. Lists of parts are sorted and
+/// without duplicates.
 #pragma once
 
 #include <nutmegspur/clock.h>
@@ -33,28 +35,38 @@
   bool operator==(const part_crash&) const = default;
 };
 
-/// A span in which requests with a part are refused.
-struct quarantine_span {
-  wall_time since{};
-  wall_time until{};
-  unsigned times = 0; ///< Number of spans of the part so far, including this one.
-
-  bool operator==(const quarantine_span&) const = default;
-};
-
 /// The evidence about one part, as instances tell each other.
 struct suspect_notice {
   std::uint64_t part = 0;
   wall_time cleared{};             ///< Last completed response; zero if none is known.
   std::vector<part_crash> crashes; ///< After `cleared`, in order of time.
-  std::optional<quarantine_span> span;
 
   bool operator==(const suspect_notice&) const = default;
 };
 
-/// A part was quarantined, or a completed response released it.
+/// Parts that are refused together. Ends at `until`; on probation afterwards.
+struct quarantined_group {
+  part_ids parts;
+  wall_time since{}; ///< Of the evidence: a response that completed later clears a part.
+  wall_time until{};
+  unsigned times = 1; ///< Number of quarantines of the group so far, including this one.
+
+  bool operator==(const quarantined_group&) const = default;
+};
+
+/// What an instance tells its peers.
+struct quarantine_notice {
+  std::vector<suspect_notice> suspects;
+  std::vector<quarantined_group> groups;
+
+  [[nodiscard]] bool empty() const { return suspects.empty() && groups.empty(); }
+
+  bool operator==(const quarantine_notice&) const = default;
+};
+
+/// A group was quarantined, or completed responses have cleared all of its parts.
 struct quarantine_change {
-  std::uint64_t part = 0;
+  part_ids parts;
   bool quarantined = false;
   std::size_t crashes = 0; ///< Crashes that count against it.
   milliseconds span{0};    ///< Time until the quarantine ends.
@@ -64,51 +76,53 @@
 
 class prompt_quarantine {
  public:
-  /// Crashes that quarantine the part that has most of them.
+  /// Crashes, one after the other, that lead to a quarantine.
   static constexpr std::size_t crashes_to_quarantine = 3;
-  /// Crashes that quarantine several parts that have equally many.
-  static constexpr std::size_t crashes_to_quarantine_all = 5;
   /// Crashes closer together count as one: processes that end at the same time may have another
   /// common cause, and sound parts have had no time to complete a response elsewhere.
   static constexpr milliseconds min_spacing{400};
+  /// A crash counts after this time, in which peers tell what else the process worked on.
+  static constexpr milliseconds settling_time{500};
   static constexpr milliseconds first_span{60'000};
   static constexpr milliseconds max_span{3'600'000};
-  /// How long crashes count, and how long a part stays on probation.
+  /// How long crashes count, and how long a group stays on probation.
   static constexpr milliseconds retention{600'000};
   /// Peers are told of evidence for this long after it has changed, and of quarantines in force.
   static constexpr milliseconds shared_period{10'000};
-  /// Bounds of what is kept and of what a notice holds.
+  /// Bounds of what is kept.
   static constexpr std::size_t max_suspects = 4'000;
-  static constexpr std::size_t max_crashes = 16;
+  static constexpr std::size_t max_crashes = 48;
+  static constexpr std::size_t max_group_parts = 16;
+  /// Bounds of a notice.
   static constexpr std::size_t max_shared_suspects = 16;
   static constexpr std::size_t max_shared_disputed = 8;
-  static constexpr std::size_t max_shared_crashes = 6;
+  static constexpr std::size_t max_shared_crashes = 8;
+  static constexpr std::size_t max_shared_groups = 8;
 
   /// `process` ended while it worked on prompts with these parts.
-  quarantine_changes on_crash(wall_time now, std::uint64_t process, const part_ids& parts);
+  void on_crash(wall_time now, std::uint64_t process, const part_ids& parts);
   /// A response to a prompt with these parts completed.
   quarantine_changes on_completed(wall_time now, const part_ids& parts);
-  /// Adds a peer's evidence.
-  quarantine_changes merge(wall_time now, const std::vector<suspect_notice>& notices);
+  /// Adds a peer's evidence and quarantines.
+  quarantine_changes merge(wall_time now, const quarantine_notice& notice);
+  /// To be called several times a second: quarantines the parts that the evidence is sufficient
+  /// for.
+  quarantine_changes step(wall_time now);
 
   /// Time until a prompt with these parts may be sent to an engine; empty if it may be now.
   [[nodiscard]] std::optional<milliseconds> time_left(wall_time now, const part_ids& parts) const;
-  /// The evidence that peers may not have yet: quarantines and the parts with most crashes; and
-  /// parts that peers do not know to be cleared.
-  std::vector<suspect_notice> current(wall_time now);
-  /// Number of parts in quarantine.
+  /// What peers may not know yet.
+  [[nodiscard]] quarantine_notice current(wall_time now) const;
+  /// Number of groups in quarantine.
   [[nodiscard]] std::size_t size(wall_time now) const;
 
  private:
   struct suspect {
     wall_time cleared{};
-    /// Invariant: in order of time, `min_spacing` apart, after `cleared`, at most `max_crashes`.
+    /// Invariant: in order of time, after `cleared`, one for each process, at most `max_crashes`.
     std::vector<part_crash> crashes;
-    std::optional<quarantine_span> span;
     wall_time changed{};
     wall_time disputed{}; ///< When a peer last reported what a completed response refutes.
-
-    [[nodiscard]] bool quarantined(wall_time now) const { return span && now < span->until; }
   };
 
   /// Times of completed responses by part, of the current and the previous period.
@@ -121,24 +135,33 @@
   /// The suspect for `part`; null if there are too many.
   suspect* find_or_add(wall_time now, std::uint64_t part);
   [[nodiscard]] wall_time last_completed(std::uint64_t part) const;
-  /// Returns whether the crash is new evidence.
-  static bool add_crash(wall_time now, suspect& it, const part_crash& crash);
-  /// A response completed at `when`. Returns whether that ended a quarantine.
-  static bool clear(wall_time now, suspect& it, wall_time when);
-  /// Adopts a peer's quarantine, unless a completed response refutes it. Returns whether the part
-  /// was not in quarantine before.
-  static bool adopt_span(wall_time now, suspect& it, const quarantine_span& span);
-  /// Crashes that count against a part that is not quarantined: those for which none of the
-  /// quarantined parts accounts.
-  static std::size_t crashes_against(const suspect& it,
-                                     const std::vector<const suspect*>& quarantined);
-  void start_span(wall_time now, std::uint64_t part, std::size_t crashes,
-                  quarantine_changes& changes);
-  /// Quarantines the parts that the evidence is sufficient for.
-  void evaluate(wall_time now, quarantine_changes& changes);
+  static void add_crash(wall_time now, suspect& it, const part_crash& crash);
+  /// A response with `part` completed at `when`.
+  void clear(wall_time now, std::uint64_t part, wall_time when, quarantine_changes& changes);
+  /// Adds or renews a group, and removes those that it makes redundant. Returns whether it was in
+  /// force.
+  bool add_group(wall_time now, quarantined_group group);
+  /// Whether `process` ended with all parts of the group.
+  [[nodiscard]] bool ended_with(const part_ids& parts, std::uint64_t process) const;
+  /// Whether a single quarantined part other than `part` accounts for the end of `process`.
+  [[nodiscard]] bool explained(std::uint64_t part, std::uint64_t process) const;
+
+  /// Settled crashes of a part that nothing else accounts for.
+  struct crash_counts {
+    std::size_t processes = 0;
+    std::size_t in_turn = 0; ///< Those at least `min_spacing` apart.
+  };
+
+  [[nodiscard]] crash_counts crashes_against(wall_time now, std::uint64_t part,
+                                             const suspect& it) const;
+  /// The time of the latest settled crash of each part; the earliest of these.
+  [[nodiscard]] wall_time evidence_time(wall_time now, const part_ids& parts) const;
+  void quarantine_worst(wall_time now, quarantine_changes& changes);
+  void renew_ended(wall_time now, quarantine_changes& changes);
   void expire(wall_time now);
 
   std::map<std::uint64_t, suspect> suspects_;
+  std::vector<quarantined_group> groups_; ///< In force or on probation.
   completions completions_;
 };
 
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t element_count = 19;
 /// Instances of earlier versions neither send nor accept the element after the others. It is left
 /// out while there is nothing to tell.
-constexpr std::size_t suspects_at = element_count;
+constexpr std::size_t quarantine_at = element_count;
 
 template <class Packer>
 void
@@ -105,14 +105,15 @@
   return wall_time{microseconds{from.as<std::int64_t>()}};
 }
 
-/// Packs each suspect as its part, the time it was cleared, its crashes as pairs of process and
-/// time, and its quarantine, which is empty or three numbers.
+/// Packs suspects `[part, cleared, [[process, time]...]]` and groups `[[part...], since, until,
+/// times]`.
 template <class Packer>
 void
-pack_suspects(Packer& out, const std::vector<suspect_notice>& suspects) {
-  out.pack_array(static_cast<std::uint32_t>(suspects.size()));
-  for (const auto& it : suspects) {
-    out.pack_array(4);
+pack_quarantine(Packer& out, const quarantine_notice& notice) {
+  out.pack_array(2);
+  out.pack_array(static_cast<std::uint32_t>(notice.suspects.size()));
+  for (const auto& it : notice.suspects) {
+    out.pack_array(3);
     out.pack(it.part);
     out.pack(to_micros(it.cleared));
     out.pack_array(static_cast<std::uint32_t>(it.crashes.size()));
@@ -121,30 +122,34 @@
       out.pack(crash.process);
       out.pack(to_micros(crash.at));
     }
-    out.pack_array(it.span ? 3 : 0);
-    if (it.span) {
-      out.pack(to_micros(it.span->since));
-      out.pack(to_micros(it.span->until));
-      out.pack(it.span->times);
-    }
+  }
+  out.pack_array(static_cast<std::uint32_t>(notice.groups.size()));
+  for (const auto& it : notice.groups) {
+    out.pack_array(4);
+    out.pack(it.parts);
+    out.pack(to_micros(it.since));
+    out.pack(to_micros(it.until));
+    out.pack(it.times);
   }
 }
 
-suspect_notice
-read_suspect(const msgpack::object& from) {
-  const auto row = from.as<std::vector<msgpack::object>>();
-  suspect_notice it;
-  it.part = row.at(0).as<std::uint64_t>();
-  it.cleared = read_time(row.at(1));
-  for (const auto& crash : row.at(2).as<std::vector<msgpack::object>>()) {
-    const auto pair = crash.as<std::vector<msgpack::object>>();
-    it.crashes.push_back({pair.at(0).as<std::uint64_t>(), read_time(pair.at(1))});
+quarantine_notice
+read_quarantine(const msgpack::object& from) {
+  const auto lists = from.as<std::vector<msgpack::object>>();
+  quarantine_notice notice;
+  for (const auto& row : lists.at(0).as<std::vector<std::vector<msgpack::object>>>()) {
+    suspect_notice& it = notice.suspects.emplace_back();
+    it.part = row.at(0).as<std::uint64_t>();
+    it.cleared = read_time(row.at(1));
+    for (const auto& crash : row.at(2).as<std::vector<std::vector<msgpack::object>>>()) {
+      it.crashes.push_back({crash.at(0).as<std::uint64_t>(), read_time(crash.at(1))});
+    }
   }
-  const auto span = row.at(3).as<std::vector<msgpack::object>>();
-  if (!span.empty()) {
-    it.span = {read_time(span.at(0)), read_time(span.at(1)), span.at(2).as<unsigned>()};
+  for (const auto& row : lists.at(1).as<std::vector<std::vector<msgpack::object>>>()) {
+    notice.groups.push_back({row.at(0).as<part_ids>(), read_time(row.at(1)), read_time(row.at(2)),
+                             row.at(3).as<unsigned>()});
   }
-  return it;
+  return notice;
 }
 
 peer_notice
@@ -179,10 +184,8 @@
   for (const auto& window : row.at(15).as<std::vector<msgpack::object>>()) {
     it.usage.push_back(read_usage(window));
   }
-  if (row.size() > suspects_at) {
-    for (const auto& suspect : row[suspects_at].as<std::vector<msgpack::object>>()) {
-      it.suspects.push_back(read_suspect(suspect));
-    }
+  if (row.size() > quarantine_at) {
+    it.quarantine = read_quarantine(row[quarantine_at]);
   }
   return it;
 }
@@ -193,7 +196,7 @@
 pack_notice(const peer_notice& it) {
   msgpack::sbuffer buf;
   msgpack::packer<msgpack::sbuffer> out{buf};
-  out.pack_array(it.suspects.empty() ? element_count : element_count + 1);
+  out.pack_array(it.quarantine.empty() ? element_count : element_count + 1);
   out.pack(layout_version);
   out.pack(it.sender.value);
   out.pack(it.started_ms);
@@ -228,8 +231,8 @@
       out.pack(*withheld.leaving_process);
     }
   }
-  if (!it.suspects.empty()) {
-    pack_suspects(out, it.suspects);
+  if (!it.quarantine.empty()) {
+    pack_quarantine(out, it.quarantine);
   }
   return {buf.data(), buf.size()};
 }
--- a/src/libnutmegspur/peer_notice_test.cpp
+++ b/src/libnutmegspur/peer_notice_test.cpp
@@ -28,13 +28,13 @@
   it.placed = {{upstream_id{"u-1"}, {0xABCDEF0123456789ULL, 800}}};
   it.withheld = {{upstream_id{"u-2"}, engine_stage::prefill, wall_time{seconds{12}}, std::nullopt},
                  {upstream_id{"u-3"}, engine_stage::none, wall_time{seconds{600}}, 1773255867046}};
-  it.suspects = {
+  it.quarantine.suspects = {
       {0xDEADULL,
        wall_time{seconds{4}},
-       {{~0ULL, wall_time{seconds{5}}}, {7, wall_time{seconds{6}}}},
-       quarantine_span{wall_time{seconds{6}}, wall_time{seconds{66}}, 1}},
-      {0xAAULL, wall_time{seconds{5}}, {}, std::nullopt},
+       {{~0ULL, wall_time{seconds{5}}}, {7, wall_time{seconds{6}}}}},
+      {0xAAULL, wall_time{seconds{5}}, {}},
   };
+  it.quarantine.groups = {{{0xAAULL, 0xDEADULL}, wall_time{seconds{6}}, wall_time{seconds{66}}, 1}};
   it.usage = {{353445121, {{team_id{"a"}, 7}}}};
   return it;
 }
@@ -63,7 +63,7 @@
   ASSERT_EQ(read->placed.size(), 1U);
   EXPECT_EQ(read->placed[0].part, sent.placed[0].part);
   EXPECT_EQ(read->withheld, sent.withheld);
-  EXPECT_EQ(read->suspects, sent.suspects);
+  EXPECT_EQ(read->quarantine, sent.quarantine);
   EXPECT_EQ(read->usage, sent.usage);
 }
 
--- a/src/libnutmegspur/prompt_quarantine.cpp
+++ b/src/libnutmegspur/prompt_quarantine.cpp
@@ -11,9 +11,22 @@
 /// reports late is compared with what completed meanwhile.
 constexpr milliseconds completions_period{5'000};
 
+/// Whether a prompt with `parts` has all parts of `group`.
 bool
-same_crash(const part_crash& a, const part_crash& b) {
-  return a.process == b.process || std::chrono::abs(a.at - b.at) < prompt_quarantine::min_spacing;
+has_all(const part_ids& parts, const part_ids& group) {
+  return std::includes(parts.begin(), parts.end(), group.begin(), group.end());
+}
+
+milliseconds
+span_of(unsigned times) {
+  constexpr unsigned max_doublings = 10;
+  const unsigned doublings = std::min(std::max(times, 1U) - 1, max_doublings);
+  return std::min(prompt_quarantine::first_span * (1 << doublings), prompt_quarantine::max_span);
+}
+
+milliseconds
+time_until(wall_time now, wall_time end) {
+  return std::chrono::ceil<milliseconds>(end - now);
 }
 
 } // namespace
@@ -28,8 +41,8 @@
     return nullptr;
   }
   suspect& it = suspects_[part];
+  it.cleared = last_completed(part);
   it.changed = now;
-  clear(now, it, last_completed(part));
   return &it;
 }
 
@@ -43,16 +56,16 @@
   return {};
 }
 
-bool
+void
 prompt_quarantine::add_crash(wall_time now, suspect& it, const part_crash& crash) {
   if (crash.at <= it.cleared) {
     it.disputed = now;
-    return false;
+    return;
   }
   const bool known = std::any_of(it.crashes.begin(), it.crashes.end(),
-                                 [&](const auto& row) { return same_crash(row, crash); });
+                                 [&](const auto& row) { return row.process == crash.process; });
   if (known || now - crash.at >= retention) {
-    return false;
+    return;
   }
   const auto place = std::upper_bound(it.crashes.begin(), it.crashes.end(), crash,
                                       [](const auto& a, const auto& b) { return a.at < b.at; });
@@ -61,132 +74,171 @@
     it.crashes.erase(it.crashes.begin());
   }
   it.changed = now;
-  return true;
 }
 
-bool
-prompt_quarantine::clear(wall_time now, suspect& it, wall_time when) {
-  if (when <= it.cleared) {
-    return false;
+void
+prompt_quarantine::clear(wall_time now, std::uint64_t part, wall_time when,
+                         quarantine_changes& changes) {
+  const auto found = suspects_.find(part);
+  if (found == suspects_.end() || when <= found->second.cleared) {
+    return;
   }
+  suspect& it = found->second;
   it.cleared = when;
   it.changed = now;
   std::erase_if(it.crashes, [&](const auto& row) { return row.at <= when; });
-  if (!it.span || when <= it.span->since) {
-    return false;
+  for (auto group = groups_.begin(); group != groups_.end();) {
+    if (when > group->since) {
+      std::erase(group->parts, part);
+    }
+    if (!group->parts.empty()) {
+      ++group;
+      continue;
+    }
+    if (now < group->until) {
+      changes.push_back({{part}, false, 0, milliseconds{0}});
+    }
+    group = groups_.erase(group);
   }
-  const bool ended = it.quarantined(now);
-  it.span.reset();
-  return ended;
 }
 
 bool
-prompt_quarantine::adopt_span(wall_time now, suspect& it, const quarantine_span& span) {
-  if (span.since <= it.cleared) {
-    it.disputed = now;
-    return false;
-  }
-  if (now >= span.until || (it.span && it.span->until >= span.until)) {
-    return false;
+prompt_quarantine::add_group(wall_time now, quarantined_group group) {
+  bool was_in_force = false;
+  for (const auto& it : groups_) {
+    // A group that is a part of this one already refuses all that this one would.
+    if (has_all(group.parts, it.parts) && it.until >= group.until) {
+      return true;
+    }
+    was_in_force = was_in_force || (it.parts == group.parts && now < it.until);
   }
-  const bool added = !it.quarantined(now);
-  it.span = span;
-  it.span->until = std::min(span.until, now + max_span);
-  return added;
+  std::erase_if(groups_, [&](const auto& it) {
+    return has_all(it.parts, group.parts) && it.until <= group.until;
+  });
+  groups_.push_back(std::move(group));
+  return was_in_force;
 }
 
-std::size_t
-prompt_quarantine::crashes_against(const suspect& it,
-                                   const std::vector<const suspect*>& quarantined) {
-  const auto explained = [&](const part_crash& crash) {
-    return std::any_of(quarantined.begin(), quarantined.end(), [&](const suspect* other) {
-      return std::any_of(other->crashes.begin(), other->crashes.end(),
-                         [&](const auto& known) { return same_crash(known, crash); });
-    });
-  };
-  const wall_time since = it.span ? it.span->until : wall_time{};
-  return static_cast<std::size_t>(
-      std::count_if(it.crashes.begin(), it.crashes.end(),
-                    [&](const auto& crash) { return crash.at > since && !explained(crash); }));
+bool
+prompt_quarantine::ended_with(const part_ids& parts, std::uint64_t process) const {
+  return std::all_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+    const auto it = suspects_.find(part);
+    return it != suspects_.end() &&
+           std::any_of(it->second.crashes.begin(), it->second.crashes.end(),
+                       [&](const auto& row) { return row.process == process; });
+  });
 }
 
-void
-prompt_quarantine::start_span(wall_time now, std::uint64_t part, std::size_t crashes,
-                              quarantine_changes& changes) {
-  suspect& it = suspects_[part];
-  const unsigned times = it.span ? it.span->times + 1 : 1;
-  constexpr unsigned max_doublings = 10;
-  const milliseconds span =
-      std::min(first_span * (1 << std::min(times - 1, max_doublings)), max_span);
-  it.span = {now, now + span, times};
-  it.changed = now;
-  changes.push_back({part, true, crashes, span});
+bool
+prompt_quarantine::explained(std::uint64_t part, std::uint64_t process) const {
+  return std::any_of(groups_.begin(), groups_.end(), [&](const auto& it) {
+    return it.parts.size() == 1 && it.parts.front() != part && ended_with(it.parts, process);
+  });
 }
 
-void
-prompt_quarantine::evaluate(wall_time now, quarantine_changes& changes) {
-  std::vector<const suspect*> quarantined;
-  for (const auto& [part, it] : suspects_) {
-    if (it.quarantined(now)) {
-      quarantined.push_back(&it);
+prompt_quarantine::crash_counts
+prompt_quarantine::crashes_against(wall_time now, std::uint64_t part, const suspect& it) const {
+  crash_counts counts;
+  wall_time last{};
+  for (const auto& crash : it.crashes) {
+    if (now - crash.at < settling_time || explained(part, crash.process)) {
+      continue;
+    }
+    counts.processes++;
+    if (crash.at - last >= min_spacing) {
+      last = crash.at;
+      counts.in_turn++;
     }
   }
-  std::vector<std::uint64_t> worst;
-  std::size_t most = 0;
+  return counts;
+}
+
+wall_time
+prompt_quarantine::evidence_time(wall_time now, const part_ids& parts) const {
+  wall_time earliest = now;
+  for (const auto part : parts) {
+    wall_time latest{};
+    for (const auto& crash : suspects_.at(part).crashes) {
+      latest = now - crash.at >= settling_time ? crash.at : latest;
+    }
+    earliest = std::min(earliest, latest);
+  }
+  return earliest;
+}
+
+void
+prompt_quarantine::quarantine_worst(wall_time now, quarantine_changes& changes) {
+  part_ids worst;
+  std::size_t most = crashes_to_quarantine;
   for (const auto& [part, it] : suspects_) {
-    if (it.crashes.empty() || it.quarantined(now)) {
+    const bool alone = std::any_of(groups_.begin(), groups_.end(), [id = part](const auto& group) {
+      return group.parts.size() == 1 && group.parts.front() == id;
+    });
+    if (alone || it.crashes.size() < most) {
       continue;
     }
-    const std::size_t crashes = crashes_against(it, quarantined);
-    if (it.span && crashes > 0) {
-      start_span(now, part, crashes, changes);
+    const crash_counts counts = crashes_against(now, part, it);
+    if (counts.in_turn < crashes_to_quarantine || counts.processes < most) {
       continue;
     }
-    if (crashes > most) {
-      most = crashes;
+    if (counts.processes > most) {
+      most = counts.processes;
       worst.clear();
     }
-    if (crashes == most) {
-      worst.push_back(part);
-    }
+    worst.push_back(part);
   }
-  if (most < crashes_to_quarantine || (worst.size() > 1 && most < crashes_to_quarantine_all)) {
+  if (worst.empty() || worst.size() > max_group_parts) {
     return;
   }
-  for (const auto part : worst) {
-    start_span(now, part, most, changes);
+  const quarantined_group group{worst, evidence_time(now, worst), now + span_of(1), 1};
+  const bool known = std::any_of(groups_.begin(), groups_.end(),
+                                 [&](const auto& it) { return has_all(worst, it.parts); });
+  if (!known) {
+    add_group(now, group);
+    changes.push_back({worst, true, most, span_of(1)});
+  }
+}
+
+void
+prompt_quarantine::renew_ended(wall_time now, quarantine_changes& changes) {
+  for (auto& group : groups_) {
+    const auto first = suspects_.find(group.parts.front());
+    if (now < group.until || first == suspects_.end()) {
+      continue;
+    }
+    const auto& crashes = first->second.crashes;
+    const auto again = std::find_if(crashes.begin(), crashes.end(), [&](const auto& row) {
+      return row.at > group.until && now - row.at >= settling_time &&
+             ended_with(group.parts, row.process) && !explained(group.parts.front(), row.process);
+    });
+    if (again != crashes.end()) {
+      group.times++;
+      group.since = again->at;
+      group.until = now + span_of(group.times);
+      changes.push_back({group.parts, true, 1, span_of(group.times)});
+    }
   }
-  // What the quarantined parts do not account for may be due to another one.
-  evaluate(now, changes);
 }
 
 void
 prompt_quarantine::expire(wall_time now) {
+  std::erase_if(groups_, [&](const auto& it) { return now >= it.until + retention; });
   for (auto it = suspects_.begin(); it != suspects_.end();) {
     suspect& row = it->second;
     std::erase_if(row.crashes, [&](const auto& crash) { return now - crash.at >= retention; });
-    if (row.span && now >= row.span->until + retention) {
-      row.span.reset();
-    }
-    const bool done = !row.span && row.crashes.empty() &&
-                      now - std::max(row.changed, row.disputed) >= shared_period;
+    const bool done =
+        row.crashes.empty() && now - std::max(row.changed, row.disputed) >= shared_period;
     it = done ? suspects_.erase(it) : std::next(it);
   }
 }
 
-quarantine_changes
+void
 prompt_quarantine::on_crash(wall_time now, std::uint64_t process, const part_ids& parts) {
-  expire(now);
-  bool added = false;
   for (const auto part : parts) {
-    suspect* it = find_or_add(now, part);
-    added = (it != nullptr && add_crash(now, *it, {process, now})) || added;
-  }
-  quarantine_changes changes;
-  if (added) {
-    evaluate(now, changes);
+    if (suspect* it = find_or_add(now, part)) {
+      add_crash(now, *it, {process, now});
+    }
   }
-  return changes;
 }
 
 quarantine_changes
@@ -198,71 +250,86 @@
   quarantine_changes changes;
   for (const auto part : parts) {
     completions_.current[part] = now;
-    const auto it = suspects_.find(part);
-    if (it != suspects_.end() && clear(now, it->second, now)) {
-      changes.push_back({part, false, 0, milliseconds{0}});
-    }
+    clear(now, part, now, changes);
   }
   return changes;
 }
 
 quarantine_changes
-prompt_quarantine::merge(wall_time now, const std::vector<suspect_notice>& notices) {
+prompt_quarantine::merge(wall_time now, const quarantine_notice& notice) {
+  // A peer's clock may be ahead; what it reports has happened.
+  const auto past = [&](wall_time at) { return std::clamp(at, wall_time{}, now); };
   quarantine_changes changes;
-  bool added = false;
-  for (const auto& notice : notices) {
-    suspect* it = find_or_add(now, notice.part);
+  for (const auto& row : notice.suspects) {
+    suspect* it = find_or_add(now, row.part);
     if (it == nullptr) {
       continue;
     }
-    // A peer's clock may be ahead; what it reports has happened.
-    if (clear(now, *it, std::min(now, notice.cleared))) {
-      changes.push_back({notice.part, false, 0, milliseconds{0}});
+    clear(now, row.part, past(row.cleared), changes);
+    for (const auto& crash : row.crashes) {
+      add_crash(now, *it, {crash.process, past(crash.at)});
     }
-    for (const auto& crash : notice.crashes) {
-      added = add_crash(now, *it, {crash.process, std::clamp(crash.at, wall_time{}, now)}) || added;
+  }
+  for (quarantined_group group : notice.groups) {
+    if (group.parts.size() > max_group_parts) {
+      continue;
     }
-    if (notice.span && adopt_span(now, *it, *notice.span)) {
-      changes.push_back({notice.part, true, it->crashes.size(),
-                         std::chrono::ceil<milliseconds>(it->span->until - now)});
+    group.until = std::min(group.until, now + max_span);
+    std::erase_if(group.parts, [&](std::uint64_t part) {
+      suspect* it = find_or_add(now, part);
+      const bool refuted = it != nullptr && it->cleared > group.since;
+      if (refuted) {
+        it->disputed = now;
+      }
+      return refuted;
+    });
+    std::sort(group.parts.begin(), group.parts.end());
+    const bool in_force = now < group.until && !group.parts.empty();
+    if (in_force && !add_group(now, group)) {
+      changes.push_back({group.parts, true, 0, time_until(now, group.until)});
     }
   }
-  if (added) {
-    evaluate(now, changes);
+  return changes;
+}
+
+quarantine_changes
+prompt_quarantine::step(wall_time now) {
+  quarantine_changes changes;
+  if (suspects_.empty() && groups_.empty()) {
+    return changes;
   }
+  expire(now);
+  quarantine_worst(now, changes);
+  renew_ended(now, changes);
   return changes;
 }
 
 std::optional<milliseconds>
 prompt_quarantine::time_left(wall_time now, const part_ids& parts) const {
   std::optional<milliseconds> longest;
-  for (const auto part : parts) {
-    const auto it = suspects_.find(part);
-    if (it != suspects_.end() && it->second.quarantined(now)) {
-      const auto left = std::chrono::ceil<milliseconds>(it->second.span->until - now);
+  for (const auto& it : groups_) {
+    if (now < it.until && has_all(parts, it.parts)) {
+      const auto left = time_until(now, it.until);
       longest = std::max(longest.value_or(left), left);
     }
   }
   return longest;
 }
 
-std::vector<suspect_notice>
-prompt_quarantine::current(wall_time now) {
-  expire(now);
+quarantine_notice
+prompt_quarantine::current(wall_time now) const {
   using row = std::pair<std::uint64_t, const suspect*>;
   std::vector<row> rows;
   std::vector<row> disputed;
   for (const auto& [part, it] : suspects_) {
-    if (it.quarantined(now) || (!it.crashes.empty() && now - it.changed < shared_period)) {
+    if (!it.crashes.empty() && now - it.changed < shared_period) {
       rows.emplace_back(part, &it);
     } else if (now - it.disputed < shared_period) {
       disputed.emplace_back(part, &it);
     }
   }
-  std::stable_sort(rows.begin(), rows.end(), [&](const row& a, const row& b) {
-    const bool a_first = a.second->quarantined(now);
-    const bool b_first = b.second->quarantined(now);
-    return a_first != b_first ? a_first : a.second->crashes.size() > b.second->crashes.size();
+  std::stable_sort(rows.begin(), rows.end(), [](const row& a, const row& b) {
+    return a.second->crashes.size() > b.second->crashes.size();
   });
   std::stable_sort(disputed.begin(), disputed.end(), [](const row& a, const row& b) {
     return a.second->disputed > b.second->disputed;
@@ -270,22 +337,24 @@
   rows.resize(std::min(rows.size(), max_shared_suspects));
   disputed.resize(std::min(disputed.size(), max_shared_disputed));
   rows.insert(rows.end(), disputed.begin(), disputed.end());
-  std::vector<suspect_notice> notices;
+  quarantine_notice notice;
   for (const auto& [part, it] : rows) {
-    const auto shared = std::min(it->crashes.size(), max_shared_crashes);
-    notices.push_back({part,
-                       it->cleared,
-                       {it->crashes.end() - static_cast<std::ptrdiff_t>(shared), it->crashes.end()},
-                       it->span});
+    const auto shared =
+        static_cast<std::ptrdiff_t>(std::min(it->crashes.size(), max_shared_crashes));
+    notice.suspects.push_back({part, it->cleared, {it->crashes.end() - shared, it->crashes.end()}});
+  }
+  for (const auto& it : groups_) {
+    if (now < it.until && notice.groups.size() < max_shared_groups) {
+      notice.groups.push_back(it);
+    }
   }
-  return notices;
+  return notice;
 }
 
 std::size_t
 prompt_quarantine::size(wall_time now) const {
-  return static_cast<std::size_t>(
-      std::count_if(suspects_.begin(), suspects_.end(),
-                    [&](const auto& row) { return row.second.quarantined(now); }));
+  return static_cast<std::size_t>(std::count_if(groups_.begin(), groups_.end(),
+                                                [&](const auto& it) { return now < it.until; }));
 }
 
 } // namespace nutmegspur
--- a/src/proxy/engine_crashes.cpp
+++ b/src/proxy/engine_crashes.cpp
@@ -24,8 +24,7 @@
                                     {"started_ms", std::to_string(engine.started_ms)},
                                     {"parts", part_list_text(parts)}});
   const std::uint64_t process = process_key({engine.id, engine.started_ms});
-  state_.log_quarantine(state_.quarantine.on_crash(state_.clock.agreed(now).wall, process, parts),
-                        "own");
+  state_.quarantine.on_crash(state_.clock.agreed(now).wall, process, parts);
 }
 
 void
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -144,7 +144,7 @@
   it.sealed = sealed_window_;
   const wall_time agreed = state_.clock.agreed(now).wall;
   it.withheld = state_.withheld.current(agreed);
-  it.suspects = state_.quarantine.current(agreed);
+  it.quarantine = state_.quarantine.current(agreed);
   return it;
 }
 
@@ -271,6 +271,7 @@
 void
 peer_group::on_tick(const moment& now) {
   update_relay(now);
+  state_.log_quarantine(state_.quarantine.step(state_.clock.agreed(now).wall), "own");
   while (!state_.placed.empty() && state_.placed.front().until < now.boot) {
     state_.placed.pop_front();
   }
@@ -382,7 +383,7 @@
   for (const auto& withheld : read->withheld) {
     state_.withheld.add(withheld);
   }
-  state_.log_quarantine(state_.quarantine.merge(state_.clock.agreed(now).wall, read->suspects),
+  state_.log_quarantine(state_.quarantine.merge(state_.clock.agreed(now).wall, read->quarantine),
                         "peer " + read->sender.value);
   apply_load_and_placements(now, *read);
   sync_with_sender(now, read->sender, it);
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -52,13 +52,13 @@
 proxy_state::log_quarantine(const quarantine_changes& changes, std::string_view source) {
   for (const auto& it : changes) {
     if (it.quarantined) {
-      log(log_event::part_quarantined, {{"part", part_text(it.part)},
+      log(log_event::part_quarantined, {{"parts", part_list_text(it.parts)},
                                         {"crashes", std::to_string(it.crashes)},
                                         {"span_ms", std::to_string(it.span.count())},
                                         {"source", std::string{source}}});
     } else {
       log(log_event::part_released,
-          {{"part", part_text(it.part)}, {"source", std::string{source}}});
+          {{"parts", part_list_text(it.parts)}, {"source", std::string{source}}});
     }
   }
 }
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -107,7 +107,7 @@
   /// pause.
   void on_response_head(const moment& now, const listed_upstream& it,
                         const response_metadata& marks);
-  /// Logs parts that were quarantined or released, by evidence from `source`.
+  /// Logs groups of parts that were quarantined or released, by evidence from `source`.
   static void log_quarantine(const quarantine_changes& changes, std::string_view source);
   /// Whether calls of any kind may go to `it` now: not to a process that is leaving or paused.
   [[nodiscard]] bool accepts_calls(const moment& now, const listed_upstream& it) const;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -99,6 +99,8 @@
   for (std::size_t n = 0; n + 1 < request_.parts.size(); ++n) {
     shared_parts_.push_back(request_.parts[n].id);
   }
+  std::sort(shared_parts_.begin(), shared_parts_.end());
+  shared_parts_.erase(std::unique(shared_parts_.begin(), shared_parts_.end()), shared_parts_.end());
   milliseconds timeout = route_->timeout;
   if (request_.wait_limit) {
     timeout = std::min(timeout, *request_.wait_limit);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -135,7 +135,7 @@
   team_id team_;
   caller_request request_;
   prompt_shape prompt_;
-  part_ids shared_parts_; ///< The ids of all parts of the prompt except the last.
+  part_ids shared_parts_; ///< The ids of all parts of the prompt except the last, sorted.
   time_point deadline_{};
   timer_id deadline_timer_;
   timer_id silence_timer_;
