An engine that began to leave after it got a request does not count as crashed

Cause: engine_crashes looked at the list's entry as it was when the request was sent. Change: the entry of now is looked at, too. Result: no failure was seen; found by reading.

--- a/src/proxy/engine_crashes.cpp
+++ b/src/proxy/engine_crashes.cpp
@@ -9,6 +9,7 @@
 
 /// Longer than a connection to another region takes, shorter than an engine's restart.
 constexpr milliseconds check_timeout{1'000};
+
 } // namespace
 
 engine_crashes::engine_crashes(proxy_state& state, http1::http_client& client)
@@ -30,8 +31,10 @@
 void
 engine_crashes::on_attempt_broken(const listed_upstream& engine, const part_ids& parts) {
   const moment now = http1::event_loop::now();
+  const listed_upstream* listed = state_.upstreams.find(engine.id);
+  const bool leaving = engine.leaving || (listed != nullptr && listed->leaving);
   // A process that was about to stop anyway did not end because of a request.
-  if (engine.leaving || !state_.accepts_calls(now, engine)) {
+  if (leaving || !state_.accepts_calls(now, engine)) {
     return;
   }
   const upstream_process process{engine.id, engine.started_ms};
