A response ends a quarantine also where it had been adopted long before

Cause: found by reading. An instance that only knew a quarantine from its peers forgot the suspect after 10 s, and a response that completed there afterwards did not clear the part. Change: suspects that are in a group are kept. Evidence: a_response_ends_a_quarantine_that_was_adopted_long_before fails before and passes now.

--- a/src/libnutmegspur/prompt_quarantine.cpp
+++ b/src/libnutmegspur/prompt_quarantine.cpp
@@ -226,8 +226,11 @@
   for (auto it = suspects_.begin(); it != suspects_.end();) {
     suspect& row = it->second;
     std::erase_if(row.crashes, [&](const auto& crash) { return now - crash.at >= retention; });
-    const bool done =
-        row.crashes.empty() && now - std::max(row.changed, row.disputed) >= shared_period;
+    const bool in_group = std::any_of(groups_.begin(), groups_.end(), [&](const auto& group) {
+      return std::binary_search(group.parts.begin(), group.parts.end(), it->first);
+    });
+    const bool done = !in_group && row.crashes.empty() &&
+                      now - std::max(row.changed, row.disputed) >= shared_period;
     it = done ? suspects_.erase(it) : std::next(it);
   }
 }
--- a/src/libnutmegspur/prompt_quarantine_test.cpp
+++ b/src/libnutmegspur/prompt_quarantine_test.cpp
@@ -226,6 +226,20 @@
   }
 }
 
+// An instance that had only been told of a quarantine forgot its parts, so that a long response that
+// completed there did not end it.
+TEST(prompt_quarantine, a_response_ends_a_quarantine_that_was_adopted_long_before) {
+  instances all;
+  crashes(all.a, 0, 3, {rare});
+  all.exchange(20'000);
+  for (int millis = 20'100; millis < 40'000; millis += 100) {
+    all.b.step(at(millis));
+  }
+  EXPECT_TRUE(refused(all.b, 40'000, {rare}));
+  all.b.on_completed(at(40'000), {rare});
+  EXPECT_FALSE(refused(all.b, 40'000, {rare}));
+}
+
 // A response that had completed before the decision, but after the last crash, did not count.
 TEST(prompt_quarantine, a_response_before_the_decision_clears_a_part) {
   instances all;
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -206,7 +206,7 @@
   history_.may_have_run = history_.may_have_run || may_have_run(how);
   switch (step) {
   case next_step::pass_on:
-    if (is_event_stream() && !shared_parts_.empty() && how == attempt_end::answered) {
+    if (is_event_stream() && !shared_parts_.empty()) {
       state_.log_quarantine(
           state_.quarantine.on_completed(state_.clock.agreed(now).wall, shared_parts_), "own");
     }
