Test: slow streams are forwarded whole, trickling ones end with the route's time limit

Change: the case proxied_slow_streams; the stand-in streams one event each 0.6 s, or single bytes of an event without an end.

--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -379,6 +379,9 @@
                      "unframed_end_inside_first": first, "unframed_end_empty": first}.get(fault)
         for event_id in range(first, 11):
             event = f"id: {event_id}\ndata: token {event_id}\n\n".encode()
+            while fault == "trickle" and event_id == 5 and not writer.transport.is_closing():
+                writer.write(b"1\r\n:\r\n")  # A comment that does not end.
+                await asyncio.sleep(0.2)
             if event_id == truncated:
                 event = b"" if fault == "unframed_end_empty" else event[:7]
             if event:
@@ -386,7 +389,7 @@
             await writer.drain()
             if event_id == truncated:
                 break
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.6 if fault == "slow_events" else 0.01)
         if fault == "unframed_reset_inside":
             await asyncio.sleep(0.02)  # The bytes before the reset are read first.
         if fault in ("cut", "unframed_reset_inside"):
