--- a/src/libnutmegspur/prompt_quarantine_test.cpp
+++ b/src/libnutmegspur/prompt_quarantine_test.cpp
@@ -226,8 +226,8 @@
   }
 }
 
-// An instance that had only been told of a quarantine forgot its parts, so that a long response that
-// completed there did not end it.
+// An instance that had only been told of a quarantine forgot its parts, so that a long response
+// that completed there did not end it.
 TEST(prompt_quarantine, a_response_ends_a_quarantine_that_was_adopted_long_before) {
   instances all;
   crashes(all.a, 0, 3, {rare});
