A relay is not excluded between two of its rounds

Cause: relays of a fleet of that size send once a second. Class of fault: a fixed time limit for an answer whose interval grows with the fleet. Change: no relay is excluded, and no watch begun, before it has had time for two of the rounds that its notices state.

--- a/src/include/nutmegspur/zone_relays.h
+++ b/src/include/nutmegspur/zone_relays.h
@@ -27,11 +27,13 @@
   static constexpr std::size_t min_relays = 3;
   /// A zone has one relay for this many instances, but at least `min_relays`.
   static constexpr std::size_t instances_per_relay = 8;
-  /// A relay whose notices stop for this long is excluded; a few times the interval of notices.
+  /// A relay whose notices stop for this long is excluded.
   static constexpr milliseconds silence_timeout{1'500};
   /// The same for a relay that has not answered since it was selected. Shorter, because it is
   /// notified of its selection at once.
   static constexpr milliseconds first_answer_timeout{750};
+  /// No relay is excluded before it has had time for two of its rounds: notices may be lost.
+  static constexpr int silent_round_quarters = 9;
   /// An instance that receives no notice from any instance for this long acts as a relay regardless
   /// of the list.
   static constexpr milliseconds isolation_timeout{3'000};
@@ -44,8 +46,8 @@
 
   void add(const instance_id& id, const zone_id& zone);
   void remove(const instance_id& id);
-  /// Records a notice sent by `id` itself.
-  void on_notice(const moment& now, const instance_id& id);
+  /// Records a notice sent by `id` itself, which sends the next one after `round`.
+  void on_notice(const moment& now, const instance_id& id, milliseconds round);
   /// Excludes silent relays and selects the relays anew. Must be called several times in each
   /// `silence_timeout`.
   void step(const moment& now);
@@ -63,6 +65,7 @@
   struct member {
     zone_id zone;
     time_point last_notice{};
+    milliseconds round{0}; ///< Interval of its notices; zero if it has sent none.
     time_point excluded_until{};
     std::optional<time_point> expected_since; ///< Empty while its notices are not expected.
   };
--- a/src/libnutmegspur/zone_relays.cpp
+++ b/src/libnutmegspur/zone_relays.cpp
@@ -19,10 +19,11 @@
 }
 
 void
-zone_relays::on_notice(const moment& now, const instance_id& id) {
+zone_relays::on_notice(const moment& now, const instance_id& id, milliseconds round) {
   const auto it = members_.find(id);
   if (it != members_.end()) {
     it->second.last_notice = now.boot;
+    it->second.round = round;
     it->second.excluded_until = time_point{};
     last_notice_from_any_ = now.boot;
   }
@@ -34,8 +35,9 @@
     return false;
   }
   const bool answered = it.last_notice >= *it.expected_since;
-  return now.boot - std::max(it.last_notice, *it.expected_since) >
-         (answered ? silence_timeout : first_answer_timeout);
+  const milliseconds limit = std::max(answered ? silence_timeout : first_answer_timeout,
+                                      it.round * silent_round_quarters / 4);
+  return now.boot - std::max(it.last_notice, *it.expected_since) > limit;
 }
 
 void
--- a/src/libnutmegspur/zone_relays_test.cpp
+++ b/src/libnutmegspur/zone_relays_test.cpp
@@ -41,7 +41,9 @@
       clock.advance(tick_length);
       for (auto& [name, relays] : all) {
         if (!silent.contains(name)) {
+          const auto before = relays.own_relay();
           relays.step(clock.now());
+          changes += relays.own_relay() == before ? 0 : 1;
           send_notices(name, relays);
         }
       }
@@ -77,17 +79,31 @@
   std::map<instance_id, zone_relays> all;
   std::map<instance_id, zone_id> zone_of;
   std::set<instance_id> silent;
+  milliseconds relay_round = tick_length; ///< Interval of the notices that relays send.
+  int changes = 0;                        ///< Number of times that an instance changed its relay.
 
  private:
   void send_notices(const instance_id& from, const zone_relays& relays) {
+    if (relays.is_relay()) {
+      // The rounds of different relays do not start together.
+      const auto number = static_cast<std::int64_t>(next_round.size());
+      const milliseconds phase = number * 3 * tick_length % relay_round;
+      time_point& due = next_round.try_emplace(from, clock.now().boot + phase).first->second;
+      if (clock.now().boot < due) {
+        return;
+      }
+      due = clock.now().boot + relay_round;
+    }
     for (auto& [to, receiver] : all) {
       const bool from_relay = receiver.own_relay() == from;
       const bool between_relays = relays.is_relay() && receiver.is_relay();
       if (!silent.contains(to) && (from_relay || between_relays || relays.own_relay() == to)) {
-        receiver.on_notice(clock.now(), from);
+        receiver.on_notice(clock.now(), from, relays.is_relay() ? relay_round : tick_length);
       }
     }
   }
+
+  std::map<instance_id, time_point> next_round;
 };
 
 TEST_F(relay_cluster, all_are_relays_in_small_zones) {
@@ -136,6 +152,39 @@
   }
 }
 
+// In a large fleet, where relays send once a second, members went on changing their relay twice a
+// second after a disturbance: it did not answer in the time given to a relay that was selected
+// anew.
+TEST_F(relay_cluster, relays_with_long_rounds_are_kept_after_a_disturbance) {
+  relay_round = milliseconds{1'000};
+  create_instances(2, 50);
+  run_for(seconds{15});
+  silent = relays_of(zone_id{"z0"});
+  run_for(seconds{3});
+  silent.clear();
+  run_for(seconds{15});
+  changes = 0;
+  run_for(seconds{30});
+  EXPECT_EQ(changes, 0);
+}
+
+// One lost round of a relay that sends once a second excluded it.
+TEST_F(relay_cluster, one_lost_round_excludes_no_relay) {
+  relay_round = milliseconds{1'000};
+  create_instances(2, 10);
+  run_for(seconds{15});
+  changes = 0;
+  for (auto& [name, it] : all) {
+    if (it.is_relay()) {
+      silent.insert(name);
+    }
+  }
+  run_for(relay_round);
+  silent.clear();
+  run_for(seconds{5});
+  EXPECT_EQ(changes, 0);
+}
+
 TEST_F(relay_cluster, a_relay_that_returns_is_selected_again) {
   create_instances(2, 10);
   run_for(seconds{3});
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -258,9 +258,11 @@
   bool relay_notices_arrive = false;
   if (current_relay_) {
     const auto it = peers_.find(*current_relay_);
-    relay_notices_arrive = it != peers_.end() && it->second.scope == notice_scope::others &&
-                           it->second.last_notice != time_point{} &&
-                           now.boot - it->second.last_notice < relay_timeout;
+    // One lost notice of a relay with long rounds is not the end of its notices.
+    relay_notices_arrive =
+        it != peers_.end() && it->second.scope == notice_scope::others &&
+        it->second.last_notice != time_point{} &&
+        now.boot - it->second.last_notice < std::max(relay_timeout, it->second.lifetime * 3 / 4);
     // A relay that does not notice a restore of the store cannot pass on what comes after it.
     const bool relay_behind = it != peers_.end() && era_of(it->second.store) < store_.era();
     relay_notices_arrive = relay_notices_arrive && !(relay_behind && store_.era_settled(now));
@@ -377,7 +379,7 @@
   it.content_hash = read->content_hash;
   store_.on_peer_era(era_of(it.store), read->sender);
   relays_.add(read->sender, read->zone);
-  relays_.on_notice(now, read->sender);
+  relays_.on_notice(now, read->sender, read->lifetime / lifetime_rounds);
   state_.clock.on_peer(now, read->sender, read->wall,
                        read->scope == notice_scope::others ? agreed_votes : 1);
   for (const auto& withheld : read->withheld) {
