Instances tell each other that the list shows an upstream as leaving

Cause: a member learns of a leaving when its relay's own watch has shown it (a pause of up to 1.5 s), and by a request for the update after the relay's next notice. Other instances know earlier. Change: whoever sees a leaving in the list withholds the upstream for 5 s and says so in its notices; the list decides afterwards.

--- a/src/include/nutmegspur/withheld_upstreams.h
+++ b/src/include/nutmegspur/withheld_upstreams.h
@@ -1,8 +1,9 @@
 /// \file withheld_upstreams.h
-/// Upstreams that get no new requests, by notices that instances share. There are three reasons:
+/// Upstreams that get no new requests, by notices that instances share. There are four reasons:
 /// an engine whose stage is about to change rejects requests that it has not started, an address
-/// may have been taken over by another process before the upstream list shows it, and an upstream
-/// stated in a response that it is leaving, which the list may show later or never.
+/// may have been taken over by another process before the upstream list shows it, an upstream
+/// stated in a response that it is leaving, which the list may show later or never, and an instance
+/// that follows the list learned that an upstream is leaving before the lists of others show it.
 ///
 /// The end is a wall-clock time on which all instances agree, so that forwarding a notice does not
 /// extend it.
@@ -39,6 +40,8 @@
   static constexpr milliseconds leaving_period{600'000};
   /// Peers are told of a leaving process for this long.
   static constexpr milliseconds leaving_shared_period{5'000};
+  /// Until then the lists of all instances show that an upstream is leaving.
+  static constexpr milliseconds listed_leaving_period{5'000};
 
   /// Adds a local notice or a peer's. If an upstream already has a notice, the one that ends later
   /// applies. Returns whether `notice` was stored.
@@ -46,6 +49,10 @@
   /// The process behind `it` stated at the agreed time `now` that it is leaving.
   bool add_leaving(wall_time now, const listed_upstream& it);
 
+  /// The list shows that `it` is leaving. Returns whether peers are to be told: not if a notice
+  /// that is in force for long enough already does.
+  bool add_listed_leaving(wall_time now, const listed_upstream& it);
+
   /// Removes the notice of an upstream that is now another process.
   void forget(const upstream_id& id) { notices_.erase(id); }
 
--- a/src/libnutmegspur/withheld_upstreams.cpp
+++ b/src/libnutmegspur/withheld_upstreams.cpp
@@ -18,6 +18,15 @@
   return !leaving(now, it) && add({it.id, engine_stage::none, now + leaving_period, it.started_ms});
 }
 
+bool
+withheld_upstreams::add_listed_leaving(wall_time now, const listed_upstream& it) {
+  // Each instance that follows the list sees the change; one notice in time is enough.
+  const auto found = notices_.find(it.id);
+  const bool told = found != notices_.end() && found->second.until_stage == engine_stage::none &&
+                    found->second.until - now >= listed_leaving_period / 2;
+  return !told && add({it.id, engine_stage::none, now + listed_leaving_period, std::nullopt});
+}
+
 void
 withheld_upstreams::on_removed(const upstream_id& id) {
   const auto it = notices_.find(id);
--- a/src/libnutmegspur/withheld_upstreams_test.cpp
+++ b/src/libnutmegspur/withheld_upstreams_test.cpp
@@ -101,5 +101,38 @@
   EXPECT_TRUE(peer.withheld(at(60), process(5)));
 }
 
+// Members of a large fleet sent requests to a leaving upstream until their lists showed it, later
+// than the platform allows.
+TEST(withheld_upstreams, a_leaving_that_the_list_shows_is_told_to_peers) {
+  withheld_upstreams relay;
+  EXPECT_TRUE(relay.add_listed_leaving(at(0), listed(engine_stage::decode)));
+  const auto told = relay.current(at(0));
+  ASSERT_EQ(told.size(), 1U);
+  withheld_upstreams member;
+  member.add(told.front());
+  EXPECT_TRUE(member.withheld(at(1), listed(engine_stage::decode)));
+  EXPECT_TRUE(member.withheld(at(1), listed(engine_stage::prefill)));
+  // The list decides afterwards: the upstream may serve again.
+  EXPECT_FALSE(member.withheld(at(5), listed(engine_stage::decode)));
+}
+
+// Each relay's own notice extended those of the others.
+TEST(withheld_upstreams, a_leaving_that_peers_have_told_is_not_told_again) {
+  withheld_upstreams relay;
+  relay.add_listed_leaving(at(0), listed(engine_stage::decode));
+  withheld_upstreams other;
+  other.add(relay.current(at(0)).front());
+  EXPECT_FALSE(other.add_listed_leaving(at(2), listed(engine_stage::decode)));
+  EXPECT_TRUE(other.add_listed_leaving(at(4), listed(engine_stage::decode)));
+}
+
+// The notice of an ordered change of stage hid that the engine was leaving.
+TEST(withheld_upstreams, an_ordered_engine_that_leaves_is_withheld_with_any_stage) {
+  withheld_upstreams all;
+  all.add({engine, engine_stage::prefill, at(3)});
+  EXPECT_TRUE(all.add_listed_leaving(at(0), listed(engine_stage::decode)));
+  EXPECT_TRUE(all.withheld(at(1), listed(engine_stage::prefill)));
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -120,6 +120,9 @@
     withheld.on_removed(id);
   }
   const auto* it = upstreams.find(id);
+  if (how == upstream_change::leaving && it != nullptr) {
+    withheld.add_listed_leaving(clock.agreed(http1::event_loop::now()).wall, *it);
+  }
   log(number, {{"upstream", id.value},
                {"source", std::string{source}},
                {"zone", it == nullptr ? "" : it->zone.value},
