--- a/src/libnutmegspur/zone_relays_test.cpp
+++ b/src/libnutmegspur/zone_relays_test.cpp
@@ -86,9 +86,9 @@
   void send_notices(const instance_id& from, const zone_relays& relays) {
     if (relays.is_relay()) {
       // The rounds of different relays do not start together.
-      const auto number = static_cast<std::int64_t>(next_round.size());
+      const auto number = static_cast<std::int64_t>(next_round_.size());
       const milliseconds phase = number * 3 * tick_length % relay_round;
-      time_point& due = next_round.try_emplace(from, clock.now().boot + phase).first->second;
+      time_point& due = next_round_.try_emplace(from, clock.now().boot + phase).first->second;
       if (clock.now().boot < due) {
         return;
       }
@@ -103,7 +103,7 @@
     }
   }
 
-  std::map<instance_id, time_point> next_round;
+  std::map<instance_id, time_point> next_round_;
 };
 
 TEST_F(relay_cluster, all_are_relays_in_small_zones) {
