Read the diff again: names of the shared parts and of the relays' patience

Cause: a constant in quarters of a round and a loop in the middle of admit() had to be read twice. No behaviour changes. Result: zone_relays_test and proxied_traffic pass.

--- a/src/include/nutmegspur/zone_relays.h
+++ b/src/include/nutmegspur/zone_relays.h
@@ -27,13 +27,11 @@
   static constexpr std::size_t min_relays = 3;
   /// A zone has one relay for this many instances, but at least `min_relays`.
   static constexpr std::size_t instances_per_relay = 8;
-  /// A relay whose notices stop for this long is excluded.
+  /// A relay whose notices stop for this long is excluded; later if two of its rounds take longer.
   static constexpr milliseconds silence_timeout{1'500};
   /// The same for a relay that has not answered since it was selected. Shorter, because it is
   /// notified of its selection at once.
   static constexpr milliseconds first_answer_timeout{750};
-  /// No relay is excluded before it has had time for two of its rounds: notices may be lost.
-  static constexpr int silent_round_quarters = 9;
   /// An instance that receives no notice from any instance for this long acts as a relay regardless
   /// of the list.
   static constexpr milliseconds isolation_timeout{3'000};
--- a/src/libnutmegspur/zone_relays.cpp
+++ b/src/libnutmegspur/zone_relays.cpp
@@ -35,8 +35,10 @@
     return false;
   }
   const bool answered = it.last_notice >= *it.expected_since;
-  const milliseconds limit = std::max(answered ? silence_timeout : first_answer_timeout,
-                                      it.round * silent_round_quarters / 4);
+  // One of its notices may be lost, and the next one late.
+  const milliseconds two_rounds = it.round * 2 + it.round / 4;
+  const milliseconds limit =
+      std::max(answered ? silence_timeout : first_answer_timeout, two_rounds);
   return now.boot - std::max(it.last_notice, *it.expected_since) > limit;
 }
 
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -18,6 +18,18 @@
 /// Retry-After of requests that reach an instance about to stop: another instance serves them.
 constexpr milliseconds retry_after_stopping{100};
 
+/// The ids of all parts except the last, which belongs to this request or its session.
+part_ids
+shared_part_ids(const std::vector<prompt_part>& parts) {
+  part_ids ids;
+  for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
+    ids.push_back(parts[n].id);
+  }
+  std::sort(ids.begin(), ids.end());
+  ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+  return ids;
+}
+
 } // namespace
 
 std::string
@@ -96,11 +108,7 @@
   service_ = config_->find_service(service_name_);
   prompt_ = {chain_parts(request_.model, request_.parts), request_.prompt_tokens,
              request_.output_tokens};
-  for (std::size_t n = 0; n + 1 < request_.parts.size(); ++n) {
-    shared_parts_.push_back(request_.parts[n].id);
-  }
-  std::sort(shared_parts_.begin(), shared_parts_.end());
-  shared_parts_.erase(std::unique(shared_parts_.begin(), shared_parts_.end()), shared_parts_.end());
+  shared_parts_ = shared_part_ids(request_.parts);
   milliseconds timeout = route_->timeout;
   if (request_.wait_limit) {
     timeout = std::min(timeout, *request_.wait_limit);
