Software versions of upstreams, and which request a caller resumes, are read and logged

E504 and E600 have version=, and E502 says which request is resumed, after which event and at which version. The hash of the upstream list covers the version.

--- a/src/include/nutmegspur/upstream_list.h
+++ b/src/include/nutmegspur/upstream_list.h
@@ -41,6 +41,7 @@
   std::string address; ///< IP address.
   std::uint16_t port = 0;
   zone_id zone;
+  std::string software_version; ///< What processes of two versions write does not fit together.
   std::uint32_t slots = 1;
   engine_stage stage = engine_stage::none;
   bool leaving = false;
--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -70,6 +70,8 @@
   std::uint32_t output_tokens = 0;
   std::vector<prompt_part> parts;
   std::string last_event_id; ///< The caller resumes a stream after this event.
+  /// The id of the caller's request whose response brought the first event of that stream.
+  std::string resumes;
 };
 
 /// The KV cache of a prompt that an engine has prefilled and holds for another engine, which may
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -58,7 +58,7 @@
     {log_event::request_failed, "request_failed", severity::warning,
      "A request ended with an error after it may have run."},
     {log_event::request_resumed, "request_resumed", severity::info,
-     "A request was resumed at another upstream."},
+     "A stream goes on at another upstream, after an event that its caller has."},
     {log_event::claim_conflict, "claim_conflict", severity::info,
      "A call was not run because its idempotency key was already claimed."},
     {log_event::request_placed, "request_placed", severity::info,
--- a/src/libnutmegspur/upstream_list.cpp
+++ b/src/libnutmegspur/upstream_list.cpp
@@ -172,6 +172,7 @@
     add_field(it.service.value);
     add_field(it.address);
     add_field(it.zone.value);
+    add_field(it.software_version);
     add_field(to_name(it.stage));
     for (const std::int64_t n : {std::int64_t{it.port}, std::int64_t{it.slots}, it.started_ms,
                                  std::int64_t{it.leaving}, std::int64_t{it.reclaimable}}) {
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -141,6 +141,7 @@
   log(number, {{"upstream", id.value},
                {"source", std::string{source}},
                {"zone", it == nullptr ? "" : it->zone.value},
+               {"version", it == nullptr ? "" : it->software_version},
                {"stage", it == nullptr ? "" : std::string{to_name(it->stage)}},
                {"reclaimable", it != nullptr && it->reclaimable ? "yes" : "no"}});
 }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -341,6 +341,12 @@
   return first;
 }
 
+std::string
+request_flow::version_of(const upstream_id& id) const {
+  const auto* it = state_.upstreams.find(id);
+  return it == nullptr ? "" : it->software_version;
+}
+
 void
 request_flow::start_placement() {
   const bool separate_prefill = !placement_.prefill_upstream.empty();
@@ -349,6 +355,7 @@
        {"route", route_->name},
        {"upstream", placement_.upstream.value},
        {"reader", placement_.prefill_upstream.value},
+       {"version", version_of(placement_.upstream)},
        {"attempt", std::to_string(history_.sent + 1)},
        {"expected_ms", rounded(placement_.expected_millis)},
        {"limit_ms", rounded(to_millis(deadline_ - caller_->arrived().boot))},
@@ -403,6 +410,15 @@
   it.upstream = *upstream;
   it.sent_at = http1::event_loop::now();
   it.engine_idle = state_.loads.total(it.sent_at, it.upstream.id).backlog_millis <= 0;
+  if (const auto& after = history_.response_started ? last_event_id_ : request_.last_event_id;
+      task != attempt_task::prefill && !after.empty()) {
+    log(log_event::request_resumed, {{"request", request_.id},
+                                     {"resumes", request_.resumes},
+                                     {"after_event", after},
+                                     {"service", service_name_.value},
+                                     {"upstream", it.upstream.id.value},
+                                     {"version", it.upstream.software_version}});
+  }
   it.load_id = state_.loads.on_sent(it.sent_at, it.upstream.id, prefill_millis);
   state_.health.on_sent(it.sent_at, it.upstream.id);
   permits_held_.erase(it.upstream.id);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -70,6 +70,8 @@
   [[nodiscard]] placement_request placement_inputs() const;
   void send(attempt_task task, const upstream_id& to, double prefill_millis);
   void start_placement();
+  /// The software version of an upstream; empty if it is gone.
+  [[nodiscard]] std::string version_of(const upstream_id& id) const;
   /// Whether the permit that `it` may need is held, or may be got now.
   [[nodiscard]] bool permit_in_reach(const moment& now, const listed_upstream& it) const;
 
