--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -236,6 +236,7 @@
 
     def __init__(self, name, service, zone, port, stage=None):
         self.name, self.service, self.zone, self.port, self.stage = name, service, zone, port, stage
+        self.version = "v1"  # Of its software.
         self.state = "ready"
         self.received = []  # All requests.
         self.executed = []  # Ids of executed requests.
@@ -260,7 +261,7 @@
     def registration(self):
         self.heartbeats += 1
         it = {"service": self.service, "address": f"{LOOPBACK}:{self.port}", "zone": self.zone,
-              "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
+              "version": self.version, "slots": 8, "state": self.state, "cold_remaining_ms": 0,
               "sequence": self.heartbeats, "born": self.born}
         if self.stage:
             it["stage"] = self.stage
@@ -393,7 +394,7 @@
         truncated = {"cut": 5, "chunked_end_inside": 5, "unframed_end_inside": 5, "unframed_reset_inside": 5,
                      "unframed_end_inside_first": first, "unframed_end_empty": first}.get(fault)
         for event_id in range(first, 11):
-            event = f"id: {event_id}\ndata: token {event_id}\n\n".encode()
+            event = f"id: {event_id}\ndata: token {event_id} of {self.version}\n\n".encode()
             while fault == "trickle" and event_id == 5 and not writer.transport.is_closing():
                 writer.write(b"1\r\n:\r\n")  # A comment that does not end.
                 await asyncio.sleep(0.2)
@@ -452,8 +453,9 @@
         self.cloud_server = await serve(self.cloud_port, self.cloud.handle)
         self.expiry = self.loop.create_task(self.store.expire_leases())
 
-    def add_worker(self, name, service, zone, port, stage=None):
+    def add_worker(self, name, service, zone, port, stage=None, version="v1"):
         worker = Worker(name, service, zone, port, stage)
+        worker.version = version
 
         async def start():
             worker.server = await serve(port, worker.handle, worker.writers)
@@ -463,6 +465,20 @@
         self.workers[name] = worker
         return worker
 
+    def remove_worker(self, name):
+        """The worker ends: its connections are reset and its registration is removed."""
+        worker = self.workers.pop(name)
+
+        async def end():
+            self.tasks.pop(name).cancel()
+            worker.server.close()
+            for writer in list(worker.writers):
+                writer.transport.abort()
+            await self.store.write(removals=["servers/" + name])
+
+        self.run(end())
+        return worker
+
     def write(self, key, value):
         self.run(self.store.write(puts=[(key, json.dumps(value).encode())]))
 
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -10,6 +10,7 @@
 import processes
 
 REPORT_WINDOW_S = 1
+STREAM_ROUTES = ("chat", "resume", "split")
 
 
 def example_config(version=1):
@@ -41,26 +42,34 @@
     }
 
 
+def prompt_of(request_id):
+    """A prompt whose shared part no other request has, so that the engines that take it differ."""
+    return f"a{request_id[-7:]}:3000", f"{request_id[-8:]}:1000"
+
+
 class ProxiedSystem:
     """Platform stand-in, workers and proxying instances. `stop` kills only the processes started here."""
 
-    def __init__(self, build_dir, instances=3, extra_args=()):
+    def __init__(self, build_dir, instances=3, extra_args=(), zones=("z-1",), versions=("v1",)):
         self.system = processes.System(build_dir)
         self.platform = platform_standin.Platform(processes.free_port(), processes.free_port())
         self.ports = {}
+        self.zones = {f"front-{n}": zones[(n - 1) % len(zones)] for n in range(1, instances + 1)}
         self.extra_args = list(extra_args)
         self.request_numbers = itertools.count(1)
         for n in range(1, instances + 1):
             self.ports[f"front-{n}"] = {it: processes.free_port() for it in ("front", "ready", "control")}
         for n in (1, 2):
+            version = versions[(n - 1) % len(versions)]
             self.platform.add_worker(f"app-{n}", "app", f"z-{n}", processes.free_port())
-            self.platform.add_worker(f"run-{n}", "llm", f"z-{n}", processes.free_port(), "decode")
-            self.platform.add_worker(f"prep-{n}", "llm", f"z-{n}", processes.free_port(), "prefill")
+            self.platform.add_worker(f"run-{n}", "llm", f"z-{n}", processes.free_port(), "decode", version)
+            self.platform.add_worker(f"prep-{n}", "llm", f"z-{n}", processes.free_port(), "prefill", version)
 
     def settings(self, name):
         listen = {what: f"{processes.LOOPBACK}:{port}" for what, port in self.ports[name].items()}
         return {
-            "node_name": name, "ip": processes.LOOPBACK, "zone": "z-1", "region": "r-1",
+            "node_name": name, "ip": processes.LOOPBACK, "zone": self.zones[name],
+            "region": self.zones[name].replace("z", "r"),
             "zones": {"z-1": "r-1", "z-2": "r-2"}, "listen": listen,
             "seeds": [f"{processes.LOOPBACK}:{it['control']}" for it in self.ports.values()],
             "platform": {"address": f"{processes.LOOPBACK}:{self.platform.store_port}"},
@@ -109,7 +118,7 @@
         request_id = request_id or self.new_id()
         all_headers = {"Host": "a.example", "X-Request-Id": request_id, "X-Deadline-Ms": "8000",
                        "X-Api-Key": key, **(headers or {})}
-        if route in ("chat", "resume"):
+        if route in STREAM_ROUTES:
             all_headers.update({"X-Model-Name": "m", "X-Token-Usage": "4000,20",
                                 "X-Prompt-Prefix": ",".join([*shared_parts, f"{own_part or request_id[:8]}:1000"])})
         connection = http.client.HTTPConnection(processes.LOOPBACK, self.ports[entry]["front"], timeout=timeout_s)
@@ -133,6 +142,30 @@
         finally:
             connection.close()
 
+    def begin_stream(self, route, entry="front-1", events=1, headers=None):
+        """Sends a request for a stream, reads its first events and closes the connection. Returns the request's id
+        and the id of the last event that was read; no event: (id, 0)."""
+        request_id = self.new_id()
+        for worker in self.platform.workers.values():
+            worker.faults[request_id] = "slow_events"
+        connection = http.client.HTTPConnection(processes.LOOPBACK, self.ports[entry]["front"], timeout=10)
+        last = 0
+        try:
+            connection.request("POST", f"/{route}/x?y=1", body=b"hello", headers={
+                "Host": "a.example", "X-Request-Id": request_id, "X-Deadline-Ms": "8000", "X-Api-Key": "key-1",
+                "X-Model-Name": "m", "X-Token-Usage": "4000,20", "X-Prompt-Prefix": ",".join(prompt_of(request_id)),
+                **(headers or {})})
+            reply = connection.getresponse()
+            while reply.status == 200 and last < events:
+                line = reply.readline().decode()
+                if not line:
+                    break
+                if line.startswith("id: "):
+                    last = int(line[4:])
+        finally:
+            connection.close()
+        return request_id, last
+
     def execution_count(self, request_id):
         """Returns how often workers executed the request."""
         return sum(it.executed.count(request_id) for it in self.platform.workers.values())
@@ -141,5 +174,10 @@
         return [(it.name, request) for it in self.platform.workers.values()
                 for request in it.received if request.headers.get("x-request-id") == request_id]
 
+    def metric(self, name, series):
+        """The value of a series of an instance's metrics page; 0 if it is not there."""
+        page = processes.call(self.ports[name]["control"], "GET", "/metrics").body
+        return next((float(line.split()[-1]) for line in page.splitlines() if line.startswith(series + " ")), 0.0)
+
     def stop(self):
         self.system.stop()
