Streams go on only at the software version that began them

Cause: nothing read the version of an upstream. A retry within a response excluded only the upstreams that had been tried, and a caller's next try was placed like a new request, whatever it resumed. Class of fault: work is continued elsewhere, and what decides whether it fits there is not part of its state.

Change: from its first event on, a stream has an origin, the service and the version. Its instance records it and tells three keepers before the caller gets the event, as long as versions differ or it cannot tell; the instance at which a caller resumes asks them. Without a record, a service that had one version all along is the origin; otherwise the caller is refused at once, not run. A route with several services sends the caller to the one that began the stream.

--- a/src/include/nutmegspur/peer_notice.h
+++ b/src/include/nutmegspur/peer_notice.h
@@ -1,7 +1,8 @@
 /// \file peer_notice.h
 /// Datagrams between proxying instances: work in progress, newly cached prompt parts, prompt parts
-/// on which engines crash, rates that upstreams state, and configuration progress; and usage counts
-/// for the holder of the reporting duty. zone_relays.h decides which instances exchange them.
+/// on which engines crash, rates that upstreams state, and configuration progress; usage counts for
+/// the holder of the reporting duty, and origins of streams for their keepers. zone_relays.h
+/// decides which instances exchange the rest.
 ///
 /// Each datagram holds complete state or is repeated, so that losing one is harmless.
 #pragma once
@@ -11,6 +12,7 @@
 #include <nutmegspur/ids.h>
 #include <nutmegspur/load_view.h>
 #include <nutmegspur/prompt_cache_view.h>
+#include <nutmegspur/stream_origins.h>
 #include <nutmegspur/upstream_limits.h>
 #include <nutmegspur/usage_windows.h>
 #include <nutmegspur/withheld_upstreams.h>
@@ -53,12 +55,13 @@
   milliseconds lifetime{1'000};   ///< How long the loads are valid.
   std::int64_t sealed = 0;        ///< Last usage window known to be sealed.
   std::vector<upstream_load_notice> loads;
-  std::vector<cached_part_notice> placed; ///< Added since about three notices ago.
-  std::vector<withheld_notice> withheld;  ///< All withheld upstreams known to the sender.
-  blame_notice blame;                     ///< Evidence of what upstreams crash on.
-  std::vector<limit_notice> limits;       ///< All limits of upstreams known to the sender.
+  std::vector<cached_part_notice> placed;    ///< Added since about three notices ago.
+  std::vector<withheld_notice> withheld;     ///< All withheld upstreams known to the sender.
+  blame_notice blame;                        ///< Evidence of what upstreams crash on.
+  std::vector<limit_notice> limits;          ///< All limits of upstreams known to the sender.
+  std::vector<stream_origin_notice> origins; ///< Of streams whose keeper the receiver is.
   std::vector<usage_window> usage;
-  bool usage_only = false; ///< Only `usage` and `sealed` are valid.
+  bool partial = false; ///< Only `usage`, `sealed` and `origins` are valid.
 };
 
 /// Maximum datagram size in bytes; well below the limit of a UDP datagram over IPv4.
--- a/src/include/nutmegspur/proxy_config.h
+++ b/src/include/nutmegspur/proxy_config.h
@@ -130,6 +130,9 @@
   std::unordered_map<service_id, const proxy_service*> by_service_;
 };
 
+/// The services to which `route` sends requests; never empty.
+std::vector<service_id> services_in_use(const proxy_route& route);
+
 /// Chooses one of the route's services in proportion to their weights. `random` is a uniformly
 /// distributed number. If all weights are zero, it chooses the first service.
 const service_id& pick_service(const proxy_route& route, std::uint64_t random);
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t quarantine_at = element_count;
 constexpr std::size_t limits_at = quarantine_at + 1;
 constexpr std::size_t blame_at = limits_at + 1;
+constexpr std::size_t origins_at = blame_at + 1;
 /// Suspects of each kind other than parts that are left in a notice which is too long.
 constexpr std::size_t suspects_to_fit = 8;
 
@@ -35,6 +36,9 @@
 /// The number of elements that `it` needs.
 std::size_t
 elements_of(const peer_notice& it) {
+  if (!it.origins.empty()) {
+    return origins_at + 1;
+  }
   if (!of_kind(it, blame_kind::session).empty() || !of_kind(it, blame_kind::request).empty()) {
     return blame_at + 1;
   }
@@ -204,6 +208,24 @@
   return it;
 }
 
+/// Packs rows `[request, service, version]`.
+template <class Packer>
+void
+pack_origins(Packer& out, const std::vector<stream_origin_notice>& origins) {
+  out.pack_array(static_cast<std::uint32_t>(origins.size()));
+  for (const auto& it : origins) {
+    out.pack_array(3);
+    out.pack(it.request);
+    out.pack(it.origin.service.value);
+    out.pack(it.origin.software_version);
+  }
+}
+
+stream_origin_notice
+read_origin(const std::vector<std::string>& row) {
+  return {row.at(0), {service_id{row.at(1)}, row.at(2)}};
+}
+
 peer_notice
 read_notice(const msgpack::object& from) {
   const auto row = from.as<std::vector<msgpack::object>>();
@@ -224,7 +246,7 @@
   it.instances = row.at(10).as<std::uint32_t>();
   it.lifetime = milliseconds{row.at(11).as<std::uint32_t>()};
   it.sealed = row.at(12).as<std::int64_t>();
-  it.usage_only = row.at(16).as<bool>();
+  it.partial = row.at(16).as<bool>();
   it.zone = zone_id{row.at(17).as<std::string>()};
   for (const auto& withheld : row.at(18).as<std::vector<msgpack::object>>()) {
     it.withheld.push_back(read_withheld(withheld));
@@ -249,6 +271,11 @@
     of_kind(it, blame_kind::session) = read_quarantine(kinds.at(0));
     of_kind(it, blame_kind::request) = read_quarantine(kinds.at(1));
   }
+  if (row.size() > origins_at) {
+    for (const auto& origin : row[origins_at].as<std::vector<std::vector<std::string>>>()) {
+      it.origins.push_back(read_origin(origin));
+    }
+  }
   return it;
 }
 
@@ -282,7 +309,7 @@
   }
   pack_placed(out, it.placed);
   pack_usage(out, it.usage);
-  out.pack(it.usage_only);
+  out.pack(it.partial);
   out.pack(it.zone.value);
   out.pack_array(static_cast<std::uint32_t>(it.withheld.size()));
   for (const auto& withheld : it.withheld) {
@@ -305,6 +332,9 @@
     pack_quarantine(out, of_kind(it, blame_kind::session));
     pack_quarantine(out, of_kind(it, blame_kind::request));
   }
+  if (elements > origins_at) {
+    pack_origins(out, it.origins);
+  }
   return {buf.data(), buf.size()};
 }
 
@@ -344,7 +374,7 @@
     const msgpack::object& top = handle.get();
     const bool valid_size = top.type == msgpack::type::ARRAY &&
                             top.via.array.size >= element_count &&
-                            top.via.array.size <= blame_at + 1;
+                            top.via.array.size <= origins_at + 1;
     if (!valid_size || top.via.array.ptr[0].as<int>() != layout_version) {
       return bad("unknown layout version or wrong element count");
     }
--- a/src/libnutmegspur/peer_notice_test.cpp
+++ b/src/libnutmegspur/peer_notice_test.cpp
@@ -39,6 +39,7 @@
   it.blame[2].groups = {{{~7ULL}, wall_time{seconds{6}}, wall_time{seconds{11}}, 2}};
   it.limits = {{upstream_id{"u-4"}, 1773255867046, 1.6, wall_time{seconds{13}}},
                {upstream_id{"u-5"}, 3, std::nullopt, wall_time{seconds{14}}}};
+  it.origins = {{"9c41", {service_id{"s"}, "v1.2"}}, {"9c42", {service_id{"t"}, "v1"}}};
   it.usage = {{353445121, {{team_id{"a"}, 7}}}};
   return it;
 }
@@ -60,7 +61,7 @@
   EXPECT_EQ(read->instances, sent.instances);
   EXPECT_EQ(read->lifetime, sent.lifetime);
   EXPECT_EQ(read->sealed, sent.sealed);
-  EXPECT_FALSE(read->usage_only);
+  EXPECT_FALSE(read->partial);
   ASSERT_EQ(read->loads.size(), 1U);
   EXPECT_EQ(read->loads[0].load.open, 3U);
   EXPECT_DOUBLE_EQ(read->loads[0].load.backlog_millis, 250);
@@ -69,6 +70,7 @@
   EXPECT_EQ(read->withheld, sent.withheld);
   EXPECT_EQ(read->blame, sent.blame);
   EXPECT_EQ(read->limits, sent.limits);
+  EXPECT_EQ(read->origins, sent.origins);
   EXPECT_EQ(read->usage, sent.usage);
 }
 
@@ -81,6 +83,8 @@
     const bool equal = read && read->blame == it.blame && read->limits == it.limits;
     return equal && std::exchange(last, pack_notice(it).size()) > pack_notice(it).size();
   };
+  it.origins.clear();
+  EXPECT_TRUE(shorter());
   it.blame[1] = {};
   EXPECT_TRUE(shorter());
   it.blame[2] = {};
--- a/src/libnutmegspur/proxy_config.cpp
+++ b/src/libnutmegspur/proxy_config.cpp
@@ -51,6 +51,20 @@
   return it == by_service_.end() ? nullptr : it->second;
 }
 
+std::vector<service_id>
+services_in_use(const proxy_route& route) {
+  std::vector<service_id> used;
+  for (const auto& it : route.services) {
+    if (it.weight > 0) {
+      used.push_back(it.service);
+    }
+  }
+  if (used.empty()) {
+    used.push_back(route.services.front().service);
+  }
+  return used;
+}
+
 const service_id&
 pick_service(const proxy_route& route, std::uint64_t random) {
   const std::uint64_t total =
--- a/src/libnutmegspur/request_permits.cpp
+++ b/src/libnutmegspur/request_permits.cpp
@@ -1,7 +1,7 @@
 // Grants permits for requests to upstreams that state a rate.
-#include <nutmegspur/request_permits.h>
+#include "msgpack_array.h"
 
-#include <msgpack.hpp>
+#include <nutmegspur/request_permits.h>
 
 #include <algorithm>
 #include <vector>
@@ -22,23 +22,6 @@
       std::min(permits / per_second, seconds_double{request_permits::retention}.count())});
 }
 
-/// Decodes an array of `count` elements with `read`; an error if it is malformed.
-template <class T, class Reader>
-result<T>
-unpack_array(std::string_view bytes, std::size_t count, Reader read) {
-  // msgpack reports malformed bytes by exceptions; convert them to an error.
-  try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
-    const auto row = handle.get().as<std::vector<msgpack::object>>();
-    if (row.size() != count) {
-      return fail({error_code::invalid_argument, step::peer_call, "", "wrong element count"});
-    }
-    return read(row);
-  } catch (const std::exception& ec) {
-    return fail({error_code::invalid_argument, step::peer_call, "", ec.what()});
-  }
-}
-
 constexpr std::size_t request_elements = 4;
 constexpr std::size_t answer_elements = 2;
 
@@ -115,7 +98,7 @@
 
 result<permit_request>
 unpack_permit_request(std::string_view bytes) {
-  return unpack_array<permit_request>(bytes, request_elements, [](const auto& row) {
+  return pvt::unpack_array<permit_request>(bytes, request_elements, [](const auto& row) {
     return permit_request{
         {upstream_id{row.at(0).template as<std::string>()}, row.at(1).template as<std::int64_t>()},
         row.at(2).template as<std::uint64_t>(),
@@ -135,7 +118,7 @@
 
 result<permit_answer>
 unpack_permit_answer(std::string_view bytes) {
-  return unpack_array<permit_answer>(bytes, answer_elements, [](const auto& row) {
+  return pvt::unpack_array<permit_answer>(bytes, answer_elements, [](const auto& row) {
     return permit_answer{row.at(0).template as<bool>(),
                          milliseconds{row.at(1).template as<std::int64_t>()}};
   });
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds min_lifetime{1'000};
 /// Maximum number of placed parts in one notice; about 13 bytes each.
 constexpr std::size_t max_placed = 800;
+/// Maximum number of origins of streams in one notice; at most 200 bytes each.
+constexpr std::size_t max_origins = 100;
 /// Number of rounds in which a placed part is sent.
 constexpr int placed_rounds = 2;
 /// Usage counts are repeated at this interval, which grows with the number of instances: the holder
@@ -154,6 +156,44 @@
   return best;
 }
 
+std::vector<endpoint>
+peer_group::origin_keepers(const std::string& request, std::size_t count) const {
+  std::vector<instance_id> others;
+  others.reserve(peers_.size());
+  for (const auto& [name, it] : peers_) {
+    others.push_back(name);
+  }
+  std::vector<endpoint> keepers;
+  for (const auto& name : nutmegspur::origin_keepers(request, others, count)) {
+    keepers.push_back(peers_.at(name).at);
+  }
+  return keepers;
+}
+
+void
+peer_group::send_origins(const std::vector<stream_origin_notice>& origins) {
+  std::map<endpoint, std::vector<stream_origin_notice>> by_keeper;
+  for (const auto& it : origins) {
+    for (const auto& at : origin_keepers(it.request, origin_keeper_count)) {
+      by_keeper[at].push_back(it);
+    }
+  }
+  for (const auto& [at, rows] : by_keeper) {
+    for (std::size_t n = 0; n < rows.size(); n += max_origins) {
+      const auto end = std::min(n + max_origins, rows.size());
+      peer_notice it;
+      it.sender = state_.settings.instance;
+      it.zone = state_.settings.zone;
+      it.started_ms = started_ms_;
+      it.partial = true;
+      it.sealed = sealed_window_;
+      it.origins.assign(rows.begin() + static_cast<std::ptrdiff_t>(n),
+                        rows.begin() + static_cast<std::ptrdiff_t>(end));
+      send(at, it);
+    }
+  }
+}
+
 double
 peer_group::connected_share(const moment& now) const {
   const auto known = std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
@@ -356,7 +396,7 @@
   state_.usage.trim(wall);
   peer_notice it = notice(now, relays_.is_relay() ? notice_scope::branch : notice_scope::own);
   it.usage = state_.usage.own_windows(wall, sealed_window_);
-  it.usage_only = true;
+  it.partial = true;
   if (it.usage.empty()) {
     return;
   }
@@ -390,7 +430,10 @@
     state_.usage.merge_peer_counts(read->sender, window);
   }
   on_sealed(read->sealed);
-  if (read->usage_only) {
+  for (const auto& origin : read->origins) {
+    state_.origins.add(now, origin.request, origin.origin);
+  }
+  if (read->partial) {
     return;
   }
   peer& it = peers_[read->sender];
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -53,6 +53,13 @@
   /// other instances only that of their own relay.
   [[nodiscard]] permit_keeper keeper_of(const moment& now, const listed_upstream& upstream) const;
 
+  /// The addresses of the instances that keep the origin of the stream of `request`, the preferred
+  /// one first; at most `count`, without this one.
+  [[nodiscard]] std::vector<endpoint> origin_keepers(const std::string& request,
+                                                     std::size_t count) const;
+  /// Sends the origins of streams to their keepers.
+  void send_origins(const std::vector<stream_origin_notice>& origins);
+
   /// The share of all registered instances that this one is connected with, including itself.
   [[nodiscard]] double connected_share(const moment& now) const;
 
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -45,7 +45,9 @@
               [this] { duties_.on_store_restored(); }},
              started_ms_),
       peers_(state_, platform_client_, store_, started_ms_),
-      permits_(state_, platform_client_, peers_), duties_(state_, platform_client_, store_, peers_),
+      permits_(state_, platform_client_, peers_),
+      origins_(state_, platform_client_, peers_, store_),
+      duties_(state_, platform_client_, store_, peers_),
       caller_server_(
           loop,
           {[this](http1::exchange_ptr it) { on_request(std::move(it)); },
@@ -76,6 +78,7 @@
   if (auto started = peers_.start(); !started) {
     return started;
   }
+  origins_.start();
   store_.start();
   duties_.start();
   return {};
@@ -89,7 +92,7 @@
 void
 proxy_node::on_request(http1::exchange_ptr caller) {
   auto flow = std::make_unique<request_flow>(
-      state_, upstream_client_, background_calls_, crashes_, permits_, std::move(caller),
+      state_, upstream_client_, background_calls_, crashes_, permits_, origins_, std::move(caller),
       [this](request_flow* done) {
         // Deferred to a later iteration of the loop, since `done` is still on the call stack.
         loop_.once(duration{0}, [this, done](const moment&) { flows_.erase(done); });
@@ -125,6 +128,10 @@
     const auto answer = permits_.answer(caller->body());
     fields.add("Content-Type", "application/msgpack");
     caller->reply(answer ? ok : bad_request, "", fields, answer.value_or(""));
+  } else if (caller->head().path() == origin_path) {
+    const auto answer = origins_.answer(caller->body());
+    fields.add("Content-Type", "application/msgpack");
+    caller->reply(answer ? ok : bad_request, "", fields, answer.value_or(""));
   } else if (caller->head().path() == "/metrics") {
     state_.metrics.get_gauge("nutmegspur_requests_open")
         .set(static_cast<std::int64_t>(flows_.size()));
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -7,6 +7,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "log_writer.h"
+#include "origin_client.h"
 #include "peer_group.h"
 #include "permit_client.h"
 #include "proxy_state.h"
@@ -53,6 +54,7 @@
   store_link store_;
   peer_group peers_;
   permit_client permits_;
+  origin_client origins_;
   duty_holder duties_;
   http1::http_server caller_server_;
   http1::http_server ready_server_;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -13,6 +13,7 @@
 #include <nutmegspur/placement.h>
 #include <nutmegspur/prompt_cache_view.h>
 #include <nutmegspur/retry_budget.h>
+#include <nutmegspur/stream_origins.h>
 #include <nutmegspur/upstream_health.h>
 #include <nutmegspur/upstream_limits.h>
 #include <nutmegspur/upstream_list.h>
@@ -77,6 +78,7 @@
   upstream_pauses pauses;
   upstream_limits limits;
   crash_blame blame;
+  stream_origins origins;
   load_view loads;
   prompt_cache_view caches;
   std::map<service_id, engine_calibrations> calibrations;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -18,6 +18,9 @@
 constexpr double default_service_millis = 40;
 /// Retry-After of requests that arrive before this instance has its configuration and upstreams.
 constexpr milliseconds retry_after_not_ready{500};
+/// Retry-After of requests that resume a stream whose origin this instance cannot find out: another
+/// one may know it.
+constexpr milliseconds retry_after_unknown_origin{150};
 /// Questions for permits that a request waits for before it uses upstreams without a limit only.
 constexpr unsigned max_permit_questions = 3;
 /// Retry-After of requests that reach an instance about to stop: another instance serves them.
@@ -53,10 +56,11 @@
 
 request_flow::request_flow(proxy_state& state, http1::http_client& client,
                            call_set& background_calls, upstream_crashes& crashes,
-                           permit_client& permits, http1::exchange_ptr caller,
-                           std::function<void(request_flow*)> on_done)
+                           permit_client& permits, origin_client& origins,
+                           http1::exchange_ptr caller, std::function<void(request_flow*)> on_done)
     : state_(state), client_(client), background_calls_(background_calls), crashes_(crashes),
-      permits_(permits), caller_(std::move(caller)), on_done_(std::move(on_done)) {}
+      permits_(permits), origins_(origins), caller_(std::move(caller)),
+      on_done_(std::move(on_done)) {}
 
 request_flow::~request_flow() {
   state_.loop.cancel(deadline_timer_);
@@ -76,9 +80,49 @@
 void
 request_flow::start() {
   caller_->set_on_disconnect([this] { on_caller_disconnected(); });
-  if (admit()) {
+  if (!admit()) {
+    return;
+  }
+  if (!resumes_earlier_request()) {
     place();
+    return;
+  }
+  origin_wait_ = std::make_shared<bool>(true);
+  origins_.find(request_.resumes, *route_,
+                [this, waiting = std::weak_ptr{origin_wait_}](const auto& origin) {
+                  if (!waiting.expired()) {
+                    origin_wait_.reset();
+                    on_origin(origin);
+                  }
+                });
+}
+
+bool
+request_flow::resumes_earlier_request() const {
+  return streaming() && !(request_.last_event_id.empty() && request_.resumes.empty());
+}
+
+void
+request_flow::set_service(const service_id& name) {
+  service_name_ = name;
+  service_ = config_->find_service(name);
+  state_.retry_budget_of(name).on_new_request();
+}
+
+void
+request_flow::on_origin(const std::optional<stream_origin>& origin) {
+  if (!origin) {
+    refuse("unknown_origin", retry_after_unknown_origin, 0);
+    return;
   }
+  stream_version_ = origin->software_version;
+  const auto services = services_in_use(*route_);
+  if (std::find(services.begin(), services.end(), origin->service) == services.end()) {
+    refuse("version_gone", std::nullopt, 0);
+    return;
+  }
+  set_service(origin->service);
+  place();
 }
 
 bool
@@ -111,10 +155,6 @@
     }
     team_ = team->name;
   }
-  service_name_ = pick_service(
-      *route_, std::hash<std::string>{}(request_.id) ^
-                   static_cast<std::uint64_t>(caller_->arrived().boot.time_since_epoch().count()));
-  service_ = config_->find_service(service_name_);
   prompt_ = {chain_parts(request_.model, request_.parts), request_.prompt_tokens,
              request_.output_tokens};
   fingerprint_ = request_fingerprint(host_of(caller_->head()), caller_->head().method,
@@ -132,7 +172,11 @@
   history_.resumable = route_->resumable;
   history_.max_attempts = route_->max_attempts;
   last_event_id_ = request_.last_event_id;
-  state_.retry_budget_of(service_name_).on_new_request();
+  if (!resumes_earlier_request()) {
+    set_service(pick_service(*route_, std::hash<std::string>{}(request_.id) ^
+                                          static_cast<std::uint64_t>(
+                                              caller_->arrived().boot.time_since_epoch().count())));
+  }
   return true;
 }
 
@@ -158,11 +202,20 @@
   return to;
 }
 
+std::vector<const listed_upstream*>
+request_flow::eligible_upstreams() const {
+  auto all = state_.upstreams.usable_of(service_name_);
+  if (stream_version_) {
+    std::erase_if(all, [&](const auto* it) { return it->software_version != *stream_version_; });
+  }
+  return all;
+}
+
 placement_candidates
 request_flow::candidates() const {
   placement_candidates choices;
   const moment now = http1::event_loop::now();
-  for (const auto* it : state_.upstreams.usable_of(service_name_)) {
+  for (const auto* it : eligible_upstreams()) {
     if (tried_.contains(it->id) || !state_.upstream_available(now, *it) ||
         !permit_in_reach(now, *it)) {
       continue;
@@ -228,6 +281,10 @@
   if (none_left && ask_for_promise()) {
     return;
   }
+  if (stream_version_ && eligible_upstreams().empty()) {
+    end_request(after_last_attempt(history_), "version_gone", std::nullopt, 0);
+    return;
+  }
   end_request(after_last_attempt(history_), to_name(refusal.why),
               none_left ? first_availability().value_or(refusal.retry_after) : refusal.retry_after,
               refusal.expected_millis);
@@ -288,7 +345,7 @@
   const moment now = http1::event_loop::now();
   const listed_upstream* chosen = nullptr;
   std::uint64_t most = 0;
-  for (const auto* it : state_.upstreams.usable_of(service_name_)) {
+  for (const auto* it : eligible_upstreams()) {
     if (it->stage == engine_stage::prefill || tried_.contains(it->id) ||
         !state_.upstream_available(now, *it) || !permits_.needed(*it)) {
       continue;
@@ -328,7 +385,7 @@
   const moment now = http1::event_loop::now();
   std::vector<upstream_id> ids;
   std::optional<milliseconds> first;
-  for (const auto* it : state_.upstreams.usable_of(service_name_)) {
+  for (const auto* it : eligible_upstreams()) {
     ids.push_back(it->id);
     const milliseconds left = permits_.time_left(now, *it);
     if (left > milliseconds{0} && !state_.pauses.paused(now, it->id)) {
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -11,6 +11,7 @@
 #include "event_splitter.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "origin_client.h"
 #include "permit_client.h"
 #include "proxy_state.h"
 #include "upstream_crashes.h"
@@ -52,8 +53,8 @@
 class request_flow {
  public:
   request_flow(proxy_state& state, http1::http_client& client, call_set& background_calls,
-               upstream_crashes& crashes, permit_client& permits, http1::exchange_ptr caller,
-               std::function<void(request_flow*)> on_done);
+               upstream_crashes& crashes, permit_client& permits, origin_client& origins,
+               http1::exchange_ptr caller, std::function<void(request_flow*)> on_done);
   request_flow(const request_flow&) = delete;
   request_flow& operator=(const request_flow&) = delete;
   ~request_flow();
@@ -64,7 +65,17 @@
  private:
   // Before an attempt.
   bool admit();
+  /// Whether the caller resumes a stream that an earlier request of it began.
+  [[nodiscard]] bool resumes_earlier_request() const;
+  /// Sets the service and counts the request there.
+  void set_service(const service_id& name);
+  /// Goes on where the stream began; refuses the request if that is not known, or no longer
+  /// possible.
+  void on_origin(const std::optional<stream_origin>& origin);
   void place();
+  /// The listed upstreams that may take the request: those of the service and, once a stream has
+  /// begun, of the version that began it.
+  [[nodiscard]] std::vector<const listed_upstream*> eligible_upstreams() const;
   [[nodiscard]] placement_candidates candidates() const;
   [[nodiscard]] placement_candidate candidate(const moment& now, const listed_upstream& it) const;
   [[nodiscard]] placement_request placement_inputs() const;
@@ -118,10 +129,11 @@
   void end_attempt(attempt_end how);
   void forward_response();
   /// Ends the request as `step` says: refuse, fail or cut.
-  void end_request(next_step step, std::string_view why, milliseconds retry_after,
+  void end_request(next_step step, std::string_view why, std::optional<milliseconds> retry_after,
                    double expected_millis);
-  /// Responds with 503 and Retry-After: the request did not run.
-  void refuse(std::string_view why, milliseconds retry_after, double expected_millis);
+  /// Responds with 503: the request did not run. Without `retry_after`, it cannot run later either.
+  void refuse(std::string_view why, std::optional<milliseconds> retry_after,
+              double expected_millis);
   /// Responds with an error: the request may have run.
   void fail(int status, std::string_view why);
   /// Aborts the connection: part of the response has been sent.
@@ -146,6 +158,7 @@
   call_set& background_calls_; ///< Calls that outlive the request.
   upstream_crashes& crashes_;
   permit_client& permits_;
+  origin_client& origins_;
   http1::exchange_ptr caller_;
   std::function<void(request_flow*)> on_done_;
 
@@ -174,6 +187,9 @@
   std::shared_ptr<bool> permit_wait_; ///< Not null while a question to a keeper is open.
   attempt_history history_;
   std::string last_event_id_; ///< Of the last event forwarded.
+  /// The version that began the stream; empty before its first event.
+  std::optional<std::string> stream_version_;
+  std::shared_ptr<bool> origin_wait_; ///< Not null while the origin of the stream is looked up.
   time_point first_event_at_{};
   time_point last_event_at_{};
   duration longest_gap_{0};    ///< Between two forwarded events.
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -106,7 +106,7 @@
   http1::discard(state_.loop, std::move(it.call));
   attempt_.reset();
   history_.time_left = remaining_time() > min_attempt_time;
-  history_.upstream_left = !state_.upstreams.usable_of(service_name_).empty();
+  history_.upstream_left = !eligible_upstreams().empty();
   history_.budget_left = how == attempt_end::unreachable ||
                          history_.sent >= history_.max_attempts ||
                          state_.retry_budget_of(service_name_).take(http1::event_loop::now());
@@ -119,8 +119,8 @@
 }
 
 void
-request_flow::end_request(next_step step, std::string_view why, milliseconds retry_after,
-                          double expected_millis) {
+request_flow::end_request(next_step step, std::string_view why,
+                          std::optional<milliseconds> retry_after, double expected_millis) {
   constexpr int bad_gateway = 502;
   switch (step) {
   case next_step::cut:
@@ -150,7 +150,7 @@
   // The planned engine is no longer available: use another, preferably in the zone of the prefill.
   const listed_upstream* prefill_engine = state_.upstreams.find(prefill_upstream_);
   const listed_upstream* best = nullptr;
-  for (const auto* it : state_.upstreams.usable_of(service_name_)) {
+  for (const auto* it : eligible_upstreams()) {
     if (it->stage == engine_stage::prefill || !state_.upstream_available(now, *it) ||
         lacks_permit(*it)) {
       continue;
@@ -197,7 +197,7 @@
   prefill_failed_ = prefill_failed_ || it.task == attempt_task::decode;
   const moment now = http1::event_loop::now();
   history_.time_left = remaining_time() > min_attempt_time;
-  history_.upstream_left = !state_.upstreams.usable_of(service_name_).empty();
+  history_.upstream_left = !eligible_upstreams().empty();
   history_.budget_left = true;
   next_step step = after_attempt(how, history_);
   if (step == next_step::retry && history_.sent > 0 &&
@@ -268,15 +268,17 @@
 }
 
 void
-request_flow::refuse(std::string_view why, milliseconds retry_after, double expected_millis) {
+request_flow::refuse(std::string_view why, std::optional<milliseconds> retry_after,
+                     double expected_millis) {
   constexpr int unavailable = 503;
   count("nutmegspur_refused_total", "why", why);
-  log(log_event::request_refused, {{"request", request_.id},
-                                   {"route", route_ == nullptr ? "" : route_->name},
-                                   {"why", std::string{why}},
-                                   {"expected_ms", rounded(expected_millis)},
-                                   {"retry_after_ms", std::to_string(retry_after.count())},
-                                   {"elapsed_ms", elapsed_text()}});
+  log(log_event::request_refused,
+      {{"request", request_.id},
+       {"route", route_ == nullptr ? "" : route_->name},
+       {"why", std::string{why}},
+       {"expected_ms", rounded(expected_millis)},
+       {"retry_after_ms", retry_after ? std::to_string(retry_after->count()) : ""},
+       {"elapsed_ms", elapsed_text()}});
   caller_->reply(unavailable, "", state_.wire.own_response_fields(request_.id, retry_after), "");
   finish(unavailable);
 }
@@ -356,6 +358,7 @@
   state_.loop.cancel(deadline_timer_);
   state_.loop.cancel(silence_timer_);
   permit_wait_.reset();
+  origin_wait_.reset();
   const moment now = http1::event_loop::now();
   if (attempt_) {
     state_.loads.on_ended(now, attempt_->load_id);
