A prompt is prefilled and decoded by one software version

What two versions write does not fit together, so halves are paired by zone and version, and without another decode engine of the version the prompt is prefilled anew instead of the request being refused.

placement_test has a case for it, which failed before. system_proxied_versions and 15 other whole-program cases of the proxy and placement_test pass.

--- a/src/include/nutmegspur/placement.h
+++ b/src/include/nutmegspur/placement.h
@@ -37,6 +37,7 @@
   upstream_id id;
   zone_id zone;
   std::string region;
+  std::string software_version; ///< A prompt prefilled by one version cannot be used by another.
   distance network_distance = distance::same_zone; ///< From this instance.
   std::uint32_t open = 0;                          ///< Requests in progress or queued there.
   std::uint32_t slots = 1;                         ///< Requests processed concurrently.
--- a/src/libnutmegspur/placement.cpp
+++ b/src/libnutmegspur/placement.cpp
@@ -171,12 +171,12 @@
   return result;
 }
 
-/// The half with the lowest cost in each zone.
-using zone_halves = std::map<zone_id, split_half>;
+/// The half with the lowest cost for each zone and software version.
+using zone_halves = std::map<std::pair<zone_id, std::string_view>, split_half>;
 
 void
 keep_cheaper(zone_halves& halves, const split_half& it) {
-  const auto [held, added] = halves.try_emplace(it.engine->zone, it);
+  const auto [held, added] = halves.try_emplace({it.engine->zone, it.engine->software_version}, it);
   if (!added && it.cost < held->second.cost) {
     held->second = it;
   }
@@ -228,7 +228,7 @@
     return best;
   }
   // The transfer depends on the two zones alone, so the best pair of two zones consists of the best
-  // half in each.
+  // half in each. Both have the same version.
   const std::uint64_t max_prefill_weight = max_home_weight(candidates.prefill_engines);
   zone_halves prefill_halves;
   for (const auto& it : candidates.prefill_engines) {
@@ -240,7 +240,9 @@
   }
   for (const auto& [from, prefill] : prefill_halves) {
     for (const auto& [to, decode] : decode_halves) {
-      update_best(best, join_halves(request, prefill, decode, weights));
+      if (from.second == to.second) {
+        update_best(best, join_halves(request, prefill, decode, weights));
+      }
     }
   }
   return best;
--- a/src/libnutmegspur/placement_test.cpp
+++ b/src/libnutmegspur/placement_test.cpp
@@ -50,6 +50,24 @@
   EXPECT_EQ(placed->prefill_upstream, upstream_id{"held"});
 }
 
+// Guards against a prompt that one software version prefills and another one decodes.
+TEST(placement, both_engines_of_a_split_request_have_one_version) {
+  auto held = engine("held");
+  held.cached_tokens = 13'000;
+  held.software_version = "v1";
+  auto idle = engine("idle");
+  idle.software_version = "v2";
+  auto run = engine("run");
+  run.software_version = "v2";
+  auto placed = place_request(long_prompt(), {{run}, {held, idle}}, {});
+  ASSERT_TRUE(placed);
+  EXPECT_EQ(placed->prefill_upstream, upstream_id{"idle"});
+  placed = place_request(long_prompt(), {{run}, {held}}, {});
+  ASSERT_TRUE(placed);
+  EXPECT_EQ(placed->upstream, upstream_id{"run"});
+  EXPECT_TRUE(placed->prefill_upstream.empty()) << "the decode engine prefills the prompt itself";
+}
+
 TEST(placement, a_long_queue_outweighs_a_cached_prefix) {
   auto held = engine("held");
   held.cached_tokens = 13'000;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -191,6 +191,7 @@
       region != state_.settings.regions.end()) {
     to.region = region->second;
   }
+  to.software_version = it.software_version;
   to.network_distance = state_.distance_to(it.zone);
   to.open = load.open;
   to.slots = it.slots;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -179,6 +179,7 @@
   std::optional<upstream_attempt> attempt_;
   std::optional<prompt_handle> prompt_handle_; ///< Prompt prefilled for this request.
   upstream_id prefill_upstream_;               ///< Engine that prefilled it.
+  std::string prefill_version_;                ///< Software version of that engine.
   bool prefill_failed_ = false;                ///< No further attempt uses a separate prefill.
   std::set<upstream_id> tried_;
   std::set<upstream_id> permits_held_; ///< Each for one attempt.
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -94,6 +94,7 @@
   }
   if (!handle.empty()) {
     prefill_upstream_ = it.upstream.id;
+    prefill_version_ = it.upstream.software_version;
     prompt_handle_ = prompt_handle{{it.upstream.address, it.upstream.port}, handle};
     http1::discard(state_.loop, std::move(it.call));
     attempt_.reset();
@@ -143,16 +144,18 @@
   const moment now = http1::event_loop::now();
   const auto* planned = state_.upstreams.usable(placement_.upstream);
   if (planned != nullptr && planned->stage != engine_stage::prefill &&
-      state_.upstream_available(now, *planned) && !lacks_permit(*planned)) {
+      planned->software_version == prefill_version_ && state_.upstream_available(now, *planned) &&
+      !lacks_permit(*planned)) {
     send(attempt_task::decode, placement_.upstream, 0);
     return;
   }
-  // The planned engine is no longer available: use another, preferably in the zone of the prefill.
+  // The planned engine is no longer available: use another of the version that prefilled the
+  // prompt, preferably in the same zone.
   const listed_upstream* prefill_engine = state_.upstreams.find(prefill_upstream_);
   const listed_upstream* best = nullptr;
   for (const auto* it : eligible_upstreams()) {
     if (it->stage == engine_stage::prefill || !state_.upstream_available(now, *it) ||
-        lacks_permit(*it)) {
+        lacks_permit(*it) || it->software_version != prefill_version_) {
       continue;
     }
     const bool nearer = prefill_engine != nullptr && it->zone == prefill_engine->zone &&
@@ -162,7 +165,10 @@
     }
   }
   if (best == nullptr) {
-    end_request(after_last_attempt(history_), "no_upstream", retry_after_rejection, 0);
+    // Another engine may prefill the prompt anew and run it.
+    free_handle();
+    prefill_failed_ = true;
+    place();
     return;
   }
   send(attempt_task::decode, best->id, 0);
