--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -72,6 +72,7 @@
   upstream_paused = 607,
   upstream_crashed = 608,
   upstream_limited = 609,
+  breaker_opened = 610,
   peer_connected = 700,
   peer_lost = 701,
   peer_rejected = 702,
--- a/src/include/nutmegspur/upstream_health.h
+++ b/src/include/nutmegspur/upstream_health.h
@@ -7,6 +7,7 @@
 #include <nutmegspur/clock.h>
 #include <nutmegspur/ids.h>
 
+#include <optional>
 #include <unordered_map>
 
 namespace nutmegspur {
@@ -31,7 +32,9 @@
   static constexpr milliseconds initial_open_time{1'000};
   static constexpr milliseconds max_open_time{8'000};
 
-  void on_result(const moment& now, const upstream_id& id, attempt_result result);
+  /// Returns for how long the breaker opens, if this result opens it.
+  std::optional<milliseconds> on_result(const moment& now, const upstream_id& id,
+                                        attempt_result result);
 
   /// Forgets an upstream that is gone or has restarted.
   void forget(const upstream_id& id) { breakers_.erase(id); }
@@ -52,7 +55,8 @@
     time_point probe_until{}; ///< While half open: no second probe before this time.
   };
 
-  static void open(const moment& now, breaker& it);
+  /// Returns for how long it opens.
+  static milliseconds open(const moment& now, breaker& it);
 
   std::unordered_map<upstream_id, breaker> breakers_;
 };
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 51> catalogue{{
+constexpr std::array<log_event_info, 52> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -99,6 +99,9 @@
     {log_event::upstream_limited, "upstream_limited", severity::info,
      "An upstream stated how many requests a second it takes from all instances together, or that "
      "it no longer has a limit."},
+    {log_event::breaker_opened, "breaker_opened", severity::info,
+     "An upstream's circuit breaker has opened: it gets no requests from this instance for a "
+     "while."},
     {log_event::peer_connected, "peer_connected", severity::info,
      "A peer connection was established."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
--- a/src/libnutmegspur/upstream_health.cpp
+++ b/src/libnutmegspur/upstream_health.cpp
@@ -15,16 +15,18 @@
 
 } // namespace
 
-void
+milliseconds
 upstream_health::open(const moment& now, breaker& it) {
-  const auto open_time = initial_open_time * (1 << std::min(it.times_opened, max_doublings));
-  it.open_until = now.boot + std::min<milliseconds>(open_time, max_open_time);
+  const auto open_time = std::min<milliseconds>(
+      initial_open_time * (1 << std::min(it.times_opened, max_doublings)), max_open_time);
+  it.open_until = now.boot + open_time;
   it.probe_until = {};
   it.times_opened++;
   it.failures_in_row = 0;
+  return open_time;
 }
 
-void
+std::optional<milliseconds>
 upstream_health::on_result(const moment& now, const upstream_id& id, attempt_result result) {
   breaker& it = breakers_[id];
   const bool failed = result != attempt_result::answered;
@@ -38,14 +40,15 @@
     if (it.failure_share < newest_weight / 2) {
       it.times_opened = 0;
     }
-    return;
+    return std::nullopt;
   }
   it.failures_in_row += result == attempt_result::server_error ? 0 : 1;
   const bool probe_failed = it.open_until != time_point{} && now.boot >= it.open_until;
   if (probe_failed || result == attempt_result::unreachable ||
       it.failures_in_row >= failures_to_open || it.failure_share >= failure_share_to_open) {
-    open(now, it);
+    return open(now, it);
   }
+  return std::nullopt;
 }
 
 bool
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -32,6 +32,14 @@
                                      {"span_ms", std::to_string(period.count())}});
 }
 
+void
+proxy_state::record_result(const moment& now, const upstream_id& id, attempt_result result) {
+  if (const auto open_time = health.on_result(now, id, result)) {
+    log(log_event::breaker_opened,
+        {{"upstream", id.value}, {"span_ms", std::to_string(open_time->count())}});
+  }
+}
+
 void
 proxy_state::on_response_head(const moment& now, const listed_upstream& it,
                               const response_metadata& marks, bool authentic) {
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -107,6 +107,8 @@
   /// notified.
   void withhold(const moment& now, const upstream_id& id, engine_stage until_stage,
                 milliseconds period, std::string_view why);
+  /// Records the result of an attempt at `id` for its circuit breaker.
+  void record_result(const moment& now, const upstream_id& id, attempt_result result);
   /// Applies what a response of `it` says about the upstream itself: that it is leaving, wants a
   /// pause, or takes a limited rate. Only an `authentic` response ends such a limit.
   void on_response_head(const moment& now, const listed_upstream& it,
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -55,7 +55,7 @@
   if (const auto result = health_result(how)) {
     // If the prompt cannot be fetched, the engine that should have kept it is at fault.
     const bool lost_handle = it.task == attempt_task::decode && how == attempt_end::rejected;
-    state_.health.on_result(now, lost_handle ? prefill_upstream_ : it.upstream.id, *result);
+    state_.record_result(now, lost_handle ? prefill_upstream_ : it.upstream.id, *result);
   }
   if (how == attempt_end::rejected && it.head.status == misdirected_request) {
     // Another process is at the address, or the engine changed its stage: the list will show it.
