Failing test: instances that are cut off from all upstreams serve nobody

system_proxied_cut_off partitions one to three of four instances from all upstreams, each with links of its own: packets vanish, connections are reset and new ones refused, or open ones live on. The platform's stand-in serves each instance a view of the store with its own links to the workers.

--- a/testsuite/lib/faulty_link.py
+++ b/testsuite/lib/faulty_link.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy that injects faults into its connections."""
 
 import asyncio
+import socket
 
 import processes
 
@@ -54,3 +55,45 @@
                 it.transport.abort()
 
         self.platform.run(abort())
+
+
+class CutLink(FaultyLink):
+    """A link that can be partitioned as a network does it: packets vanish, or connections are reset and refused."""
+
+    WAYS = ("hang", "reset", "live")  # "live": open connections go on, new ones are refused.
+
+    async def start(self):
+        self.blockers = []
+        await super().start()
+
+    async def block_port(self):
+        """Listens without accepting. Once its queue is full, the kernel drops the packets of new connections."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((processes.LOOPBACK, self.port))
+        listener.listen(0)
+        self.blockers = [listener]
+        for _ in range(2):
+            it = socket.socket()
+            it.setblocking(False)
+            it.connect_ex((processes.LOOPBACK, self.port))
+            self.blockers.append(it)
+
+    async def cut_async(self, way):
+        self.server.close()
+        if way == "hang":
+            self.mode = "silent"
+            await self.block_port()
+        elif way == "reset":
+            for it in list(self.writers):
+                it.transport.abort()
+
+    async def heal_async(self):
+        for it in self.blockers:
+            it.close()
+        self.blockers = []
+        if self.mode == "silent":
+            for it in list(self.writers):
+                it.transport.abort()  # Their bytes of meanwhile are lost.
+        self.mode = "pass"
+        self.server = await asyncio.start_server(self.handle_connection, processes.LOOPBACK, self.port)
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -231,6 +231,37 @@
         return make_response(200, {})
 
 
+class StoreView:
+    """The store as one instance sees it: workers are at the ports of that instance's own links to them."""
+
+    def __init__(self, store, links):
+        self.store = store
+        self.links = links  # By the worker's port.
+
+    def translate(self, item):
+        if not item["key"].startswith("servers/") or "value" not in item:
+            return item
+        entry = json.loads(base64.b64decode(item["value"]))
+        address, _, port = entry["address"].rpartition(":")
+        if int(port) in self.links:
+            entry["address"] = f"{address}:{self.links[int(port)].port}"
+        return {**item, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+    async def handle(self, request, writer):
+        reply = await self.store.handle(request, writer)
+        if request.method != "GET" or reply is None:
+            return reply
+        head, _, body = reply.partition(b"\r\n\r\n")
+        content = json.loads(body or b"{}")
+        for rows in ("items", "events"):
+            content[rows] = [self.translate(it) for it in content[rows]] if rows in content else []
+        if "key" in content:
+            content = self.translate(content)
+        lines = [it for it in head.split(b"\r\n")[1:] if not it.lower().startswith(b"content-length")]
+        body = json.dumps(content).encode()
+        return b"\r\n".join([head.split(b"\r\n")[0], b"Content-Length: %d" % len(body), *lines]) + b"\r\n\r\n" + body
+
+
 class Worker:
     """One worker. `faults` maps a request id to the fault that is injected into this request once."""
 
@@ -437,6 +468,7 @@
         self.store_port, self.cloud_port = store_port, cloud_port
         self.loop = asyncio.new_event_loop()
         self.workers = {}
+        self.views = []  # Servers of `StoreView`s.
         self.tasks = {}
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
@@ -465,6 +497,11 @@
         self.workers[name] = worker
         return worker
 
+    def add_store_view(self, port, links):
+        """Serves the store on `port` with the workers' addresses replaced by those of `links`."""
+        view = StoreView(self.store, links)
+        self.views.append(self.run(serve(port, view.handle)))
+
     def remove_worker(self, name):
         """The worker ends: its connections are reset and its registration is removed."""
         worker = self.workers.pop(name)
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -6,6 +6,7 @@
 import json
 import signal
 
+import faulty_link
 import platform_standin
 import processes
 
@@ -54,6 +55,8 @@
         self.system = processes.System(build_dir)
         self.platform = platform_standin.Platform(processes.free_port(), processes.free_port())
         self.ports = {}
+        self.links = {}  # Of each instance, by the worker's port.
+        self.store_ports = {}
         self.zones = {f"front-{n}": zones[(n - 1) % len(zones)] for n in range(1, instances + 1)}
         self.extra_args = list(extra_args)
         self.request_numbers = itertools.count(1)
@@ -65,6 +68,24 @@
             self.platform.add_worker(f"run-{n}", "llm", f"z-{n}", processes.free_port(), "decode", version)
             self.platform.add_worker(f"prep-{n}", "llm", f"z-{n}", processes.free_port(), "prefill", version)
 
+    def separate_links(self):
+        """Gives each instance links of its own to all workers, so that it can be cut off from them by `cut`. Must be
+        called after workers were added and before instances start."""
+        for name in self.ports:
+            self.links[name] = {it.port: faulty_link.CutLink(self.platform, it.port)
+                                for it in self.platform.workers.values()}
+            self.store_ports[name] = processes.free_port()
+            self.platform.add_store_view(self.store_ports[name], self.links[name])
+
+    def cut(self, name, way):
+        """Partitions an instance from all workers; callers, the store and the other instances still reach it."""
+        for it in self.links[name].values():
+            self.platform.run(it.cut_async(way))
+
+    def heal(self, name):
+        for it in self.links[name].values():
+            self.platform.run(it.heal_async())
+
     def settings(self, name):
         listen = {what: f"{processes.LOOPBACK}:{port}" for what, port in self.ports[name].items()}
         return {
@@ -72,7 +93,7 @@
             "region": self.zones[name].replace("z", "r"),
             "zones": {"z-1": "r-1", "z-2": "r-2"}, "listen": listen,
             "seeds": [f"{processes.LOOPBACK}:{it['control']}" for it in self.ports.values()],
-            "platform": {"address": f"{processes.LOOPBACK}:{self.platform.store_port}"},
+            "platform": {"address": f"{processes.LOOPBACK}:{self.store_ports.get(name, self.platform.store_port)}"},
             "cloud": {"address": f"{processes.LOOPBACK}:{self.platform.cloud_port}",
                       "duties": ["usage_report", "autoscale"]},
             "bounds": {"grace_s": 8, "lease_ms": 3000, "report_window_s": REPORT_WINDOW_S,
