--- a/testsuite/lib/faulty_link.py
+++ b/testsuite/lib/faulty_link.py
@@ -2,10 +2,18 @@
 
 import asyncio
 import socket
+import struct
 
 import processes
 
 
+def reset_connection(writer):
+    """Closes with a reset. Without it `abort` may send a plain end, which ends a response without framing."""
+    if not writer.transport.is_closing():
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class FaultyLink:
     """Forwards connections to a target port. `mode` is one of MODES and applies to open and new connections."""
 
@@ -36,23 +44,27 @@
         self.writers -= {writer, target_writer}
 
     async def pump(self, reader, writer, forward):
+        lost = False
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(0.1)
                 if self.mode == "silent" or (self.mode == "one_way" and not forward):
-                    continue  # Dropped, as by a router that has lost the connection's state.
+                    lost = True  # Dropped, as by a router that has lost the connection's state.
+                if lost:
+                    continue  # TCP delivers nothing after a gap, not even the end of the connection.
                 writer.write(data)
                 await writer.drain()
-            writer.close()
+            if not lost:
+                writer.close()
         except (ConnectionError, asyncio.CancelledError):
-            writer.transport.abort()
+            reset_connection(writer)
 
     def reset(self):
         """Resets all open connections."""
         async def abort():
             for it in list(self.writers):
-                it.transport.abort()
+                reset_connection(it)
 
         self.platform.run(abort())
 
@@ -87,7 +99,7 @@
             self.block_port()
         elif way == "reset":
             for it in list(self.writers):
-                it.transport.abort()
+                reset_connection(it)
 
     async def heal(self):
         for it in self.blockers:
@@ -95,6 +107,6 @@
         self.blockers = []
         if self.mode == "silent":
             for it in list(self.writers):
-                it.transport.abort()  # Their bytes of meanwhile are lost.
+                reset_connection(it)  # Their bytes of meanwhile are lost.
         self.mode = "pass"
-        self.server = await asyncio.start_server(self.handle_connection, processes.LOOPBACK, self.port)
+        await super().start()
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -20,7 +20,7 @@
 LOOPBACK = "127.0.0.1"
 WAIT_LIMIT_S = 60.0  # Maximum wait for a condition; no test's result depends on this value.
 POLL_PERIOD_S = 0.05
-allocated_ports = set()
+port_holders = []  # A socket for each port that was given out.
 
 
 class Failure(Exception):
@@ -41,17 +41,18 @@
 
 def free_port():
     """Returns a free port below the default range of ephemeral ports, so that no outgoing connection
-    takes it before its server listens."""
+    takes it before its server listens. A socket that does not listen holds it for as long as this process
+    runs: servers with SO_REUSEADDR can listen there, also again, and nobody else takes it in between."""
     while True:
         port = secrets.choice(range(10_000, 32_000))
-        if port in allocated_ports:
+        holder = socket.socket()
+        try:
+            holder.bind((LOOPBACK, port))
+        except OSError:
+            holder.close()
             continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-        allocated_ports.add(port)
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        port_holders.append(holder)
         return port
 
 
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -72,19 +72,32 @@
         """Gives each instance links of its own to all workers, so that it can be cut off from them by `cut`. Must be
         called after workers were added and before instances start."""
         for name in self.ports:
-            self.links[name] = {it.port: faulty_link.CutLink(self.platform, it.port)
-                                for it in self.platform.workers.values()}
+            self.links[name] = {}
             self.store_ports[name] = processes.free_port()
             self.platform.add_store_view(self.store_ports[name], self.links[name])
+        for it in self.platform.workers.values():
+            self.link_port(it.port)
+
+    def link_port(self, port):
+        """Gives each instance a link of its own to the worker at `port`; before the worker registers."""
+        for links in self.links.values():
+            links[port] = faulty_link.CutLink(self.platform, port)
 
     def cut(self, name, way):
         """Partitions an instance from all workers; callers, the store and the other instances still reach it."""
         async def cut_all():  # At one moment, as a partition does.
-            for it in self.links[name].values():
+            for it in list(self.links[name].values()):
                 it.cut(way)
 
         self.platform.run(cut_all())
 
+    def cut_port(self, name, port, way):
+        """Cuts one more link of an instance that is cut off."""
+        async def cut_one():
+            self.links[name][port].cut(way)
+
+        self.platform.run(cut_one())
+
     def heal(self, name):
         for it in self.links[name].values():
             self.platform.run(it.heal())
@@ -136,16 +149,19 @@
         return f"{next(self.request_numbers):016x}"
 
     def send(self, route, request_id=None, key="key-1", method="POST", entry="front-1", headers=None,
-             body=b"hello", timeout_s=30.0, shared_parts=("aa:3000",), path="x", own_part=None):
-        """Sends one request on a new connection. The response's `complete` is False if its body was truncated.
-        A streamed request's prompt has the shared parts and one of its own."""
+             body=b"hello", timeout_s=30.0, shared_parts=("aa:3000",), path="x", own_part=None, kept=None):
+        """Sends one request. The response's `complete` is False if its body was truncated. A streamed request's
+        prompt has the shared parts and one of its own. `kept` holds connections by instance that are used again, for
+        as long as the instance keeps them; without it the connection is a new one."""
         request_id = request_id or self.new_id()
         all_headers = {"Host": "a.example", "X-Request-Id": request_id, "X-Deadline-Ms": "8000",
                        "X-Api-Key": key, **(headers or {})}
         if route in STREAM_ROUTES:
             all_headers.update({"X-Model-Name": "m", "X-Token-Usage": "4000,20",
                                 "X-Prompt-Prefix": ",".join([*shared_parts, f"{own_part or request_id[:8]}:1000"])})
-        connection = http.client.HTTPConnection(processes.LOOPBACK, self.ports[entry]["front"], timeout=timeout_s)
+        connection = (kept or {}).pop(entry, None) or http.client.HTTPConnection(
+            processes.LOOPBACK, self.ports[entry]["front"], timeout=timeout_s)
+        reusable = False
         try:
             connection.request(method, f"/{route}/{path}?y=1", body=body, headers=all_headers)
             try:
@@ -155,6 +171,7 @@
             complete = True
             try:
                 content = reply.read()
+                reusable = kept is not None and not reply.will_close
             except (http.client.IncompleteRead, ConnectionError) as ec:
                 content = getattr(ec, "partial", b"")
                 complete = False
@@ -164,7 +181,10 @@
             response.request_id = request_id
             return response
         finally:
-            connection.close()
+            if reusable:
+                kept[entry] = connection
+            else:
+                connection.close()
 
     def begin_stream(self, route, entry="front-1", events=1, headers=None):
         """Sends a request for a stream, reads its first events and closes the connection. Returns the request's id
