--- a/src/include/nutmegspur/request_permits.h
+++ b/src/include/nutmegspur/request_permits.h
@@ -3,8 +3,10 @@
 /// such an upstream needs a permit, which one instance, the upstream's keeper, grants to all.
 ///
 /// A request that gets no permit anywhere is promised one for when its caller returns, if the
-/// caller can wait that long. Promises are kept in their order, before other requests. The caller
-/// is recognized by what the request is (request_fingerprint.h), at any instance.
+/// caller can wait that long. The caller is recognized by what the request is
+/// (request_fingerprint.h), at any instance. A request that is here now gets a permit if all
+/// promises can still be kept when they are due; so it also gets what a caller that does not return
+/// has left.
 ///
 /// A keeper that takes over knows nothing of the permits that were granted before, so that it
 /// starts without any.
@@ -19,6 +21,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace nutmegspur {
 
@@ -39,6 +42,15 @@
   bool operator==(const permit_answer&) const = default;
 };
 
+/// What a keeper has done since it started, over all upstreams.
+struct permit_totals {
+  std::uint64_t granted = 0;  ///< Permits, including those of kept promises.
+  std::uint64_t promised = 0; ///< Promises made.
+  std::uint64_t kept = 0;     ///< Promises whose callers returned and got their permits.
+  std::uint64_t lapsed = 0;   ///< Promises whose callers did not return in time.
+  double accrued = 0;         ///< Permits that the rates allowed while somebody asked.
+};
+
 /// The permits of the upstreams whose keeper this instance is.
 ///
 /// Invariant: in any time t, a process is granted at most
@@ -61,21 +73,28 @@
   permit_answer take(const moment& now, const permit_request& request, double per_second,
                      milliseconds spread);
 
+  [[nodiscard]] const permit_totals& totals() const { return totals_; }
+
  private:
+  struct promise {
+    time_point due{};
+    std::uint64_t fingerprint = 0;
+  };
+
   struct bucket {
-    /// Permits that accrued and are neither granted nor promised; less than zero if some are
-    /// promised that have not accrued yet.
-    double free = 0;
+    double permits = 0; ///< Accrued and not granted; some of them may be promised.
     time_point refilled{};
-    time_point next_question{}; ///< Told to the next one without a permit or a promise.
-    /// By fingerprint: when they are due. Those of one request are in order.
-    std::multimap<std::uint64_t, time_point> promises;
+    time_point next_question{};    ///< Told to the next one without a permit or a promise.
+    std::vector<promise> promises; ///< By the time at which they are due.
   };
 
-  static void refill(const moment& now, bucket& it, double per_second);
+  void refill(const moment& now, bucket& it, double per_second);
+  /// The first time at which one more permit may be granted so that all promises can be kept.
+  static time_point first_free(const moment& now, const bucket& it, double per_second);
   void expire(const moment& now);
 
   std::map<upstream_process, bucket> buckets_;
+  permit_totals totals_;
   time_point expired_{};
 };
 
--- a/src/libnutmegspur/forward_frame_test.cpp
+++ b/src/libnutmegspur/forward_frame_test.cpp
@@ -19,7 +19,7 @@
   it.counts_as_run = false;
   it.suspects.of(blame_kind::part) = {1, 2};
   it.suspects.of(blame_kind::request) = {~0ULL};
-  it.bytes = std::string{"POST / HTTP/1.1\r\n\r\n\0x", 22};
+  it.bytes = "POST / HTTP/1.1\r\n\r\n" + std::string(1, '\0') + "x";
   const auto read = unpack_forward_request(pack_forward_request(it));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->upstream, it.upstream);
@@ -80,7 +80,10 @@
   EXPECT_FALSE(unknown.next());
   // The head of a text of 256 MB, and bytes that never end it.
   forward_reader endless;
-  endless.add(std::string{"\x94\xa4\x62\x6f\x64\x79\x90\xdb\x10\x00\x00\x00", 12});
+  endless.add("\x94\xa4"
+              "body"
+              "\x90\xdb\x10" +
+              std::string(3, '\0'));
   bool failed = false;
   for (std::size_t n = 0; n < 3 * forward_reader::max_message_bytes && !failed; n += 65'536) {
     endless.add(std::string(65'536, 'x'));
--- a/src/libnutmegspur/path_watch.cpp
+++ b/src/libnutmegspur/path_watch.cpp
@@ -84,7 +84,7 @@
   }
   round_started_ = now.boot;
   suspected_ = false;
-  const auto chosen = choose(listed);
+  auto chosen = choose(listed);
   for (const auto& id : chosen) {
     probing_.insert(id);
     last_probed_[id] = now.boot;
--- a/src/libnutmegspur/path_watch_test.cpp
+++ b/src/libnutmegspur/path_watch_test.cpp
@@ -21,37 +21,37 @@
         listed_upstream it;
         it.id = upstream_id{std::string{service} + "-" + std::to_string(n)};
         it.service = service_id{service};
-        upstreams_.push_back(it);
+        upstreams.push_back(it);
       }
     }
-    for (const auto& it : upstreams_) {
-      listed_.push_back(&it);
+    for (const auto& it : upstreams) {
+      listed.push_back(&it);
     }
   }
 
   /// Steps; probes of upstreams that `reached` selects respond at once, others time out.
   template <class Predicate> void step(Predicate reached) {
-    const auto probed = watch_.step(clock_.now(), listed_);
-    rounds_ += probed.empty() ? 0 : 1;
+    const auto probed = watch.step(clock.now(), listed);
+    rounds += probed.empty() ? 0 : 1;
     for (const auto& id : probed) {
       if (reached(id)) {
-        watch_.on_probe_end(clock_.now(), id, true, other_way_);
+        watch.on_probe_end(clock.now(), id, true, other_way);
       }
     }
     if (!probed.empty()) {
-      clock_.advance(path_watch::probe_limit);
+      clock.advance(path_watch::probe_limit);
     }
     for (const auto& id : probed) {
-      watch_.on_probe_end(clock_.now(), id, false, other_way_);
+      watch.on_probe_end(clock.now(), id, false, other_way);
     }
   }
 
   /// Steps ten times a second for `time`.
   template <class Predicate> void run(milliseconds time, Predicate reached) {
-    const time_point until = clock_.now().boot + time;
-    while (clock_.now().boot < until) {
+    const time_point until = clock.now().boot + time;
+    while (clock.now().boot < until) {
       step(reached);
-      clock_.advance(milliseconds{100});
+      clock.advance(milliseconds{100});
     }
   }
 
@@ -59,131 +59,131 @@
 
   static bool none(const upstream_id&) { return false; }
 
-  manual_clock clock_;
-  path_watch watch_;
-  std::vector<listed_upstream> upstreams_;
-  std::vector<const listed_upstream*> listed_;
-  bool other_way_ = true;
-  int rounds_ = 0;
-  int counted_ = 0;
-  path_watch::evidence count_ = [this] { counted_++; };
+  manual_clock clock;
+  path_watch watch;
+  std::vector<listed_upstream> upstreams;
+  std::vector<const listed_upstream*> listed;
+  bool other_way = true;
+  int rounds = 0;
+  int counted = 0;
+  path_watch::evidence count = [this] { counted++; };
 };
 
 TEST_F(path_watch_test, a_failure_counts_once_another_upstream_responds) {
-  watch_.hold(count_);
-  EXPECT_EQ(counted_, 0) << "not known yet";
+  watch.hold(count);
+  EXPECT_EQ(counted, 0) << "not known yet";
   step([](const auto& id) { return id.value != "engines-1"; });
-  EXPECT_EQ(counted_, 1);
-  EXPECT_EQ(watch_.state(), path_state::clear);
+  EXPECT_EQ(counted, 1);
+  EXPECT_EQ(watch.state(), path_state::clear);
   run(milliseconds{2'000}, none);
-  EXPECT_EQ(rounds_, 1) << "without a failure nothing is probed";
+  EXPECT_EQ(rounds, 1) << "without a failure nothing is probed";
 }
 
 TEST_F(path_watch_test, failures_of_a_cut_count_against_nobody) {
   for (int n = 0; n < 20; ++n) {
-    watch_.hold(count_);
+    watch.hold(count);
   }
   step(none);
-  EXPECT_EQ(watch_.state(), path_state::cut);
-  watch_.hold(count_);
+  EXPECT_EQ(watch.state(), path_state::cut);
+  watch.hold(count);
   run(milliseconds{5'000}, none);
-  EXPECT_EQ(watch_.state(), path_state::cut);
-  const auto healed = clock_.now().boot;
-  while (watch_.state() == path_state::cut) {
+  EXPECT_EQ(watch.state(), path_state::cut);
+  const auto healed = clock.now().boot;
+  while (watch.state() == path_state::cut) {
     step(all);
-    clock_.advance(milliseconds{100});
+    clock.advance(milliseconds{100});
   }
-  EXPECT_LE(clock_.now().boot - healed, milliseconds{1'000}) << "callers wait for that";
-  EXPECT_EQ(counted_, 0);
-  watch_.hold(count_);
+  EXPECT_LE(clock.now().boot - healed, milliseconds{1'000}) << "callers wait for that";
+  EXPECT_EQ(counted, 0);
+  watch.hold(count);
   run(milliseconds{500}, all);
-  EXPECT_EQ(counted_, 1);
+  EXPECT_EQ(counted, 1);
 }
 
 TEST_F(path_watch_test, without_another_way_failures_count) {
-  other_way_ = false;
-  watch_.hold(count_);
+  other_way = false;
+  watch.hold(count);
   step(none);
-  EXPECT_EQ(watch_.state(), path_state::clear);
-  EXPECT_EQ(counted_, 1);
+  EXPECT_EQ(watch.state(), path_state::clear);
+  EXPECT_EQ(counted, 1);
 }
 
 TEST_F(path_watch_test, one_silent_upstream_is_no_cut) {
-  const auto silent = watch_.on_started(clock_.now(), upstream_id{"engines-1"});
-  watch_.on_started(clock_.now(), upstream_id{"engines-1"});
+  const auto silent = watch.on_started(clock.now(), upstream_id{"engines-1"});
+  watch.on_started(clock.now(), upstream_id{"engines-1"});
   run(milliseconds{3'000}, none);
-  EXPECT_EQ(rounds_, 0);
-  watch_.on_bytes(clock_.now(), silent);
-  EXPECT_EQ(watch_.state(), path_state::clear);
+  EXPECT_EQ(rounds, 0);
+  watch.on_bytes(clock.now(), silent);
+  EXPECT_EQ(watch.state(), path_state::clear);
 }
 
 TEST_F(path_watch_test, one_silent_second_of_all_upstreams_is_no_cut) {
-  watch_.on_started(clock_.now(), upstream_id{"engines-1"});
-  watch_.on_started(clock_.now(), upstream_id{"engines-2"});
-  const auto back = clock_.now().boot + milliseconds{1'000};
-  while (clock_.now().boot < back + milliseconds{1'000}) {
-    const auto probed = watch_.step(clock_.now(), listed_);
-    rounds_ += probed.empty() ? 0 : 1;
+  watch.on_started(clock.now(), upstream_id{"engines-1"});
+  watch.on_started(clock.now(), upstream_id{"engines-2"});
+  const auto back = clock.now().boot + milliseconds{1'000};
+  while (clock.now().boot < back + milliseconds{1'000}) {
+    const auto probed = watch.step(clock.now(), listed);
+    rounds += probed.empty() ? 0 : 1;
     // The responses arrive as soon as the upstreams go on.
-    while (!probed.empty() && clock_.now().boot < back) {
-      clock_.advance(milliseconds{10});
+    while (!probed.empty() && clock.now().boot < back) {
+      clock.advance(milliseconds{10});
     }
     for (const auto& id : probed) {
-      watch_.on_probe_end(clock_.now(), id, true, true);
+      watch.on_probe_end(clock.now(), id, true, true);
     }
-    EXPECT_EQ(watch_.state(), path_state::clear);
-    clock_.advance(milliseconds{100});
+    EXPECT_EQ(watch.state(), path_state::clear);
+    clock.advance(milliseconds{100});
   }
-  EXPECT_GT(rounds_, 0);
+  EXPECT_GT(rounds, 0);
 }
 
 TEST_F(path_watch_test, silence_of_several_upstreams_is_noticed_in_time) {
-  watch_.on_started(clock_.now(), upstream_id{"engines-1"});
-  watch_.on_started(clock_.now(), upstream_id{"plain-1"});
-  const auto began = clock_.now().boot;
-  while (watch_.state() == path_state::clear && clock_.now().boot - began < seconds{10}) {
+  watch.on_started(clock.now(), upstream_id{"engines-1"});
+  watch.on_started(clock.now(), upstream_id{"plain-1"});
+  const auto began = clock.now().boot;
+  while (watch.state() == path_state::clear && clock.now().boot - began < seconds{10}) {
     step(none);
-    clock_.advance(milliseconds{100});
+    clock.advance(milliseconds{100});
   }
-  EXPECT_LE(clock_.now().boot - began, milliseconds{2'000});
+  EXPECT_LE(clock.now().boot - began, milliseconds{2'000});
 }
 
 TEST_F(path_watch_test, responses_of_others_are_no_silence) {
-  watch_.on_started(clock_.now(), upstream_id{"engines-1"});
-  watch_.on_started(clock_.now(), upstream_id{"engines-2"});
-  const auto stream = watch_.on_started(clock_.now(), upstream_id{"engines-3"});
+  watch.on_started(clock.now(), upstream_id{"engines-1"});
+  watch.on_started(clock.now(), upstream_id{"engines-2"});
+  const auto stream = watch.on_started(clock.now(), upstream_id{"engines-3"});
   for (int n = 0; n < 30; ++n) {
-    watch_.on_bytes(clock_.now(), stream);
+    watch.on_bytes(clock.now(), stream);
     step(none);
-    clock_.advance(milliseconds{100});
+    clock.advance(milliseconds{100});
   }
-  EXPECT_EQ(rounds_, 0);
+  EXPECT_EQ(rounds, 0);
 }
 
 TEST_F(path_watch_test, a_service_that_is_down_is_no_cut) {
-  for (const auto& it : upstreams_) {
+  for (const auto& it : upstreams) {
     if (it.service == service_id{"engines"}) {
-      watch_.on_bytes(clock_.now(), watch_.on_started(clock_.now(), it.id));
+      watch.on_bytes(clock.now(), watch.on_started(clock.now(), it.id));
     }
   }
-  watch_.hold(count_);
+  watch.hold(count);
   step([](const auto& id) { return id.value.starts_with("plain"); });
-  EXPECT_EQ(watch_.state(), path_state::clear);
-  EXPECT_EQ(counted_, 1);
+  EXPECT_EQ(watch.state(), path_state::clear);
+  EXPECT_EQ(counted, 1);
 }
 
 TEST_F(path_watch_test, while_cut_off_all_upstreams_are_probed_in_turn) {
-  watch_.hold(count_);
+  watch.hold(count);
   step(none);
   std::set<upstream_id> probed;
   for (int n = 0; n < 40; ++n) {
-    for (const auto& id : watch_.step(clock_.now(), listed_)) {
+    for (const auto& id : watch.step(clock.now(), listed)) {
       probed.insert(id);
-      watch_.on_probe_end(clock_.now(), id, false, true);
+      watch.on_probe_end(clock.now(), id, false, true);
     }
-    clock_.advance(milliseconds{100});
+    clock.advance(milliseconds{100});
   }
-  EXPECT_EQ(probed.size(), upstreams_.size());
+  EXPECT_EQ(probed.size(), upstreams.size());
 }
 
 // Evidence is applied or dropped exactly once, and dropped only if a whole round has failed.
--- a/src/libnutmegspur/request_permits.cpp
+++ b/src/libnutmegspur/request_permits.cpp
@@ -40,15 +40,46 @@
 void
 request_permits::refill(const moment& now, bucket& it, double per_second) {
   if (it.refilled != time_point{}) {
-    const double passed = seconds_double{now.boot - it.refilled}.count();
-    it.free += std::max(passed, 0.0) * per_second;
+    const double accrued =
+        std::max(seconds_double{now.boot - it.refilled}.count(), 0.0) * per_second;
+    it.permits += accrued;
+    totals_.accrued += accrued;
   }
   it.refilled = now.boot;
-  it.free += static_cast<double>(std::erase_if(
-      it.promises, [&](const auto& row) { return now.boot - row.second > promise_grace; }));
-  const double most_free = 1 + per_second * seconds_double{saving_time}.count();
-  const double most = most_free + per_second * seconds_double{promise_grace}.count();
-  it.free = std::min({it.free, most_free, most - static_cast<double>(it.promises.size())});
+  totals_.lapsed += std::erase_if(
+      it.promises, [&](const auto& row) { return now.boot - row.due > promise_grace; });
+  // Permits of promises that are due wait for their callers, at most for the grace period.
+  const auto due =
+      static_cast<double>(std::count_if(it.promises.begin(), it.promises.end(),
+                                        [&](const auto& row) { return row.due <= now.boot; }));
+  const double grace = per_second * seconds_double{promise_grace}.count();
+  const double most = 1 + per_second * seconds_double{saving_time}.count() + std::min(due, grace);
+  it.permits = std::min(it.permits, most);
+}
+
+time_point
+request_permits::first_free(const moment& now, const bucket& it, double per_second) {
+  // What is left of the permits that have accrued by a time, after all promises that are due by
+  // then. One more permit may be granted at the first time from which at least one is always left.
+  time_point first = now.boot;
+  const auto left_at = [&](time_point t, std::size_t promises) {
+    return it.permits + per_second * seconds_double{t - now.boot}.count() -
+           static_cast<double>(promises);
+  };
+  const auto wait_for_one = [&](time_point t, std::size_t promises) {
+    const double left = left_at(t, promises);
+    return left >= one_permit ? t : t + accrual_time(1 - left, per_second);
+  };
+  std::size_t promises = 0;
+  for (const auto& row : it.promises) {
+    promises++;
+    // Those that are due already count from now on.
+    const time_point due = std::max(row.due, now.boot);
+    if (left_at(due, promises) < one_permit) {
+      first = std::max(first, wait_for_one(due, promises));
+    }
+  }
+  return promises == 0 ? wait_for_one(now.boot, 0) : first;
 }
 
 permit_answer
@@ -57,25 +88,35 @@
   expire(now);
   bucket& it = buckets_[request.process];
   refill(now, it, per_second);
-  const auto accrued = it.free + static_cast<double>(it.promises.size());
-  const auto [first, last] = it.promises.equal_range(request.fingerprint);
-  if (first != last && first->second <= now.boot && accrued >= one_permit) {
-    it.promises.erase(first);
+  const auto of_request = [&](const promise& row) {
+    return row.fingerprint == request.fingerprint;
+  };
+  const auto own = std::find_if(it.promises.begin(), it.promises.end(), of_request);
+  if (own != it.promises.end() && own->due <= now.boot && it.permits >= one_permit) {
+    it.promises.erase(own);
+    it.permits -= 1;
+    totals_.kept++;
+    totals_.granted++;
     return {true, milliseconds{0}};
   }
-  if (it.free >= one_permit) {
-    it.free -= 1;
+  const time_point free_at = first_free(now, it, per_second);
+  if (free_at <= now.boot) {
+    it.permits -= 1;
+    totals_.granted++;
     return {true, milliseconds{0}};
   }
-  const milliseconds until_next = accrual_time(1 - it.free, per_second);
-  const auto same_request = static_cast<std::size_t>(std::distance(first, last));
-  if (until_next <= request.longest_wait && it.promises.size() < max_promises &&
-      same_request < max_promises_per_request) {
-    it.free -= 1;
-    it.promises.emplace(request.fingerprint, now.boot + until_next);
-    return {false, until_next};
+  const auto until_free = std::chrono::ceil<milliseconds>(free_at - now.boot);
+  const auto same_request = std::count_if(it.promises.begin(), it.promises.end(), of_request);
+  if (until_free <= request.longest_wait && it.promises.size() < max_promises &&
+      static_cast<std::size_t>(same_request) < max_promises_per_request) {
+    const promise made{now.boot + until_free, request.fingerprint};
+    it.promises.insert(std::upper_bound(it.promises.begin(), it.promises.end(), made,
+                                        [](const auto& a, const auto& b) { return a.due < b.due; }),
+                       made);
+    totals_.promised++;
+    return {false, until_free};
   }
-  const time_point next = now.boot + until_next;
+  const time_point next = now.boot + until_free;
   if (it.next_question < next || it.next_question - next > spread) {
     it.next_question = next;
   }
--- a/src/libnutmegspur/request_permits_test.cpp
+++ b/src/libnutmegspur/request_permits_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace nutmegspur {
@@ -78,6 +79,75 @@
   }
 }
 
+// Guards against permits that nobody fetches while callers are refused, and against a caller that
+// returns when it was told and finds its permit taken, whatever share of the callers returns.
+RC_GTEST_PROP(request_permits, standing_demand_uses_the_rate_and_appointments_are_kept, ()) {
+  const double rate = *rc::gen::element(0.2, 1.0, 4.0, 20.0);
+  const int returning = *rc::gen::element(0, 10, 50, 90, 100); // In a hundred.
+  const bool restarts = *rc::gen::arbitrary<bool>();
+  constexpr milliseconds step{20};
+  constexpr milliseconds longest_wait{2'670};
+  const milliseconds end = seconds{static_cast<int>(60 + 60 / rate)};
+  request_permits permits;
+  std::multimap<milliseconds, std::uint64_t> appointments;
+  std::uint64_t next = 1;
+  int granted = 0;
+  int due = 0;
+  int kept = 0;
+  for (milliseconds t{0}; t < end; t += step) {
+    if (restarts && t == end / 2 / step * step) {
+      permits = request_permits{};
+      appointments.clear();
+    }
+    while (!appointments.empty() && appointments.begin()->first <= t) {
+      const auto answer = take(permits, t, rate, appointments.begin()->second, longest_wait);
+      appointments.erase(appointments.begin());
+      due++;
+      kept += answer.granted ? 1 : 0;
+      granted += answer.granted ? 1 : 0;
+    }
+    const std::uint64_t fingerprint = next++;
+    const auto answer = take(permits, t, rate, fingerprint, longest_wait);
+    granted += answer.granted ? 1 : 0;
+    const bool returns = *rc::gen::inRange(0, 100) < returning;
+    if (!answer.granted && answer.wait <= longest_wait && returns) {
+      appointments.emplace(t + answer.wait, fingerprint);
+    }
+  }
+  const double allowed = rate * std::chrono::duration<double>(end).count();
+  const double lost = restarts ? 2 + 1.5 * rate : 1; // At the start of a keeper.
+  RC_ASSERT(granted >= 0.9 * (allowed - lost));
+  RC_ASSERT(kept >= 0.95 * due);
+}
+
+// Guards against a caller that is served before it was told to return, or twice.
+TEST(request_permits, who_returns_early_is_not_favoured) {
+  request_permits permits;
+  take(permits, milliseconds{0}, 1.0);
+  EXPECT_EQ(take(permits, milliseconds{0}, 1.0, 11, seconds{3}).wait, seconds{1});
+  EXPECT_EQ(take(permits, milliseconds{100}, 1.0, 22, seconds{3}).wait, milliseconds{1'900});
+  for (milliseconds t{200}; t < seconds{1}; t += milliseconds{100}) {
+    EXPECT_FALSE(take(permits, t, 1.0, 22).granted) << t.count();
+  }
+  EXPECT_TRUE(take(permits, seconds{1}, 1.0, 11).granted);
+  EXPECT_FALSE(take(permits, seconds{1}, 1.0, 11).granted);
+}
+
+TEST(request_permits, totals_tell_what_became_of_promises) {
+  request_permits permits;
+  take(permits, milliseconds{0}, 1.0);
+  take(permits, milliseconds{0}, 1.0, 11, seconds{3});
+  take(permits, milliseconds{0}, 1.0, 22, seconds{3});
+  take(permits, seconds{1}, 1.0, 11);
+  take(permits, seconds{4}, 1.0, 33);
+  const auto& totals = permits.totals();
+  EXPECT_EQ(totals.promised, 2U);
+  EXPECT_EQ(totals.kept, 1U);
+  EXPECT_EQ(totals.lapsed, 1U);
+  EXPECT_EQ(totals.granted, 2U);
+  EXPECT_DOUBLE_EQ(totals.accrued, 4.0);
+}
+
 // Guards against a rate that is left unused while somebody asks at the times that it was told.
 TEST(request_permits, who_asks_again_when_told_uses_the_rate) {
   request_permits permits;
--- a/src/proxy/metrics_page.cpp
+++ b/src/proxy/metrics_page.cpp
@@ -1,6 +1,7 @@
 // Gauges of an instance's current state.
 #include "metrics_page.h"
 
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -37,11 +38,23 @@
   }
 }
 
+void
+set_permit_gauges(metric_registry& metrics, const permit_totals& totals) {
+  const auto set = [&](const char* what, double n) {
+    metrics.get_gauge("nutmegspur_permits", {{"what", what}}).set(std::llround(n));
+  };
+  set("accrued", totals.accrued);
+  set("granted", static_cast<double>(totals.granted));
+  set("promised", static_cast<double>(totals.promised));
+  set("kept", static_cast<double>(totals.kept));
+  set("lapsed", static_cast<double>(totals.lapsed));
+}
+
 } // namespace
 
 std::string
 render_metrics(const moment& now, proxy_state& state, const store_link& store,
-               const peer_group& peers, const duty_holder& duties) {
+               const peer_group& peers, const duty_holder& duties, const permit_totals& permits) {
   auto& metrics = state.metrics;
   metrics.get_gauge("nutmegspur_config_version")
       .set(state.config == nullptr ? 0 : state.config->config().version);
@@ -57,6 +70,7 @@
   }
   metrics.get_gauge("nutmegspur_limited_upstreams")
       .set(static_cast<std::int64_t>(state.limits.size()));
+  set_permit_gauges(metrics, permits);
   metrics.get_gauge("nutmegspur_live_peers").set(static_cast<std::int64_t>(state.live_peers));
   metrics.get_gauge("nutmegspur_is_relay").set(peers.is_relay() ? 1 : 0);
   metrics.get_gauge("nutmegspur_notice_period_ms").set(peers.period().count());
--- a/src/proxy/metrics_page.h
+++ b/src/proxy/metrics_page.h
@@ -8,12 +8,15 @@
 #include "proxy_state.h"
 #include "store_link.h"
 
+#include <nutmegspur/request_permits.h>
+
 #include <string>
 
 namespace nutmegspur::proxy {
 
 /// Sets the gauges and returns all metrics in the Prometheus text format.
 std::string render_metrics(const moment& now, proxy_state& state, const store_link& store,
-                           const peer_group& peers, const duty_holder& duties);
+                           const peer_group& peers, const duty_holder& duties,
+                           const permit_totals& permits);
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/permit_client.h
+++ b/src/proxy/permit_client.h
@@ -40,6 +40,10 @@
   /// within `longest_wait`. Calls `on_end` once, possibly before it returns.
   void acquire(const listed_upstream& it, std::uint64_t fingerprint, milliseconds longest_wait,
                handler on_end);
+
+  /// What this instance has granted and promised as a keeper.
+  [[nodiscard]] const permit_totals& totals() const { return permits_.totals(); }
+
   /// Answers the question of a peer; an error if it is malformed.
   [[nodiscard]] result<std::string> answer(std::string_view question);
 
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -159,7 +159,8 @@
         .set(static_cast<std::int64_t>(upstream_client_.opened()));
     fields.add("Content-Type", "text/plain; version=0.0.4");
     const moment now = http1::event_loop::now();
-    caller->reply(ok, "", fields, render_metrics(now, state_, store_, peers_, duties_));
+    caller->reply(ok, "", fields,
+                  render_metrics(now, state_, store_, peers_, duties_, permits_.totals()));
   } else {
     caller->reply(not_found, "", {}, "");
   }
