A request that holds a permit uses it

Placement now leaves out upstreams that need another permit while one is held, for each half of a placement.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -213,6 +213,18 @@
   return all;
 }
 
+void
+request_flow::prefer_held_permits(std::vector<placement_candidate>& choices) const {
+  const auto held = [&](const placement_candidate& it) { return permits_held_.contains(it.id); };
+  if (std::none_of(choices.begin(), choices.end(), held)) {
+    return;
+  }
+  std::erase_if(choices, [&](const auto& it) {
+    const auto* listed = state_.upstreams.find(it.id);
+    return !held(it) && listed != nullptr && permits_.needed(*listed);
+  });
+}
+
 placement_candidates
 request_flow::candidates() const {
   placement_candidates choices;
@@ -228,6 +240,8 @@
       choices.prefill_engines.push_back(candidate(now, *it));
     }
   }
+  prefer_held_permits(choices.upstreams);
+  prefer_held_permits(choices.prefill_engines);
   return choices;
 }
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -86,6 +86,8 @@
   /// begun, of the version that began it.
   [[nodiscard]] std::vector<const listed_upstream*> eligible_upstreams() const;
   [[nodiscard]] placement_candidates candidates() const;
+  /// Drops upstreams that need another permit while one is held: it would be lost.
+  void prefer_held_permits(std::vector<placement_candidate>& choices) const;
   [[nodiscard]] placement_candidate candidate(const moment& now, const listed_upstream& it) const;
   [[nodiscard]] placement_request placement_inputs() const;
   void send(attempt_task task, const upstream_id& to, double prefill_millis);
