Stated rates are used up whether refused callers return or not

Cause: each promise set a permit aside, at the time of asking. Promises for a third of the callers' time stood before every request, and one that lapsed freed its permit for the next promise. Ruled out: too few questions (the keeper was asked for each request). Change: a promise is a time. A request gets a permit whenever all promises can still be kept by what has accrued until then, and promises follow each other at the rate, so that what a caller leaves is for requests that are here. The bound of granted permits is the same, its property tests are unchanged.

--- a/src/libnutmegspur/request_permits.cpp
+++ b/src/libnutmegspur/request_permits.cpp
@@ -105,14 +105,15 @@
     totals_.granted++;
     return {true, milliseconds{0}};
   }
-  const auto until_free = std::chrono::ceil<milliseconds>(free_at - now.boot);
+  // Promises take no more than what accrues. Whatever a caller has left is for requests that are
+  // here now; otherwise it would always be promised a moment before.
+  const time_point after_last =
+      it.promises.empty() ? free_at : it.promises.back().due + accrual_time(1, per_second);
+  const auto until_free = std::chrono::ceil<milliseconds>(std::max(free_at, after_last) - now.boot);
   const auto same_request = std::count_if(it.promises.begin(), it.promises.end(), of_request);
   if (until_free <= request.longest_wait && it.promises.size() < max_promises &&
       static_cast<std::size_t>(same_request) < max_promises_per_request) {
-    const promise made{now.boot + until_free, request.fingerprint};
-    it.promises.insert(std::upper_bound(it.promises.begin(), it.promises.end(), made,
-                                        [](const auto& a, const auto& b) { return a.due < b.due; }),
-                       made);
+    it.promises.push_back({now.boot + until_free, request.fingerprint});
     totals_.promised++;
     return {false, until_free};
   }
