Paths to upstreams are judged one by one

Cause: one judgement for all paths of an instance; one response of any upstream ended it. Now each path has its own: a probe over a new connection, then a question to peers, tell a cut path from an upstream that fails; a path found cut puts the others in question; peers forward over paths that are cut or not proved. A peer that gets no connection is passed over. Connections take 0.3 s at most.

system_proxied_partly_cut_off failed before (236 of 476 served beside 130 of 130; after a cut 82 of 159 beside 393 of 393) and passes.

A failure beside a response of another upstream no longer counts (that was the fault); one whose upstream responds, or fails for peers too, does. One silent upstream is probed once a second where it was not probed at all; that it is no cut is checked as before.

--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -103,9 +103,10 @@
      "An upstream's circuit breaker has opened: it gets no requests from this instance for a "
      "while."},
     {log_event::paths_lost, "paths_lost", severity::warning,
-     "This instance reaches no upstream; requests go by way of peers."},
+     "Paths from this instance to upstreams that others reach are cut; requests go there by way of "
+     "peers."},
     {log_event::paths_regained, "paths_regained", severity::info,
-     "This instance reaches upstreams again."},
+     "This instance reaches upstreams again whose paths were cut."},
     {log_event::peer_connected, "peer_connected", severity::info,
      "A peer connection was established."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
--- a/src/proxy/call_set.cpp
+++ b/src/proxy/call_set.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 void
-call_set::send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end,
+call_set::send(const endpoint& to, const wire_call& call, const call_limits& limits, handler on_end,
                time_point not_after) {
   const std::uint64_t number = ++last_number_;
   const auto outcome = std::make_shared<call_outcome>();
@@ -20,8 +20,8 @@
   http_fields fields = call.fields;
   fields.add("Host", to_text(to));
   http1::call_options options;
-  options.timeout = limit;
-  options.connect_timeout = limit;
+  options.timeout = limits.all;
+  options.connect_timeout = limits.connect.value_or(limits.all);
   options.max_body_bytes = max_reply_bytes;
   options.not_after = not_after;
   calls_[number] =
--- a/src/proxy/call_set.h
+++ b/src/proxy/call_set.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace nutmegspur::proxy {
@@ -26,15 +27,21 @@
   [[nodiscard]] bool complete() const { return end == http1::call_end::completed; }
 };
 
+/// Time limits of a single call.
+struct call_limits {
+  milliseconds all{0};                 ///< From the start to the last byte of the response.
+  std::optional<milliseconds> connect; ///< For the connection; the whole time if it is not given.
+};
+
 class call_set {
  public:
   using handler = std::function<void(const call_outcome&)>;
 
   call_set(http1::event_loop& loop, http1::http_client& client) : loop_(loop), client_(client) {}
 
-  /// Sends `call` once, and not after `not_after`. `on_end` runs within `limit`, in a later
+  /// Sends `call` once, and not after `not_after`. `on_end` runs within `limits`, in a later
   /// iteration of the loop.
-  void send(const endpoint& to, const wire_call& call, milliseconds limit, handler on_end,
+  void send(const endpoint& to, const wire_call& call, const call_limits& limits, handler on_end,
             time_point not_after = time_point::max());
 
   [[nodiscard]] bool empty() const { return calls_.empty(); }
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -147,7 +147,7 @@
 duty_holder::send(const endpoint& to, const wire_call& call, const authority& granted,
                   status_handler on_result) {
   calls_.send(
-      to, call, call_timeout,
+      to, call, {call_timeout},
       [notify = std::move(on_result)](const call_outcome& ended) {
         notify(ended.complete() ? std::optional{ended.status} : std::nullopt);
       },
@@ -346,7 +346,7 @@
                               {"stage", std::string{to_name(change.target)}},
                               {"fence", std::to_string(granted.number.value)}});
   calls_.send(
-      {upstream->address, upstream->port}, state_.wire.stage_call(order), call_timeout,
+      {upstream->address, upstream->port}, state_.wire.stage_call(order), {call_timeout},
       [this, it = *upstream](const call_outcome& ended) {
         log(log_event::order_resolved,
             {{"upstream", it.id.value},
--- a/src/proxy/forward_client.cpp
+++ b/src/proxy/forward_client.cpp
@@ -12,9 +12,11 @@
 /// A peer sends the request within this time or not at all: what the request says of the time that
 /// is left is true for as long.
 constexpr milliseconds forward_slack{250};
-constexpr milliseconds avoided_period{500};
+/// How long a peer that refused is not asked; doubled each time.
+constexpr milliseconds first_avoided_period{500};
+constexpr milliseconds max_avoided_period{4'000};
 /// Peers that one call asks.
-constexpr std::size_t max_peers = 3;
+constexpr std::size_t max_peers = 6;
 constexpr std::size_t connections_to_peer = 256;
 
 } // namespace
@@ -49,6 +51,8 @@
 forwarded_call::ask_next() {
   http1::discard(owner_.state_.loop, std::move(call_));
   asked_ = false;
+  accepted_ = false;
+  reader_ = std::make_unique<forward_reader>();
   if (peers_.empty()) {
     no_peer_ = true;
     // Reported on a later loop iteration, when the owner holds the call.
@@ -74,6 +78,9 @@
        [this](const http_response_head& head) {
          constexpr int ok = 200;
          accepted_ = head.status == ok;
+         if (accepted_) {
+           owner_.trust(peer_);
+         }
        },
        [this](std::string_view bytes) { on_reply(bytes); },
        [this](http1::call_end how) { on_call_end(how); }},
@@ -85,9 +92,9 @@
   if (!accepted_) {
     return;
   }
-  reader_.add(bytes);
-  while (!ended_) {
-    const auto event = reader_.next();
+  reader_->add(bytes);
+  while (!ended_ && accepted_) {
+    const auto event = reader_->next();
     if (!event) {
       log(log_event::peer_rejected, event.error(), {{"peer", peer_.value}});
       mark_sent();
@@ -117,11 +124,18 @@
       events_.on_body(event.bytes);
     }
     break;
-  case forward_step::end:
+  case forward_step::end: {
+    const auto how = from_name<http1::call_end>(event.bytes).value_or(http1::call_end::broken);
+    if (how == http1::call_end::unreachable && !sent_ && !event.path_known) {
+      owner_.avoid(peer_);
+      ask_next();
+      break;
+    }
     path_known_ = event.path_known;
-    end(from_name<http1::call_end>(event.bytes).value_or(http1::call_end::broken));
+    end(how);
     break;
   }
+  }
 }
 
 void
@@ -164,14 +178,23 @@
 
 void
 forward_client::avoid(const instance_id& peer) {
-  avoided_[peer] = http1::event_loop::now().boot + avoided_period;
+  avoidance& it = avoided_[peer];
+  it.span = std::clamp(it.span * 2, first_avoided_period, max_avoided_period);
+  it.until = http1::event_loop::now().boot + it.span;
+}
+
+bool
+forward_client::has_peers() const {
+  return !peers_.forwarders(http1::event_loop::now(), {}).empty();
 }
 
 std::vector<forward_peer>
 forward_client::usable_peers(const moment& now, const zone_id& zone) {
-  std::erase_if(avoided_, [&](const auto& row) { return now.boot >= row.second; });
   auto peers = peers_.forwarders(now, zone);
-  std::erase_if(peers, [&](const auto& it) { return avoided_.contains(it.name); });
+  std::erase_if(peers, [&](const auto& it) {
+    const auto row = avoided_.find(it.name);
+    return row != avoided_.end() && now.boot < row->second.until;
+  });
   // Spreads calls over equally near peers.
   started_++;
   for (auto first = peers.begin(); first != peers.end();) {
--- a/src/proxy/forward_client.h
+++ b/src/proxy/forward_client.h
@@ -64,7 +64,7 @@
   std::vector<forward_peer> peers_; ///< Not yet asked, the next one last.
   instance_id peer_;
   std::unique_ptr<http1::client_call> call_;
-  forward_reader reader_;
+  std::unique_ptr<forward_reader> reader_; ///< Of the reply to the current question.
   timer_id timer_;
   bool asked_ = false;    ///< The question was sent to a peer that has not refused it.
   bool accepted_ = false; ///< The peer forwards the request.
@@ -78,6 +78,9 @@
  public:
   forward_client(proxy_state& state, const peer_group& peers);
 
+  /// Whether there is any other instance.
+  [[nodiscard]] bool has_peers() const;
+
   /// Sends `bytes` to `to` by way of a peer. `events` are those of http1::http_client; `on_end`
   /// runs within `limit`, in a later iteration of the loop.
   std::unique_ptr<forwarded_call> start(const listed_upstream& to, forward_request request,
@@ -87,13 +90,22 @@
   friend class forwarded_call;
 
   [[nodiscard]] std::vector<forward_peer> usable_peers(const moment& now, const zone_id& zone);
-  /// The peer has refused, or was not reached: others are asked first for a while.
+  /// The peer has refused, or was not reached: others are asked for a while, longer each time.
   void avoid(const instance_id& peer);
 
+  /// The peer forwards requests.
+  void trust(const instance_id& peer) { avoided_.erase(peer); }
+
   proxy_state& state_;
   const peer_group& peers_;
   http1::http_client client_;
-  std::map<instance_id, time_point> avoided_;
+
+  struct avoidance {
+    time_point until{};
+    milliseconds span{0};
+  };
+
+  std::map<instance_id, avoidance> avoided_;
   std::uint64_t started_ = 0;
 };
 
--- a/src/proxy/forward_server.cpp
+++ b/src/proxy/forward_server.cpp
@@ -32,7 +32,7 @@
   const auto* upstream = state_.upstreams.usable(request->upstream);
   if (state_.stopping) {
     refuse(peer, "stopping");
-  } else if (paths_.cut()) {
+  } else if (upstream != nullptr && paths_.state(upstream->id) != path_state::clear) {
     refuse(peer, "cut off");
   } else if (open_.size() >= max_open) {
     refuse(peer, "busy");
@@ -53,6 +53,7 @@
   const moment now = http1::event_loop::now();
   http1::call_options options;
   options.timeout = request.limit;
+  options.connect_timeout = upstream_connect_limit;
   options.not_after = now.boot + (request.not_after - state_.clock.agreed(now).wall);
   options.accepts_response = [this, id = request.request_id](const http_response_head& head) {
     const auto marks = state_.wire.parse_response_head(head);
@@ -95,14 +96,18 @@
 void
 forward_server::on_end(std::uint64_t number, http1::call_end how) {
   forwarding& it = open_.at(number);
-  const bool known = how == http1::call_end::completed || paths_.known_good();
+  const bool known = how == http1::call_end::completed || paths_.known_good(it.upstream.id);
   state_.metrics.get_counter("nutmegspur_forwarded_total", {{"how", std::string{to_name(how)}}})
       .add();
   if (how == http1::call_end::broken && it.request.counts_as_run) {
     crashes_.on_attempt_broken(it.upstream, it.request.suspects);
   }
-  if (how == http1::call_end::unreachable) {
-    paths_.hold([] {});
+  if (how == http1::call_end::unreachable || how == http1::call_end::broken) {
+    paths_.hold(it.upstream.id, [this_state = &state_, id = it.upstream.id, how] {
+      this_state->record_result(http1::event_loop::now(), id,
+                                how == http1::call_end::broken ? attempt_result::failed
+                                                               : attempt_result::unreachable);
+    });
   }
   it.peer->write(pack_forward_event({forward_step::end, {}, std::string{to_name(how)}, known}));
   it.peer->finish();
--- a/src/proxy/origin_client.cpp
+++ b/src/proxy/origin_client.cpp
@@ -130,7 +130,7 @@
       std::make_shared<search>(search{keepers.size(), std::move(on_end), only_origin(now, route)});
   for (const auto& at : keepers) {
     calls_.send(at, {"POST", std::string{origin_path}, {}, pack_origin_question(request)},
-                answer_limit, [state](const call_outcome& outcome) {
+                {answer_limit}, [state](const call_outcome& outcome) {
                   state->open--;
                   if (!state->on_end) {
                     return;
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -591,7 +591,7 @@
   if (!calls_.empty()) {
     return;
   }
-  calls_.send(at, {"GET", update_target(position), {}, {}}, update_call_timeout,
+  calls_.send(at, {"GET", update_target(position), {}, {}}, {update_call_timeout},
               [this, name](const call_outcome& ended) {
                 const auto update =
                     ended.complete()
--- a/src/proxy/permit_client.cpp
+++ b/src/proxy/permit_client.cpp
@@ -75,7 +75,7 @@
   }
   asked_[request.process].open++;
   calls_.send(keeper.at, {"POST", std::string{permit_path}, {}, pack_permit_request(request)},
-              answer_limit,
+              {answer_limit},
               [this, process = request.process, name = keeper.name,
                notify = std::move(on_end)](const call_outcome& outcome) {
                 asked_[process].open--;
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -57,7 +57,8 @@
               [this] { duties_.on_store_restored(); }},
              started_ms_),
       peers_(state_, platform_client_, store_, started_ms_),
-      paths_(state_, peers_, [this] { on_paths_cut(); }),
+      paths_(state_, platform_client_, peers_,
+             [this](const listed_upstream& it) { on_path_cut(it); }),
       crashes_(state_, platform_client_, paths_), forwards_(state_, peers_),
       forwarded_(state_, upstream_client_, crashes_, paths_),
       permits_(state_, platform_client_, peers_),
@@ -151,8 +152,10 @@
     caller->reply(answer ? ok : bad_request, "", fields, answer.value_or(""));
   } else if (caller->head().path() == forward_path) {
     forwarded_.handle(caller);
+  } else if (caller->head().path() == path_question_path) {
+    paths_.answer(caller);
   } else if (caller->head().path() == "/metrics") {
-    state_.metrics.get_gauge("nutmegspur_cut_off").set(paths_.cut() ? 1 : 0);
+    set_path_gauges();
     state_.metrics.get_gauge("nutmegspur_requests_open")
         .set(static_cast<std::int64_t>(flows_.size()));
     state_.metrics.get_gauge("nutmegspur_upstream_connections_opened")
@@ -167,7 +170,20 @@
 }
 
 void
-proxy_node::on_paths_cut() {
+proxy_node::set_path_gauges() {
+  auto counts = paths_.counts();
+  for (const auto& [state, name] : enum_names<path_state>::table) {
+    state_.metrics.get_gauge("nutmegspur_paths", {{"state", std::string{name}}})
+        .set(static_cast<std::int64_t>(counts[state]));
+  }
+  const bool reaches_none = counts[path_state::cut] != 0 && counts[path_state::clear] == 0;
+  state_.metrics.get_gauge("nutmegspur_cut_off").set(reaches_none ? 1 : 0);
+}
+
+void
+proxy_node::on_path_cut(const listed_upstream& upstream) {
+  // Kept connections may be dead without a sign of it.
+  upstream_client_.forget({upstream.address, upstream.port});
   std::vector<request_flow*> open;
   open.reserve(flows_.size());
   for (const auto& [key, flow] : flows_) {
@@ -175,7 +191,7 @@
   }
   // A flow that ends is erased in a later iteration of the loop.
   for (auto* it : open) {
-    it->on_paths_cut();
+    it->on_path_cut(upstream.id);
   }
 }
 
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -44,8 +44,9 @@
   void on_request(http1::exchange_ptr caller);
   void on_probe(const http1::exchange_ptr& caller);
   void on_peer_request(const http1::exchange_ptr& caller);
-  /// Tells the requests in progress that this instance is cut off from upstreams.
-  void on_paths_cut();
+  /// Tells the requests in progress that the path to `upstream` is cut.
+  void on_path_cut(const listed_upstream& upstream);
+  void set_path_gauges();
   void finish_stop();
   [[nodiscard]] bool ready() const;
 
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -45,6 +45,10 @@
   engine_calibration transfer{{0.0008, 20}};
 };
 
+/// Time limit for connections that requests need: an upstream in another region accepts one within
+/// a fraction of it.
+inline constexpr milliseconds upstream_connect_limit{300};
+
 /// Command-line options of the proxy.
 struct proxy_options {
   placement_weights weights;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -194,6 +194,10 @@
   }
   to.software_version = it.software_version;
   to.network_distance = state_.distance_to(it.zone);
+  if (paths_.needs_peer(it.id)) {
+    to.network_distance =
+        to.network_distance == distance::same_zone ? distance::same_region : distance::other_region;
+  }
   to.open = load.open;
   to.slots = it.slots;
   to.backlog_millis = load.backlog_millis;
@@ -213,6 +217,16 @@
   return all;
 }
 
+void
+request_flow::prefer_undoubted(std::vector<placement_candidate>& choices) const {
+  const auto doubtful = [&](const placement_candidate& it) {
+    return paths_.state(it.id) == path_state::doubtful;
+  };
+  if (!std::all_of(choices.begin(), choices.end(), doubtful)) {
+    std::erase_if(choices, doubtful);
+  }
+}
+
 void
 request_flow::prefer_held_permits(std::vector<placement_candidate>& choices) const {
   const auto held = [&](const placement_candidate& it) { return permits_held_.contains(it.id); };
@@ -240,6 +254,8 @@
       choices.prefill_engines.push_back(candidate(now, *it));
     }
   }
+  prefer_undoubted(choices.upstreams);
+  prefer_undoubted(choices.prefill_engines);
   prefer_held_permits(choices.upstreams);
   prefer_held_permits(choices.prefill_engines);
   return choices;
@@ -518,7 +534,7 @@
       [this](const http_response_head& head) { on_head(head); },
       [this](std::string_view bytes) { on_body(bytes); },
       [this](http1::call_end how) { on_call_end(how); }};
-  if (paths_.cut()) {
+  if (paths_.needs_peer(it.upstream.id) && forwards_.has_peers()) {
     forward_request request;
     request.limit = attempt_limit(it.task);
     request.request_id = request_.id;
@@ -533,6 +549,7 @@
   }
   http1::call_options options;
   options.timeout = attempt_limit(it.task);
+  options.connect_timeout = upstream_connect_limit;
   options.accepts_response = [this](const http_response_head& head) {
     const auto marks = state_.wire.parse_response_head(head);
     return marks.request_id.empty() || marks.request_id == request_.id;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -67,9 +67,9 @@
 
   /// Starts the request, which may end before this returns.
   void start();
-  /// This instance is cut off from upstreams: gives up an attempt that waits in vain, if the
+  /// The path to `upstream` was found cut: gives up an attempt that waits there in vain, if the
   /// request may be sent again.
-  void on_paths_cut();
+  void on_path_cut(const upstream_id& upstream);
 
  private:
   // Before an attempt.
@@ -86,6 +86,8 @@
   /// begun, of the version that began it.
   [[nodiscard]] std::vector<const listed_upstream*> eligible_upstreams() const;
   [[nodiscard]] placement_candidates candidates() const;
+  /// Drops upstreams whose path is in doubt, unless there are no others.
+  void prefer_undoubted(std::vector<placement_candidate>& choices) const;
   /// Drops upstreams that need another permit while one is held: it would be lost.
   void prefer_held_permits(std::vector<placement_candidate>& choices) const;
   [[nodiscard]] placement_candidate candidate(const moment& now, const listed_upstream& it) const;
@@ -203,6 +205,7 @@
   std::set<upstream_id> tried_;
   std::set<upstream_id> permits_held_; ///< Each for one attempt.
   unsigned permits_asked_ = 0;
+  unsigned unforwarded_ = 0; ///< Attempts that no peer would forward.
   bool promise_asked_ = false;
   std::shared_ptr<bool> permit_wait_; ///< Not null while a question to a keeper is open.
   attempt_history history_;
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -15,6 +15,9 @@
 /// Retry-After of requests while neither this instance nor its peers reach upstreams.
 constexpr milliseconds retry_after_cut_off{500};
 
+/// Attempts that no peer would forward, after which the request is refused.
+constexpr unsigned max_unforwarded = 3;
+
 /// Maximum length of a response body that is held until it is complete, and of one event.
 constexpr std::size_t max_held_body_bytes = 8UL * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
@@ -185,7 +188,8 @@
   case http1::call_end::completed:
     break;
   case http1::call_end::unreachable:
-    if (attempt_->by_peer != nullptr && attempt_->by_peer->no_peer()) {
+    if (attempt_->by_peer != nullptr && attempt_->by_peer->no_peer() &&
+        ++unforwarded_ >= max_unforwarded) {
       close_attempt(attempt_end::unreachable);
       attempt_.reset();
       end_request(after_last_attempt(history_), "cut_off", retry_after_cut_off, 0);
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -99,7 +99,7 @@
       record();
     }
   } else {
-    paths_.hold(record);
+    paths_.hold(it.upstream.id, record);
     if (how == attempt_end::broken && it.task != attempt_task::prefill) {
       crashes_.on_attempt_broken(it.upstream, suspects_);
     }
@@ -107,8 +107,9 @@
 }
 
 void
-request_flow::on_paths_cut() {
-  if (done_ || !attempt_ || attempt_->call == nullptr || attempt_->by_peer != nullptr) {
+request_flow::on_path_cut(const upstream_id& upstream) {
+  if (done_ || !attempt_ || attempt_->call == nullptr || attempt_->by_peer != nullptr ||
+      attempt_->upstream.id != upstream) {
     return;
   }
   const upstream_attempt& it = *attempt_;
@@ -237,7 +238,7 @@
   if (engine == nullptr ||
       (state_.accepts_calls(http1::event_loop::now(), *engine) && !permits_.needed(*engine))) {
     background_calls_.send(prompt_handle_->at, state_.wire.release_call(*prompt_handle_),
-                           free_timeout, {});
+                           {free_timeout}, {});
   }
   prompt_handle_.reset();
 }
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -88,7 +88,7 @@
                  reply_handler on_reply) {
   platform_request sent = request;
   remove_era(sent);
-  calls_.send(state_.settings.store, state_.wire.store_call(sent), limit,
+  calls_.send(state_.settings.store, state_.wire.store_call(sent), {limit},
               [this, id, request, sent_in = era_.known(),
                notify = std::move(on_reply)](const call_outcome& ended) {
                 platform_reply reply{id, kv_range_reply{}, ended.sent_at.boot};
@@ -293,7 +293,7 @@
   }
   // One call watches everything: the keys of operators, upstreams and instances.
   const revision after{number_of(copy_.store)};
-  calls_.send(state_.settings.store, state_.wire.watch_call("", after, watch_wait), watch_timeout,
+  calls_.send(state_.settings.store, state_.wire.watch_call("", after, watch_wait), {watch_timeout},
               [this, sent_in = era_.known()](const call_outcome& ended) {
                 if (ended.complete() && !check_era(sent_in, ended.fields)) {
                   read_all();
--- a/src/proxy/upstream_crashes.cpp
+++ b/src/proxy/upstream_crashes.cpp
@@ -63,7 +63,7 @@
   const auto* service =
       state_.config == nullptr ? nullptr : state_.config->find_service(upstream.service);
   checks_.send({upstream.address, upstream.port},
-               state_.wire.running_check_call(upstream.id, service), check_timeout,
+               state_.wire.running_check_call(upstream.id, service), {check_timeout},
                [this, upstream, checks_left](const call_outcome& outcome) {
                  on_check_end(upstream, outcome, checks_left - 1);
                });
@@ -77,8 +77,8 @@
   if (other_process) {
     record_crash(upstream, watch_.on_ended(process));
   } else if (outcome.end == http1::call_end::unreachable) {
-    // Unless this instance reaches no upstream at all.
-    paths_.hold([this, upstream, process] { record_crash(upstream, watch_.on_ended(process)); });
+    paths_.hold(upstream.id,
+                [this, upstream, process] { record_crash(upstream, watch_.on_ended(process)); });
   } else if (outcome.complete()) {
     watch_.on_running(process);
   } else if (outcome.end == http1::call_end::broken && checks_left > 0) {
--- a/testsuite/lib/faulty_link.py
+++ b/testsuite/lib/faulty_link.py
@@ -74,6 +74,8 @@
 
     WAYS = ("hang", "reset", "live")  # "live": open connections go on, new ones are refused.
 
+    is_cut = False
+
     async def start(self):
         self.blockers = []
         await super().start()
@@ -93,6 +95,7 @@
 
     def cut(self, way):
         """Must run on the platform's event loop."""
+        self.is_cut = True
         self.server.close()
         if way == "hang":
             self.mode = "silent"
@@ -109,4 +112,5 @@
             for it in list(self.writers):
                 reset_connection(it)  # Their bytes of meanwhile are lost.
         self.mode = "pass"
+        self.is_cut = False
         await super().start()
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -83,11 +83,14 @@
         for links in self.links.values():
             links[port] = faulty_link.CutLink(self.platform, port)
 
-    def cut(self, name, way):
-        """Partitions an instance from all workers; callers, the store and the other instances still reach it."""
+    def cut(self, name, way, workers=None):
+        """Partitions an instance from workers, all unless some are named; callers, the store and the other instances
+        still reach it."""
+        ports = [self.worker(it).port for it in workers or self.platform.workers]
+
         async def cut_all():  # At one moment, as a partition does.
-            for it in list(self.links[name].values()):
-                it.cut(way)
+            for it in ports:
+                self.links[name][it].cut(way)
 
         self.platform.run(cut_all())
 
@@ -100,7 +103,8 @@
 
     def heal(self, name):
         for it in self.links[name].values():
-            self.platform.run(it.heal())
+            if it.is_cut:
+                self.platform.run(it.heal())
 
     def settings(self, name):
         listen = {what: f"{processes.LOOPBACK}:{port}" for what, port in self.ports[name].items()}
