Origins of streams are in the store, for when all instances are killed at once

Cause: origins were in the memory of instances and their keepers only, and a new instance has to follow the list for as long as streams are resumed before it knows the only version.

Change: the store lists the possible origins; streams begin at a version only once it is listed, so one possible origin is that of every stream. Nothing is written while one version serves. An instance counts as ready once the listed versions are recorded.

--- a/src/include/nutmegspur/stream_origins.h
+++ b/src/include/nutmegspur/stream_origins.h
@@ -30,7 +30,7 @@
   service_id service;
   std::string software_version;
 
-  bool operator==(const stream_origin&) const = default;
+  auto operator<=>(const stream_origin&) const = default;
 };
 
 /// Tells a keeper where a stream began.
--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -58,6 +58,7 @@
   shared_retry_bound retries;
   std::uint32_t max_descriptors = 1024;
   std::uint32_t max_store_value_bytes = 1024U * 1024;
+  double store_writes_per_second = 400; ///< Of all instances together.
 };
 
 /// A caller's request, as described by its header fields.
--- a/src/proxy/origin_client.cpp
+++ b/src/proxy/origin_client.cpp
@@ -39,6 +39,7 @@
 void
 origin_client::start() {
   state_.loop.every(observation_period, [this](const moment& now) { observe(now); });
+  stored_.start();
 }
 
 void
@@ -103,6 +104,7 @@
   if (sharing_) {
     peers_.send_origins({{request, origin}});
   }
+  stored_.on_began(request, origin);
 }
 
 void
@@ -113,32 +115,36 @@
     return;
   }
 
+  if (const auto only = only_origin(now, route)) {
+    on_end(only);
+    return;
+  }
+
   struct search {
     std::size_t open = 0;
-    handler on_end;
-    std::optional<stream_origin> otherwise;
+    handler on_end; ///< Empty once it was called.
   };
 
   const auto keepers = request.empty() || request.size() > stream_origins::max_request_bytes
                            ? std::vector<endpoint>{}
                            : peers_.origin_keepers(request, origin_keeper_count + 1);
   if (keepers.empty()) {
-    on_end(only_origin(now, route));
+    stored_.find(request, window_, std::move(on_end));
     return;
   }
-  const auto state =
-      std::make_shared<search>(search{keepers.size(), std::move(on_end), only_origin(now, route)});
+  const auto state = std::make_shared<search>(search{keepers.size(), std::move(on_end)});
   for (const auto& at : keepers) {
     calls_.send(at, {"POST", std::string{origin_path}, {}, pack_origin_question(request)},
-                {answer_limit}, [state](const call_outcome& outcome) {
+                {answer_limit}, [this, request, state](const call_outcome& outcome) {
                   state->open--;
                   if (!state->on_end) {
                     return;
                   }
                   const auto read = unpack_origin_answer(outcome.complete() ? outcome.body : "");
-                  const bool found = read && read->has_value();
-                  if (found || state->open == 0) {
-                    std::exchange(state->on_end, {})(found ? *read : state->otherwise);
+                  if (read && read->has_value()) {
+                    std::exchange(state->on_end, {})(*read);
+                  } else if (state->open == 0) {
+                    stored_.find(request, window_, std::exchange(state->on_end, {}));
                   }
                 });
   }
--- a/src/proxy/origin_client.h
+++ b/src/proxy/origin_client.h
@@ -1,13 +1,15 @@
 /// \file origin_client.h
 /// Finds out where a stream began that its caller resumes (stream_origins.h): from this instance's
-/// records, from the keepers that its first instance chose, or because all upstreams of the service
-/// have had one version. Tells keepers of the streams that begin here, and answers peers.
+/// records, from the keepers that its first instance chose, because all upstreams of the service
+/// have had one version, or from the store. Tells keepers of the streams that begin here, and
+/// answers peers.
 ///
 /// Records are shared only while they may be needed: while a service has had several versions, or
 /// this instance cannot tell.
 #pragma once
 
 #include "call_set.h"
+#include "origin_store.h"
 #include "peer_group.h"
 #include "proxy_state.h"
 
@@ -29,13 +31,25 @@
   using handler = std::function<void(const std::optional<stream_origin>&)>;
 
   origin_client(proxy_state& state, http1::http_client& client, peer_group& peers,
-                const store_link& store)
-      : state_(state), calls_(state.loop, client), peers_(peers), store_(store) {}
+                store_link& store, std::int64_t started_ms)
+      : state_(state), calls_(state.loop, client), peers_(peers), store_(store),
+        stored_(state, store, peers, started_ms) {}
 
   void start();
   /// The first event of the stream that `request` asked for has arrived from `origin`, or a later
   /// try of its caller goes on there. Must be called before the caller is sent the event.
   void on_stream_began(const std::string& request, const stream_origin& origin);
+
+  /// The stream of `request` is complete.
+  void on_stream_completed(const std::string& request) { stored_.on_completed(request); }
+
+  [[nodiscard]] bool ready() const { return stored_.ready(); }
+
+  /// Whether streams may begin at this service and version.
+  [[nodiscard]] bool may_begin(const service_id& service, const std::string& version) const {
+    return stored_.may_begin(service, version);
+  }
+
   /// Finds where the stream of `request` began, for a caller that resumes it on `route`. Calls
   /// `on_end` once, possibly before it returns; empty if nobody knows.
   void find(const std::string& request, const proxy_route& route, handler on_end);
@@ -54,6 +68,7 @@
   call_set calls_;
   peer_group& peers_;
   const store_link& store_;
+  origin_store stored_;
   version_history versions_;
   bool sharing_ = true;                       ///< Keepers are told of the streams that begin here.
   std::shared_ptr<const route_table> config_; ///< As last observed.
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -62,7 +62,7 @@
       crashes_(state_, platform_client_, paths_), forwards_(state_, peers_),
       forwarded_(state_, upstream_client_, crashes_, paths_),
       permits_(state_, platform_client_, peers_),
-      origins_(state_, platform_client_, peers_, store_),
+      origins_(state_, platform_client_, peers_, store_, started_ms_),
       duties_(state_, platform_client_, store_, peers_),
       caller_server_(
           loop,
@@ -104,7 +104,7 @@
 
 bool
 proxy_node::ready() const {
-  return state_.config != nullptr && state_.upstreams_known && !state_.stopping;
+  return state_.config != nullptr && state_.upstreams_known && origins_.ready() && !state_.stopping;
 }
 
 void
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -213,6 +213,10 @@
   auto all = state_.upstreams.usable_of(service_name_);
   if (stream_version_) {
     std::erase_if(all, [&](const auto* it) { return it->software_version != *stream_version_; });
+  } else if (streaming()) {
+    std::erase_if(all, [&](const auto* it) {
+      return !origins_.may_begin(service_name_, it->software_version);
+    });
   }
   return all;
 }
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -74,6 +74,12 @@
  private:
   // Before an attempt.
   bool admit();
+
+  /// The request whose response brought the first event of the stream.
+  [[nodiscard]] const std::string& stream_request() const {
+    return request_.resumes.empty() ? request_.id : request_.resumes;
+  }
+
   /// Whether the caller resumes a stream that an earlier request of it began.
   [[nodiscard]] bool resumes_earlier_request() const;
   /// Sets the service and counts the request there.
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -165,8 +165,7 @@
   if (!history_.response_started) {
     history_.response_started = true;
     stream_version_ = attempt_->upstream.software_version;
-    origins_.on_stream_began(request_.resumes.empty() ? request_.id : request_.resumes,
-                             {service_name_, *stream_version_});
+    origins_.on_stream_began(stream_request(), {service_name_, *stream_version_});
     caller_->begin(attempt_->head.status, attempt_->head.reason, attempt_->head.fields);
   }
   if (!id.empty()) {
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -307,6 +307,9 @@
     const std::string rest = it.events.take_remainder();
     caller_->reply(status, it.head.reason, it.head.fields, rest.empty() ? it.body : rest);
   }
+  if (streaming()) {
+    origins_.on_stream_completed(stream_request());
+  }
   log(log_event::request_answered, {{"request", request_.id},
                                     {"upstream", it.upstream.id.value},
                                     {"status", std::to_string(status)},
