A response without an id counts only on a connection that has carried nothing else

Cause: an empty id was taken for the request's own. Such a response is skipped now, and the request's own awaited; requests forwarded for a peer alike. Orders and checks, which have no id, use new connections.

The stand-in writes refusals once more, in four ways, and records requests that it cannot read (for the case of odd entries).

--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -165,7 +165,7 @@
 
 TEST(http_client, response_to_another_request_is_skipped) {
   call_options options;
-  options.accepts_response = [](const http_response_head& head) {
+  options.accepts_response = [](const http_response_head& head, bool /*reused*/) {
     return head.fields.get("Id") == "mine";
   };
   const auto it = run_call(
--- a/src/http1/http_client.cpp
+++ b/src/http1/http_client.cpp
@@ -43,6 +43,7 @@
 
   void assign(client_call& call) {
     call_ = &call;
+    calls_++;
     call.connection_ = this;
     complete_ = false;
     accepted_ = true;
@@ -100,7 +101,8 @@
     const http_response_head& head = reader_.response();
     constexpr int first_final_status = 200;
     const auto& accepts_response = call_->options_.accepts_response;
-    accepted_ = head.status >= first_final_status && (!accepts_response || accepts_response(head));
+    accepted_ = head.status >= first_final_status &&
+                (!accepts_response || accepts_response(head, calls_ > 1));
     if (!accepted_) {
       // Skipped: an interim response, or a late response to an earlier request.
       reusable_ = reusable_ && head.status < first_final_status;
@@ -210,6 +212,7 @@
   tcp_stream stream_;
   message_reader reader_;
   client_call* call_ = nullptr;
+  std::uint64_t calls_ = 0; ///< Assigned so far.
   timer_id connect_timer_;
   milliseconds idle_timeout_{0};
   time_point idle_until_{};
--- a/src/http1/http_client.h
+++ b/src/http1/http_client.h
@@ -62,7 +62,9 @@
   /// Maximum body bytes of the response; a longer one ends the call as malformed.
   std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
   /// Whether a response belongs to this call; others are skipped. Empty accepts any response.
-  std::function<bool(const http_response_head&)> accepts_response;
+  /// `reused` tells that the connection has carried another call before, whose server may respond
+  /// to it once more.
+  std::function<bool(const http_response_head&, bool reused)> accepts_response;
 };
 
 class client_connection;
--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -105,6 +105,14 @@
   std::optional<double> rate_limit;
 };
 
+/// Whether a response is to the request `request_id`. Upstreams name the request; a response that
+/// names none may be an earlier one that was written once more, unless its connection has carried
+/// no other call.
+[[nodiscard]] inline bool
+is_response_to(const response_metadata& marks, std::string_view request_id, bool reused) {
+  return marks.request_id.empty() ? !reused : marks.request_id == request_id;
+}
+
 /// A call to the store, the platform or an upstream.
 struct wire_call {
   std::string method;
--- a/src/proxy/call_set.cpp
+++ b/src/proxy/call_set.cpp
@@ -22,6 +22,7 @@
   http1::call_options options;
   options.timeout = limits.all;
   options.connect_timeout = limits.connect.value_or(limits.all);
+  options.new_connection = limits.new_connection;
   options.max_body_bytes = max_reply_bytes;
   options.not_after = not_after;
   calls_[number] =
--- a/src/proxy/call_set.h
+++ b/src/proxy/call_set.h
@@ -31,6 +31,9 @@
 struct call_limits {
   milliseconds all{0};                 ///< From the start to the last byte of the response.
   std::optional<milliseconds> connect; ///< For the connection; the whole time if it is not given.
+  /// Not over a kept connection, where the server may respond to an earlier call once more: for
+  /// calls whose responses do not name them.
+  bool new_connection = false;
 };
 
 class call_set {
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -346,7 +346,8 @@
                               {"stage", std::string{to_name(change.target)}},
                               {"fence", std::to_string(granted.number.value)}});
   calls_.send(
-      {upstream->address, upstream->port}, state_.wire.stage_call(order), {call_timeout},
+      {upstream->address, upstream->port}, state_.wire.stage_call(order),
+      {.all = call_timeout, .new_connection = true},
       [this, it = *upstream](const call_outcome& ended) {
         log(log_event::order_resolved,
             {{"upstream", it.id.value},
--- a/src/proxy/forward_server.cpp
+++ b/src/proxy/forward_server.cpp
@@ -55,9 +55,9 @@
   options.timeout = request.limit;
   options.connect_timeout = upstream_connect_limit;
   options.not_after = now.boot + (request.not_after - state_.clock.agreed(now).wall);
-  options.accepts_response = [this, id = request.request_id](const http_response_head& head) {
-    const auto marks = state_.wire.parse_response_head(head);
-    return marks.request_id.empty() || marks.request_id == id;
+  options.accepts_response = [this, id = request.request_id](const http_response_head& head,
+                                                             bool reused) {
+    return is_response_to(state_.wire.parse_response_head(head), id, reused);
   };
   forwarding& it = open_[number];
   it.peer = peer;
--- a/src/proxy/origin_store.h
+++ b/src/proxy/origin_store.h
@@ -31,6 +31,7 @@
       : state_(state), store_(store), peers_(peers), started_ms_(started_ms) {}
 
   void start();
+
   /// Whether streams may begin at every listed upstream, or could once: a version that is new later
   /// concerns only the streams that would begin there.
   [[nodiscard]] bool ready() const { return ready_; }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -554,9 +554,8 @@
   http1::call_options options;
   options.timeout = attempt_limit(it.task);
   options.connect_timeout = upstream_connect_limit;
-  options.accepts_response = [this](const http_response_head& head) {
-    const auto marks = state_.wire.parse_response_head(head);
-    return marks.request_id.empty() || marks.request_id == request_.id;
+  options.accepts_response = [this](const http_response_head& head, bool reused) {
+    return is_response_to(state_.wire.parse_response_head(head), request_.id, reused);
   };
   it.path_attempt = paths_.on_started(it.upstream.id);
   it.call = client_.start({it.upstream.address, it.upstream.port}, request_bytes(it),
--- a/src/proxy/upstream_crashes.cpp
+++ b/src/proxy/upstream_crashes.cpp
@@ -63,7 +63,8 @@
   const auto* service =
       state_.config == nullptr ? nullptr : state_.config->find_service(upstream.service);
   checks_.send({upstream.address, upstream.port},
-               state_.wire.running_check_call(upstream.id, service), {check_timeout},
+               state_.wire.running_check_call(upstream.id, service),
+               {.all = check_timeout, .new_connection = true},
                [this, upstream, checks_left](const call_outcome& outcome) {
                  on_check_end(upstream, outcome, checks_left - 1);
                });
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -16,6 +16,7 @@
 
 LOOPBACK = "127.0.0.1"
 HEARTBEAT_S = 0.5
+malformed_requests = []  # Why requests could not be read.
 
 
 class Request:
@@ -67,6 +68,8 @@
                     return
                 writer.write(reply)
                 await writer.drain()
+        except ValueError as ec:
+            malformed_requests.append(str(ec))
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
@@ -274,6 +277,10 @@
         self.disconnected = []  # Ids of hanging requests whose connection the peer closed.
         self.orders = []
         self.kv_handles = set()
+        self.repeats_refusals = None  # How it writes refusals once more, see `handle`.
+        self.last_refusal = None
+        self.kept = set()  # Connections that have carried a request.
+        self.handle_body = None  # Sent in place of a prompt handle.
         self.faults = {}
         self.born = int(time.time() * 1000)
         self.heartbeats = 0
@@ -305,7 +312,27 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def handle(self, request, writer):
+        """With `repeats_refusals`, a refusal is written once more: "same_write" right behind itself, "idle" soon after
+        it; on a connection that has carried another request, "before" as the first bytes after a request, or "during"
+        its run. "nameless" copies do not bear the id of the request that was refused."""
+        when, _, nameless = (self.repeats_refusals or "").partition(" ")
+        earlier = self.last_refusal if writer in self.kept and when in ("before", "during") else None
+        self.kept.add(writer)
+        if earlier and when == "before":
+            writer.write(earlier)
+        elif earlier:
+            asyncio.get_running_loop().call_later(0.02, writer.write, earlier)
+            self.faults.setdefault(request.headers.get("x-request-id", ""), "pause")
         reply = await self.respond(request, writer)
+        if when and reply and b"X-Not-Executed" in reply:
+            lines = [it for it in reply.split(b"\r\n") if not (nameless and it.lower().startswith(b"x-request-id"))]
+            copy = b"\r\n".join(lines)
+            if when == "same_write":
+                reply += copy
+            elif when == "idle":
+                asyncio.get_running_loop().call_later(0.02, writer.write, copy)
+            else:
+                self.last_refusal = copy
         for name, value in self.statements():
             if reply is not None and reply.startswith(b"HTTP/"):
                 status_line, rest = reply.split(b"\r\n", 1)
@@ -385,6 +412,8 @@
         if request.headers.get("x-serving-stage") == "prefill":
             while fault == "mute_reading" and not writer.transport.is_closing():
                 await asyncio.sleep(0.01)
+            if self.handle_body is not None:
+                return make_response(200, self.handle_body)
             self.kv_handles.add("h" + request_id)
             return make_response(200, {"kv_handle": "h" + request_id, "tokens": 1, "version": 1})
         self.executed.append(request_id)
@@ -394,8 +423,8 @@
             return None
         if fault == "reset":
             return None
-        if fault == "slow":
-            await asyncio.sleep(1.0)
+        if fault in ("slow", "pause"):
+            await asyncio.sleep({"slow": 1.0, "pause": 0.06}[fault])
         if fault == "hang":
             while not writer.transport.is_closing():
                 await asyncio.sleep(0.01)
