--- a/src/libnutmegspur/path_watch.cpp
+++ b/src/libnutmegspur/path_watch.cpp
@@ -100,9 +100,10 @@
     }
   }
   for (const auto& [service, ids] : silent) {
-    const bool any_heard = std::any_of(paths_.begin(), paths_.end(), [&](const auto& row) {
-      return row.second.service == service && heard(now, row.first, silence_limit);
-    });
+    const bool any_heard =
+        std::any_of(paths_.begin(), paths_.end(), [&, &name = service](const auto& row) {
+          return row.second.service == name && heard(now, row.first, silence_limit);
+        });
     if (ids.size() >= min_silent && !any_heard) {
       for (auto it = ids.begin(); it != std::next(ids.begin(), min_silent); ++it) {
         doubt(paths_[*it]);
--- a/src/proxy/origin_store.cpp
+++ b/src/proxy/origin_store.cpp
@@ -324,7 +324,7 @@
 std::optional<stream_origin>
 origin_store::found(const question& it) const {
   const moment now = http1::event_loop::now();
-  if (const auto known = state_.origins.find(now, it.request)) {
+  if (auto known = state_.origins.find(now, it.request)) {
     return known;
   }
   const auto possible = record_.possible(state_.clock.agreed(now).wall, it.window);
