Only upstreams of configured services are examined for cut paths

An entry of another writer, whose service is not configured, was never heard and so would be probed first when a path was found cut; its silence would put all other paths in question.

--- a/src/proxy/upstream_paths.cpp
+++ b/src/proxy/upstream_paths.cpp
@@ -72,7 +72,10 @@
   const moment now = http1::event_loop::now();
   std::vector<const listed_upstream*> listed;
   for (const auto* it : state_.upstreams.all()) {
-    if (!it->leaving && state_.accepts_calls(now, *it)) {
+    // Entries of services that are not configured may be anything.
+    const bool configured =
+        state_.config != nullptr && state_.config->find_service(it->service) != nullptr;
+    if (configured && !it->leaving && state_.accepts_calls(now, *it)) {
       listed.push_back(it);
     }
   }
