--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -105,9 +105,9 @@
   std::optional<double> rate_limit;
 };
 
-/// Whether a response is to the request with the id `own_id`. Upstreams name the request; a response that
-/// names none may be an earlier one that was written once more, unless its connection has carried
-/// no other call.
+/// Whether a response is to the request with the id `own_id`. Upstreams name the request; a
+/// response that names none may be an earlier one that was written once more, unless its connection
+/// has carried no other call.
 [[nodiscard]] inline bool
 is_response_to(const response_metadata& marks, std::string_view own_id, bool reused) {
   return marks.request_id.empty() ? !reused : marks.request_id == own_id;
