--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of the cases start. They are Python programs of the standard library and run in
+# the process of the script, so this only checks that they can be compiled.
+set -eu
+cd "$(dirname "$0")"
+python3 - <<'CHECK'
+import pathlib
+for it in sorted(pathlib.Path(".").glob("*/*.py")):
+    compile(it.read_text(encoding="utf-8"), str(it), "exec")
+CHECK
