--- a/review/lib/small_fleet.py
+++ b/review/lib/small_fleet.py
@@ -488,6 +488,7 @@
     def main(self):
         """Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
         status = 2
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(status))  # So that the processes are ended.
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             self.temporary = pathlib.Path(temporary)
             try:
