Log: what became of a write of the sealed usage window, and what a read of it found

The log could not tell a record that a late write replaced from counts that changed in the holder, or from two holders. Change: E400 names the store's revision of the record; E403 says that a seal got no reply or found another record; E404 says which window, how many requests and which revision a read found, and what follows. Result: no change of behaviour; event_catalogue_test holds the page equal.

--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -52,6 +52,8 @@
   usage_sealed = 400,
   usage_reported = 401,
   usage_rejected = 402,
+  usage_seal_unconfirmed = 403,
+  usage_record_read = 404,
   request_refused = 500,
   request_failed = 501,
   request_resumed = 502,
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 54> catalogue{{
+constexpr std::array<log_event_info, 56> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -53,6 +53,10 @@
      "The usage interface accepted a window."},
     {log_event::usage_rejected, "usage_rejected", severity::error,
      "The usage interface refused a window."},
+    {log_event::usage_seal_unconfirmed, "usage_seal_unconfirmed", severity::warning,
+     "A write of a sealed usage window got no reply or found another record; the record is read."},
+    {log_event::usage_record_read, "usage_record_read", severity::info,
+     "The record of the last sealed usage window was read; shows what follows from it."},
     {log_event::request_refused, "request_refused", severity::info,
      "A request was refused before it ran."},
     {log_event::request_failed, "request_failed", severity::warning,
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -3,6 +3,7 @@
 
 #include <nutmegspur/json_reader.h>
 #include <nutmegspur/records.h>
+#include <nutmegspur/store_era.h>
 
 #include <algorithm>
 
@@ -34,6 +35,15 @@
   return compact_json({{"window", qint64{window.number}}, {"counts", counts}});
 }
 
+std::uint64_t
+request_count(const usage_window& window) {
+  std::uint64_t sum = 0;
+  for (const auto& [team, n] : window.counts) {
+    sum += n;
+  }
+  return sum;
+}
+
 result<usage_window>
 parse_record(std::string_view json) {
   const auto object = parse_json_object(json, "sealed usage");
@@ -191,13 +201,18 @@
                 if (!window) {
                   log(log_event::usage_rejected, window.error());
                 }
-                continue_from(window.value_or(usage_window{}), granted);
+                const auto found = range.pairs.empty() ? revision{} : range.pairs.front().modified;
+                continue_from(window.value_or(usage_window{}), found, granted);
               });
 }
 
 void
-duty_holder::continue_from(const usage_window& stored, const authority& granted) {
+duty_holder::continue_from(const usage_window& stored, revision found, const authority& granted) {
   const auto position = continue_after(stored, sealed_, peers_.sealed_window());
+  log(log_event::usage_record_read, {{"window", std::to_string(stored.number)},
+                                     {"requests", std::to_string(request_count(stored))},
+                                     {"revision", std::to_string(number_of(found))},
+                                     {"next", std::string{to_name(position.step)}}});
   switch (position.step) {
   case sealed_step::report:
     sealed_ = position.window;
@@ -221,22 +236,23 @@
   txn.conditions.push_back({zone_lease_key(duties_zone), revision{granted.number.value}});
   txn.writes.push_back({sealed_key, to_record(window), lease_id{}});
   store_.call({duty::usage, 0}, txn, call_timeout, [this, window](const platform_reply& reply) {
-    const bool sealed = reply.answer && std::get<kv_txn_reply>(*reply.answer).applied;
-    if (!sealed) {
+    const auto* txn = reply.answer ? &std::get<kv_txn_reply>(*reply.answer) : nullptr;
+    if (txn == nullptr || !txn->applied) {
       // The response was lost or a later holder wrote the record: read it from the store.
       phase_ = seal_phase::unread;
+      log(log_event::usage_seal_unconfirmed,
+          {{"window", std::to_string(window.number)},
+           {"requests", std::to_string(request_count(window))},
+           {"how", txn == nullptr ? reply.answer.error().message : "another record"}});
       return;
     }
     sealed_ = window;
     peers_.on_sealed(window.number);
     phase_ = seal_phase::sealed;
-    std::uint64_t requests = 0;
-    for (const auto& [team, n] : window.counts) {
-      requests += n;
-    }
     log(log_event::usage_sealed, {{"window", std::to_string(window.number)},
                                   {"teams", std::to_string(window.counts.size())},
-                                  {"requests", std::to_string(requests)}});
+                                  {"requests", std::to_string(request_count(window))},
+                                  {"revision", std::to_string(number_of(txn->store))}});
   });
 }
 
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -64,8 +64,9 @@
 
   void report_usage(const moment& now, const authority& granted);
   void read_sealed(const authority& granted);
-  /// Continues after the last sealed window, which the store holds as `stored`.
-  void continue_from(const usage_window& stored, const authority& granted);
+  /// Continues after the last sealed window, which the store holds as `stored` since revision
+  /// `found`.
+  void continue_from(const usage_window& stored, revision found, const authority& granted);
   void seal(const usage_window& window, const authority& granted);
   void report(const authority& granted);
   void order_fleet(const moment& now, const authority& granted);
