Records with one writer are written by compare-and-swap: a late write replaces nothing newer

Cause: the sealed window was written under the condition that the lease is the holder's, whatever the record said by then. A write without a reply that the store executed after the next one brought the record back to earlier counts, and the next holder reported these. Logs of: sealed with 188 requests at revision 111, read with 172 at revision 112. Ruled out: two holders, and counts that change after the seal.

Change: cas_record, a key that is written on the revision that its writer read or wrote last, and read again after each write that was not applied for certain. At most one of several writes sent after one read takes effect, so what was acknowledged stays. The sealed window, registrations and batches of stream origins use it; the last two had the same cause.

--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -68,7 +68,7 @@
       lease_({state.settings.instance, duties_zone, lease_ttl},
              {[this] { return peers_.rank(http1::event_loop::now()); },
               [this] { return !calls_.empty(); }}),
-      fleet_(state.options.fleet), stages_(state.options.prefill_share),
+      sealed_record_(sealed_key), fleet_(state.options.fleet), stages_(state.options.prefill_share),
       calls_(state.loop, client) {}
 
 duty_holder::~duty_holder() {
@@ -189,29 +189,29 @@
 void
 duty_holder::read_sealed(const authority& granted) {
   phase_ = seal_phase::sealing;
-  store_.call({duty::usage, 0}, kv_range{sealed_key, ""}, call_timeout,
+  store_.call({duty::usage, 0}, sealed_record_.read(), call_timeout,
               [this, granted](const platform_reply& reply) {
                 if (!reply.answer) {
                   phase_ = seal_phase::unread;
                   return;
                 }
-                const auto& range = std::get<kv_range_reply>(*reply.answer);
-                auto window = range.pairs.empty() ? result<usage_window>{usage_window{}}
-                                                  : parse_record(range.pairs.front().value);
+                const auto* value =
+                    sealed_record_.on_read(std::get<kv_range_reply>(*reply.answer));
+                auto window = value == nullptr ? result<usage_window>{usage_window{}}
+                                               : parse_record(*value);
                 if (!window) {
                   log(log_event::usage_rejected, window.error());
                 }
-                const auto found = range.pairs.empty() ? revision{} : range.pairs.front().modified;
-                continue_from(window.value_or(usage_window{}), found, granted);
+                continue_from(window.value_or(usage_window{}), granted);
               });
 }
 
 void
-duty_holder::continue_from(const usage_window& stored, revision found, const authority& granted) {
+duty_holder::continue_from(const usage_window& stored, const authority& granted) {
   const auto position = continue_after(stored, sealed_, peers_.sealed_window());
   log(log_event::usage_record_read, {{"window", std::to_string(stored.number)},
                                      {"requests", std::to_string(request_count(stored))},
-                                     {"revision", std::to_string(number_of(found))},
+                                     {"revision", std::to_string(number_of(sealed_record_.current()))},
                                      {"next", std::string{to_name(position.step)}}});
   switch (position.step) {
   case sealed_step::report:
@@ -232,18 +232,17 @@
 void
 duty_holder::seal(const usage_window& window, const authority& granted) {
   phase_ = seal_phase::sealing;
-  kv_txn txn;
+  kv_txn txn = sealed_record_.write(to_record(window), lease_id{});
   txn.conditions.push_back({zone_lease_key(duties_zone), revision{granted.number.value}});
-  txn.writes.push_back({sealed_key, to_record(window), lease_id{}});
   store_.call({duty::usage, 0}, txn, call_timeout, [this, window](const platform_reply& reply) {
-    const auto* txn = reply.answer ? &std::get<kv_txn_reply>(*reply.answer) : nullptr;
-    if (txn == nullptr || !txn->applied) {
-      // The response was lost or a later holder wrote the record: read it from the store.
+    const cas_result written = sealed_record_.on_written(reply);
+    if (written != cas_result::applied) {
+      // Another write may have sealed the window, with other counts, or may do so until the next.
       phase_ = seal_phase::unread;
       log(log_event::usage_seal_unconfirmed,
           {{"window", std::to_string(window.number)},
            {"requests", std::to_string(request_count(window))},
-           {"how", txn == nullptr ? reply.answer.error().message : "another record"}});
+           {"how", std::string{to_name(written)}}});
       return;
     }
     sealed_ = window;
@@ -252,7 +251,7 @@
     log(log_event::usage_sealed, {{"window", std::to_string(window.number)},
                                   {"teams", std::to_string(window.counts.size())},
                                   {"requests", std::to_string(request_count(window))},
-                                  {"revision", std::to_string(number_of(txn->store))}});
+                                  {"revision", std::to_string(number_of(sealed_record_.current()))}});
   });
 }
 
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -5,7 +5,8 @@
 ///
 /// Invariants: no call is sent unless the lease is valid for longer than the call's timeout; a new
 /// holder sends nothing until the calls of the former holder must have ended; a usage window is
-/// sealed in the store before it is reported, so that no two reports of it differ.
+/// sealed in the store before it is reported, and the record of it is only replaced by compare-and-swap,
+/// so that no two reports of it differ.
 #pragma once
 
 #include "call_set.h"
@@ -13,6 +14,7 @@
 #include "proxy_state.h"
 #include "store_link.h"
 
+#include <nutmegspur/cas_record.h>
 #include <nutmegspur/stage_plan.h>
 #include <nutmegspur/zone_lease.h>
 
@@ -64,9 +66,8 @@
 
   void report_usage(const moment& now, const authority& granted);
   void read_sealed(const authority& granted);
-  /// Continues after the last sealed window, which the store holds as `stored` since revision
-  /// `found`.
-  void continue_from(const usage_window& stored, revision found, const authority& granted);
+  /// Continues after the last sealed window, which the store holds as `stored`.
+  void continue_from(const usage_window& stored, const authority& granted);
   void seal(const usage_window& window, const authority& granted);
   void report(const authority& granted);
   void order_fleet(const moment& now, const authority& granted);
@@ -82,7 +83,8 @@
   fence current_fence_; ///< Fencing token of the authority that the members below belong to.
   time_point held_since_{};
   seal_phase phase_ = seal_phase::unread;
-  usage_window sealed_;
+  cas_record sealed_record_;
+  usage_window sealed_; ///< The content of `sealed_record_`.
   time_point next_report_{};
   fleet_orders fleet_;
   stage_plan stages_;
--- a/src/proxy/instance_registration.cpp
+++ b/src/proxy/instance_registration.cpp
@@ -35,27 +35,53 @@
     return;
   }
   write_pending_ = true;
+  if (!record_.known()) {
+    read();
+    return;
+  }
   call_(lease_grant{registration_ttl}, [this](const platform_reply& reply) {
-    if (!reply.answer) {
+    if (reply.answer) {
+      put(std::get<lease_reply>(*reply.answer).lease);
+    } else {
       write_pending_ = false;
-      return;
     }
-    const lease_id lease = std::get<lease_reply>(*reply.answer).lease;
-    kv_txn txn;
-    txn.writes.push_back({instance_key(state_.settings.instance),
-                          registration_record(state_.settings, started_ms_), lease});
-    call_(txn, [this, lease](const platform_reply& written) {
-      write_pending_ = false;
-      if (written.answer) {
-        lease_ = lease;
-      }
-    });
+  });
+}
+
+void
+instance_registration::read() {
+  call_(record_.read(), [this](const platform_reply& reply) {
+    write_pending_ = false;
+    if (reply.answer) {
+      record_.on_read(std::get<kv_range_reply>(*reply.answer));
+      write();
+    }
+  });
+}
+
+void
+instance_registration::put(lease_id lease) {
+  const kv_txn txn = record_.write(registration_record(state_.settings, started_ms_), lease);
+  call_(txn, [this, lease](const platform_reply& reply) {
+    write_pending_ = false;
+    switch (record_.on_written(reply)) {
+    case cas_result::applied:
+      lease_ = lease;
+      break;
+    case cas_result::replaced: // By an earlier process, or by a late write.
+      call_(lease_revoke{lease}, {});
+      write();
+      break;
+    case cas_result::unknown: // The next renewal tries again.
+      break;
+    }
   });
 }
 
 void
 instance_registration::on_restored() {
   lease_ = lease_id{};
+  record_.forget();
   // Spreads the writes of all instances.
   const auto slot = std::hash<std::string>{}(state_.settings.instance.value) %
                     static_cast<std::size_t>(rewrite_spread.count());
@@ -78,6 +104,7 @@
   call_(lease_keep_alive{lease_}, [this](const platform_reply& reply) {
     if (reply.answer && std::get<lease_reply>(*reply.answer).ttl == seconds{0}) {
       lease_ = lease_id{};
+      record_.forget();
       write();
     }
   });
--- a/src/proxy/origin_store.cpp
+++ b/src/proxy/origin_store.cpp
@@ -228,6 +228,10 @@
   }
   write_tokens_ -= 1;
   writing_ = true;
+  if (!batch_.known()) {
+    read_batch();
+    return;
+  }
   if (lease_.empty()) {
     grant_lease();
     return;
@@ -239,6 +243,17 @@
   put_batch();
 }
 
+void
+origin_store::read_batch() {
+  store_.call({duty::config, 0}, batch_.read(), call_limit, [this](const platform_reply& reply) {
+    writing_ = false;
+    if (reply.answer) {
+      batch_.on_read(std::get<kv_range_reply>(*reply.answer));
+      write_batch(http1::event_loop::now());
+    }
+  });
+}
+
 void
 origin_store::grant_lease() {
   store_.call({duty::config, 0}, lease_grant{batch_ttl}, call_limit,
@@ -260,14 +275,15 @@
     streams.push_back({request, it.origin});
   }
   own_changed_ = false;
-  kv_txn txn;
-  txn.writes.push_back({origin_batch_key(state_.settings.instance, started_ms_),
-                        pack_origin_batch(streams), lease_});
+  const kv_txn txn = batch_.write(pack_origin_batch(streams), lease_);
   store_.call({duty::config, 0}, txn, call_limit, [this](const platform_reply& reply) {
     writing_ = false;
-    if (!reply.answer) {
-      lease_ = lease_id{}; // It may have ended.
+    const cas_result written = batch_.on_written(reply);
+    if (written != cas_result::applied) {
       own_changed_ = true;
+    }
+    if (written == cas_result::unknown) {
+      lease_ = lease_id{}; // It may have ended.
     } else {
       write_batch(http1::event_loop::now());
     }
--- a/src/proxy/origin_store.h
+++ b/src/proxy/origin_store.h
@@ -11,6 +11,7 @@
 #include "proxy_state.h"
 #include "store_link.h"
 
+#include <nutmegspur/cas_record.h>
 #include <nutmegspur/origin_record.h>
 
 #include <functional>
@@ -28,7 +29,10 @@
 
   origin_store(proxy_state& state, store_link& store, const peer_group& peers,
                std::int64_t started_ms)
-      : state_(state), store_(store), peers_(peers), started_ms_(started_ms) {}
+      : state_(state), store_(store), peers_(peers),
+        batch_(origin_batch_key(state.settings.instance, started_ms)) {
+    batch_.assume_absent();
+  }
 
   void start();
 
@@ -71,6 +75,7 @@
   void end_update(bool done);
 
   void write_batch(const moment& now);
+  void read_batch();
   void put_batch();
   void grant_lease();
 
@@ -82,7 +87,6 @@
   proxy_state& state_;
   store_link& store_;
   const peer_group& peers_;
-  std::int64_t started_ms_;
 
   std::map<stream_origin, time_point> listed_; ///< When an upstream was listed with it last.
   origin_record record_;                       ///< As last read or written.
@@ -94,6 +98,7 @@
 
   std::map<std::string, own_stream> own_; ///< Streams that may have to be resumed.
   bool own_changed_ = false;
+  cas_record batch_; ///< The origins of this instance's streams in the store.
   bool writing_ = false;
   double write_tokens_ = 0;
   time_point tokens_at_{};
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -92,6 +92,11 @@
         self.changed = asyncio.Condition()
         self.down = False  # Responds to every request with status 503.
         self.lose_answers = False  # Executes writes, then resets the connection instead of responding.
+        # Given the keys of a write: "lost" (not executed), seconds until it is executed, or None. Neither is answered.
+        self.fault_of_write = lambda keys: None
+        self.late_tasks = set()
+        self.late_writes = []  # Keys of writes that were received, and have now been executed or rejected late.
+        self.overwritten = []  # Keys that a late write replaced, though they had been written since it was sent.
         self.calls = 0
         self.era = 1  # Number of the store's history; a restore begins another one.
 
@@ -157,11 +162,31 @@
         if self.down:
             return self.with_era(make_response(503))
         parts = request.path.strip("/").split("/")
+        if parts[0] == "kv-txn":
+            fault = self.fault_of_write([row["key"] for row in json.loads(request.body)["writes"]])
+            if fault is not None:
+                if fault != "lost":
+                    task = asyncio.get_running_loop().create_task(self.execute_late(request, fault))
+                    self.late_tasks.add(task)
+                    task.add_done_callback(self.late_tasks.discard)
+                return None
         reply = await getattr(self, parts[0].replace("-", "_"))(request, parts[1:])
         if self.lose_answers and parts[0] == "kv-txn":
             return None
         return self.with_era(reply)
 
+    async def execute_late(self, request, delay_s):
+        keys = [row["key"] for row in json.loads(request.body)["writes"]]
+        before = {key: self.items[key][1] if key in self.items else 0 for key in keys}
+        era = self.era
+        await asyncio.sleep(delay_s)
+        if era != self.era:
+            return
+        written_since = [key for key in keys if key in self.items and self.items[key][1] != before[key]]
+        if (await self.kv_txn(request, [])).startswith(b"HTTP/1.1 200"):
+            self.overwritten += written_since
+        self.late_writes += keys
+
     def with_era(self, reply):
         status_line, rest = reply.split(b"\r\n", 1)
         return b"%s\r\nStore-Era: %d\r\n%s" % (status_line, self.era, rest)
@@ -425,6 +450,8 @@
             return None
         if fault in ("slow", "pause"):
             await asyncio.sleep({"slow": 1.0, "pause": 0.06}[fault])
+        if fault.startswith("after "):
+            await asyncio.sleep(float(fault.split()[1]))
         if fault == "hang":
             while not writer.transport.is_closing():
                 await asyncio.sleep(0.01)
