A stream that has begun is completed only by the rest of it

Cause: end_of_response judged a response by its status; response_started was asked only for other ends than answered, and the media type not at all.

Change: once a response has started, only an authentic 200 event stream that ends by its framing is an answer; all else is a failed attempt, which is repeated elsewhere if the route's attempts and budget last, 500s included, or the caller is cut. An empty run that ends with its connection is broken, also when it resumes a stream: nothing shows that it is whole. That line of a_stream_that_ends_between_events_is_complete was wrong and is replaced by the stricter one; a framed empty run still completes.

--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -12,6 +12,7 @@
 #include <nutmegspur/proxy_config.h>
 
 #include <cstdint>
+#include <string_view>
 
 namespace nutmegspur {
 
@@ -46,7 +47,9 @@
   /// Its body ended with the connection: that alone does not show that it is whole.
   bool close_delimited = false;
   bool event_stream = false; ///< The body is a stream of events.
-  bool resumed = false;      ///< It resumes a stream, which may have no event left.
+  /// The caller has got a head and events of an earlier attempt: only the rest of that stream may
+  /// follow.
+  bool response_started = false;
   bool has_events = false;   ///< At least one event is complete.
   bool inside_event = false; ///< The body ends inside an event.
 };
@@ -83,9 +86,14 @@
   }};
 };
 
+/// Whether a response can be passed on event by event: an authentic success on a streaming route
+/// whose media type is that of events, or which names none.
+bool carries_events(int status, bool not_run, bool authentic, std::string_view media_type);
+
 /// How an attempt ended whose response was received up to its end. A stream is whole only if it
-/// ends between two events; one that ends with its connection also needs an event, unless it
-/// resumes another.
+/// ends between two events; one that ends with its connection also needs an event. It may have none
+/// if it is framed: nothing was left to resume. After `response_started` only an event stream is an
+/// answer; whatever else the upstream sent is a failed attempt.
 attempt_end end_of_response(const ended_response& response);
 
 /// Whether the work of an attempt with this end may have run.
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -2,13 +2,33 @@
 #include <nutmegspur/attempt_rules.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace nutmegspur {
 
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int first_redirect = 300;
+constexpr int first_server_error = 500;
+
+} // namespace
+
+bool
+carries_events(int status, bool not_run, bool authentic, std::string_view media_type) {
+  constexpr std::string_view events = "text/event-stream";
+  const std::string_view name = media_type.substr(0, events.size());
+  const bool same_name =
+      std::equal(name.begin(), name.end(), events.begin(), events.end(), [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a)) == b;
+      });
+  const std::string_view rest = media_type.substr(name.size());
+  const bool names_events = same_name && (rest.empty() || rest.find_first_of("; \t") == 0);
+  return status == status_ok && !not_run && authentic && (media_type.empty() || names_events);
+}
+
 attempt_end
 end_of_response(const ended_response& response) {
-  constexpr int first_redirect = 300;
-  constexpr int first_server_error = 500;
   if (response.not_run) {
     return attempt_end::rejected;
   }
@@ -18,7 +38,10 @@
   if (response.status >= first_server_error) {
     return attempt_end::server_error;
   }
-  const bool empty = response.close_delimited && !response.has_events && !response.resumed;
+  if (response.response_started && !response.event_stream) {
+    return attempt_end::malformed;
+  }
+  const bool empty = response.close_delimited && !response.has_events;
   if (response.event_stream && (response.inside_event || empty)) {
     return attempt_end::broken;
   }
@@ -44,8 +67,8 @@
   }
   if (history.kind == route_kind::stream && history.resumable) {
     // A server error is the upstream's own response to this request; another attempt would send
-    // the same request.
-    return end != attempt_end::server_error;
+    // the same request. It is none to a stream that has begun elsewhere.
+    return end != attempt_end::server_error || history.response_started;
   }
   return !history.may_have_run && !may_have_run(end);
 }
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -46,7 +46,7 @@
   ended_response it = complete_stream();
   it.inside_event = true;
   it.close_delimited = *rc::gen::arbitrary<bool>();
-  it.resumed = *rc::gen::arbitrary<bool>();
+  it.response_started = *rc::gen::arbitrary<bool>();
   it.has_events = *rc::gen::arbitrary<bool>();
   RC_ASSERT(end_of_response(it) == attempt_end::broken);
 }
@@ -60,16 +60,109 @@
   EXPECT_EQ(end_of_response(it), attempt_end::broken);
 }
 
-// A resumed stream of which no event was left was broken off.
+// A resumed stream of which no event was left was broken off. Only framing shows that nothing was
+// left: a connection that closes before the first event may as well have failed.
 TEST(attempt_rules, a_stream_that_ends_between_events_is_complete) {
   ended_response it = complete_stream();
   it.close_delimited = true;
   EXPECT_EQ(end_of_response(it), attempt_end::answered);
   it.has_events = false;
-  it.resumed = true;
+  it.response_started = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::broken);
+  it.close_delimited = false;
   EXPECT_EQ(end_of_response(it), attempt_end::answered);
 }
 
+/// A response as an upstream sends it, and the request that it answers.
+struct response_case {
+  int status = 200;
+  bool stamped = false;
+  bool not_run = false;
+  std::string_view media_type;
+  bool close_delimited = false;
+  bool has_events = false;
+  bool inside_event = false;
+  bool started = false; ///< The caller has got events of an earlier attempt.
+};
+
+attempt_end
+end_of(const response_case& it) {
+  ended_response response;
+  response.status = it.status;
+  response.not_run = it.not_run;
+  response.authentic = it.stamped;
+  response.close_delimited = it.close_delimited;
+  response.event_stream = carries_events(it.status, it.not_run, it.stamped, it.media_type);
+  response.response_started = it.started;
+  response.has_events = it.has_events && response.event_stream;
+  response.inside_event = it.inside_event && response.event_stream;
+  return end_of_response(response);
+}
+
+/// Calls `visit` with each combination of status, marks, media type and framing.
+template <class Visitor>
+void
+for_each_response(Visitor visit) {
+  constexpr int flag_sets = 1 << 6;
+  for (const int status : {200, 201, 204, 206, 301, 302, 304, 400, 404, 421, 429, 500, 503, 504}) {
+    for (const std::string_view type :
+         {"", "text/event-stream", "Text/Event-Stream; charset=utf-8", "application/json",
+          "text/event-streams", "text/html"}) {
+      for (int flags = 0; flags < flag_sets; ++flags) {
+        const auto flag = [&](int n) { return (flags >> n & 1) != 0; };
+        visit(response_case{status, flag(0), flag(1), type, flag(2), flag(3), flag(4), flag(5)});
+      }
+    }
+  }
+}
+
+// Regression: a stream that had begun and broke off was completed by a later upstream's 404, 204 or
+// 302, or by a connection that closed before its first event.
+TEST(attempt_rules, only_the_rest_of_its_own_stream_completes_a_started_response) {
+  for_each_response([](const response_case& it) {
+    if (!it.started) {
+      return;
+    }
+    const bool names_events = it.media_type.empty() || it.media_type == "text/event-stream" ||
+                              it.media_type == "Text/Event-Stream; charset=utf-8";
+    const bool whole = !it.inside_event && (it.has_events || !it.close_delimited);
+    const bool wanted = it.status == 200 && it.stamped && !it.not_run && names_events && whole;
+    const attempt_end end = end_of(it);
+    EXPECT_EQ(end == attempt_end::answered, wanted)
+        << it.status << ' ' << it.media_type << ' ' << to_name(end);
+    for (const bool resumable : {false, true}) {
+      for (const std::uint32_t max_attempts : {2U, 3U}) {
+        attempt_history history{route_kind::stream, resumable, max_attempts, 2};
+        history.may_have_run = true;
+        history.response_started = true;
+        const bool again = resumable && max_attempts > 2;
+        EXPECT_EQ(after_attempt(end, history), wanted  ? next_step::pass_on
+                                               : again ? next_step::retry
+                                                       : next_step::cut)
+            << it.status << ' ' << it.media_type << ' ' << to_name(end);
+      }
+    }
+  });
+}
+
+// An upstream's own response to a request of which nothing was delivered is passed on unchanged,
+// also to a caller that resumes a stream; a success needs the upstream's mark.
+TEST(attempt_rules, before_the_first_event_a_response_is_passed_on_by_its_status) {
+  for_each_response([](const response_case& it) {
+    if (it.started || it.not_run) {
+      return;
+    }
+    const attempt_end end = end_of(it);
+    if (it.status >= 500) {
+      EXPECT_EQ(end, attempt_end::server_error);
+    } else if (it.status >= 300) {
+      EXPECT_EQ(end, attempt_end::answered);
+    } else {
+      EXPECT_EQ(end == attempt_end::malformed, !it.stamped);
+    }
+  });
+}
+
 // A success without the upstream's mark was passed on, or an upstream's own failure was not.
 TEST(attempt_rules, a_complete_response_is_classified_by_its_status_and_marks) {
   ended_response it;
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -113,10 +113,10 @@
 
 bool
 request_flow::is_event_stream() const {
-  constexpr int ok = 200;
   const upstream_attempt& it = *attempt_;
-  return streaming() && it.task != attempt_task::prefill && it.head.status == ok &&
-         !it.marks.not_run && it.marks.stamped_by_upstream;
+  return streaming() && it.task != attempt_task::prefill &&
+         carries_events(it.head.status, it.marks.not_run, it.marks.stamped_by_upstream,
+                        it.head.fields.get("Content-Type"));
 }
 
 void
@@ -213,7 +213,7 @@
   response.authentic = it.task == attempt_task::prefill || it.marks.stamped_by_upstream;
   response.close_delimited = it.head.close_delimited;
   response.event_stream = is_event_stream();
-  response.resumed = history_.response_started || !request_.last_event_id.empty();
+  response.response_started = history_.response_started;
   response.has_events = it.has_events;
   response.inside_event = it.events.inside_event();
   end_attempt(end_of_response(response));
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -290,6 +290,46 @@
         return b"\r\n".join([head.split(b"\r\n")[0], b"Content-Length: %d" % len(body), *lines]) + b"\r\n\r\n" + body
 
 
+# What is no rest of a stream, whoever resumes it.
+RESPONSES_TO_RESUMED = (
+    "404", "404 chunked", "204", "302", "500", "500 chunked", "500 until close", "500 events", "200 json",
+    "200 json chunked", "200 unstamped", "206", "200 empty until close", "503 not run", "no HTTP", "reset")
+
+
+def response_to_resumed(how, headers):
+    """A response that does not go on with the stream that was to be resumed; None resets the connection."""
+    json_type = {"Content-Type": "application/json"}
+    event_type = {"Content-Type": "text/event-stream"}
+    text = b'{"error":"gone"}\n\n'
+
+    def framed(status, fields, body, framing):
+        lines = [f"HTTP/1.1 {status} Status"] + [f"{name}: {value}" for name, value in {**headers, **fields}.items()]
+        if framing == "chunked":
+            body = (b"%x\r\n%s\r\n" % (len(body), body) if body else b"") + b"0\r\n\r\n"
+            lines.append("Transfer-Encoding: chunked")
+        return "\r\n".join([*lines, "Connection: close"]).encode() + b"\r\n\r\n" + body
+
+    return {
+        "404": lambda: make_response(404, b"", headers),
+        "404 chunked": lambda: framed(404, json_type, text, "chunked"),
+        "204": lambda: framed(204, {}, b"", "none"),
+        "302": lambda: make_response(302, b"moved", {**headers, "Location": "/elsewhere"}),
+        "500": lambda: make_response(500, text, headers),
+        "500 chunked": lambda: framed(500, json_type, text, "chunked"),
+        "500 until close": lambda: framed(500, json_type, text, "close"),
+        "500 events": lambda: framed(500, event_type, b"id: 5\ndata: no\n\n", "chunked"),
+        "200 json": lambda: make_response(200, text, {**headers, **json_type}),
+        "200 json chunked": lambda: framed(200, json_type, text, "chunked"),
+        "200 unstamped": lambda: make_response(200, b"id: 5\ndata: no\n\n", event_type),
+        "206": lambda: make_response(206, b"id: 5\ndata: no\n\n", {**headers, **event_type}),
+        "200 empty until close": lambda: framed(200, event_type, b"", "close"),
+        "503 not run": lambda: make_response(503, text, {**headers, "X-Not-Executed": "1"}),
+        "no HTTP": lambda: b"550 mailbox unavailable\r\n\r\n",
+        "reset": lambda: None,
+        "200 empty": lambda: framed(200, event_type, b"", "chunked"),
+    }[how]()
+
+
 class Worker:
     """One worker. `faults` maps a request id to the fault that is injected into this request once."""
 
@@ -463,6 +503,17 @@
             return None
         if fault == "error":
             return make_response(500, b"broken", headers)
+        if fault.startswith("resumed "):  # The first run is cut; the run that resumes it gets this response.
+            how = fault.partition(" ")[2]
+            if "last-event-id" in request.headers:
+                reply = response_to_resumed(how, headers)
+                if reply is not None and (b"Connection: close" in reply or how == "no HTTP"):
+                    writer.write(reply)
+                    await writer.drain()
+                    writer.close()
+                    return b""
+                return reply
+            fault = "cut"
         if "x-prompt-prefix" in request.headers:
             return await self.stream(request, writer, headers, fault)
         body = json.dumps({"path": request.target, "size": len(request.body), "worker": self.name})
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -11,7 +11,7 @@
 import processes
 
 REPORT_WINDOW_S = 1
-STREAM_ROUTES = ("chat", "resume", "split")
+STREAM_ROUTES = ("chat", "resume", "resume3", "split")
 
 
 def example_config(version=1):
