A stream is resumed by this instance's own list only if all its keepers confirm it

Cause: without a record it took the only version that its list had held, and a list counts as followed for 3 s after the last word of the store.

Change: origin_votes. The own list decides only if all keepers answer, after the caller came, that they know of no origin; else the store is read, by a call sent after the question; else 503. version_gone names a Retry-After where the list has never held the version.

Price: up to four questions to peers for each stream that a caller resumes; while the store is away, a keeper that does not answer makes it a refusal.

--- a/src/include/nutmegspur/stream_origins.h
+++ b/src/include/nutmegspur/stream_origins.h
@@ -5,7 +5,8 @@
 ///
 /// An instance remembers the streams that it began itself and those of peers that chose it as a
 /// keeper (`origin_keepers`). Without a record, the origin is still known if all upstreams of the
-/// service had one version for as long as a stream can be resumed (`version_history`).
+/// service had one version for as long as a stream can be resumed (`version_history`), and the keepers
+/// confirm that they have no record either (`origin_votes`).
 #pragma once
 
 #include <nutmegspur/clock.h>
@@ -95,6 +96,9 @@
   [[nodiscard]] std::optional<std::string>
   only_version(const moment& now, const service_id& service, milliseconds window) const;
 
+  /// Whether an upstream with `origin` has been listed, also if it is gone.
+  [[nodiscard]] bool listed(const stream_origin& origin) const;
+
   /// Longest time between two observations that leaves no gap.
   static constexpr milliseconds max_gap{2'000};
 
@@ -104,6 +108,30 @@
   std::map<service_id, std::map<std::string, time_point>> last_listed_;
 };
 
+/// What the keepers of a stream say that an instance has asked for its origin.
+class origin_votes {
+ public:
+  /// `asked`: number of keepers. `only`: the origin that follows from this instance's own list; it
+  /// may be older than the stream.
+  origin_votes(std::size_t asked, std::optional<stream_origin> only)
+      : open_(asked), only_(std::move(only)) {}
+
+  /// Takes a keeper's answer; empty if it gave none, an empty origin if it knows of none.
+  void add(const std::optional<std::optional<stream_origin>>& answer);
+
+  /// Whether no further answer can change the origin.
+  [[nodiscard]] bool decided() const { return found_ || open_ == 0; }
+
+  /// The origin once it is decided(); empty if the store must tell.
+  [[nodiscard]] std::optional<stream_origin> origin() const;
+
+ private:
+  std::size_t open_;
+  std::optional<stream_origin> only_;
+  std::optional<stream_origin> found_;
+  bool all_answered_ = true;
+};
+
 std::string pack_origin_question(std::string_view request);
 /// An error for malformed bytes or a request id that is too long.
 result<std::string> unpack_origin_question(std::string_view bytes);
--- a/src/libnutmegspur/stream_origins.cpp
+++ b/src/libnutmegspur/stream_origins.cpp
@@ -80,6 +80,12 @@
   }
 }
 
+bool
+version_history::listed(const stream_origin& origin) const {
+  const auto versions = last_listed_.find(origin.service);
+  return versions != last_listed_.end() && versions->second.contains(origin.software_version);
+}
+
 std::optional<std::string>
 version_history::only_version(const moment& now, const service_id& service,
                               milliseconds window) const {
@@ -101,6 +107,23 @@
   return only;
 }
 
+void
+origin_votes::add(const std::optional<std::optional<stream_origin>>& answer) {
+  open_ -= open_ > 0 ? 1 : 0;
+  all_answered_ = all_answered_ && answer.has_value();
+  if (answer && *answer && !found_) {
+    found_ = *answer;
+  }
+}
+
+std::optional<stream_origin>
+origin_votes::origin() const {
+  if (found_) {
+    return found_;
+  }
+  return open_ == 0 && all_answered_ ? only_ : std::nullopt;
+}
+
 std::string
 pack_origin_question(std::string_view request) {
   msgpack::sbuffer buf;
--- a/src/libnutmegspur/stream_origins_test.cpp
+++ b/src/libnutmegspur/stream_origins_test.cpp
@@ -137,6 +137,32 @@
   EXPECT_EQ(history.only_version(clock.now(), service_id{"s"}, window), std::nullopt) << "paused";
 }
 
+// Regression: an instance that stood still while a version joined resumed streams of that version
+// at the only one that its list held.
+TEST(origin_votes, the_own_list_counts_only_if_all_keepers_answer_that_they_know_nothing) {
+  constexpr std::size_t keepers = 3;
+  for (int answers = 0; answers < 27; ++answers) { // Of each: none, unknown, or v2.
+    origin_votes votes{keepers, v1};
+    bool any_none = false;
+    bool any_v2 = false;
+    for (int n = 0, rest = answers; n < 3; ++n, rest /= 3) {
+      EXPECT_EQ(votes.decided(), any_v2);
+      any_none = any_none || rest % 3 == 0;
+      any_v2 = any_v2 || rest % 3 == 2;
+      votes.add(rest % 3 == 0   ? std::optional<std::optional<stream_origin>>{}
+                : rest % 3 == 1 ? std::optional{std::optional<stream_origin>{}}
+                                : std::optional{std::optional{v2}});
+    }
+    EXPECT_TRUE(votes.decided());
+    EXPECT_EQ(votes.origin(), any_v2     ? std::optional{v2}
+                              : any_none ? std::nullopt
+                                         : std::optional{v1});
+  }
+  origin_votes nothing_known{1, std::nullopt};
+  nothing_known.add(std::optional{std::optional<stream_origin>{}});
+  EXPECT_EQ(nothing_known.origin(), std::nullopt);
+}
+
 TEST(origin_messages, survive_encoding_and_decoding) {
   EXPECT_EQ(unpack_origin_question(pack_origin_question("9c41")), "9c41");
   EXPECT_EQ(unpack_origin_answer(pack_origin_answer(v2)).value(), v2);
--- a/src/proxy/origin_client.cpp
+++ b/src/proxy/origin_client.cpp
@@ -115,35 +115,43 @@
     return;
   }
 
-  if (const auto only = only_origin(now, route)) {
-    on_end(only);
+  const auto only = only_origin(now, route);
+  const auto keepers = request.empty() || request.size() > stream_origins::max_request_bytes
+                           ? std::vector<endpoint>{}
+                           : peers_.origin_keepers(request, origin_keeper_count + 1);
+  if (keepers.empty()) {
+    // No other instance is known that could have begun the stream.
+    if (only && !peers_.any_known()) {
+      on_end(only);
+    } else {
+      stored_.find(request, window_, std::move(on_end));
+    }
     return;
   }
 
   struct search {
-    std::size_t open = 0;
+    origin_votes votes;
     handler on_end; ///< Empty once it was called.
   };
 
-  const auto keepers = request.empty() || request.size() > stream_origins::max_request_bytes
-                           ? std::vector<endpoint>{}
-                           : peers_.origin_keepers(request, origin_keeper_count + 1);
-  if (keepers.empty()) {
-    stored_.find(request, window_, std::move(on_end));
-    return;
-  }
-  const auto state = std::make_shared<search>(search{keepers.size(), std::move(on_end)});
+  const auto state = std::make_shared<search>(search{{keepers.size(), only}, std::move(on_end)});
   for (const auto& at : keepers) {
     calls_.send(at, {"POST", std::string{origin_path}, {}, pack_origin_question(request)},
                 {answer_limit}, [this, request, state](const call_outcome& outcome) {
-                  state->open--;
-                  if (!state->on_end) {
+                  std::optional<std::optional<stream_origin>> answer;
+                  constexpr int ok = 200;
+                  if (outcome.complete() && outcome.status == ok) {
+                    if (const auto read = unpack_origin_answer(outcome.body)) {
+                      answer = *read;
+                    }
+                  }
+                  state->votes.add(answer);
+                  if (!state->on_end || !state->votes.decided()) {
                     return;
                   }
-                  const auto read = unpack_origin_answer(outcome.complete() ? outcome.body : "");
-                  if (read && read->has_value()) {
-                    std::exchange(state->on_end, {})(*read);
-                  } else if (state->open == 0) {
+                  if (const auto found = state->votes.origin()) {
+                    std::exchange(state->on_end, {})(found);
+                  } else {
                     stored_.find(request, window_, std::exchange(state->on_end, {}));
                   }
                 });
--- a/src/proxy/origin_client.h
+++ b/src/proxy/origin_client.h
@@ -4,6 +4,9 @@
 /// have had one version, or from the store. Tells keepers of the streams that begin here, and
 /// answers peers.
 ///
+/// This instance may be out of step, and its list older than the stream. That there has been one
+/// version counts only if all keepers say, after the caller asked, that they know of no origin.
+///
 /// Records are shared only while they may be needed: while a service has had several versions, or
 /// this instance cannot tell.
 #pragma once
@@ -50,6 +53,11 @@
     return stored_.may_begin(service, version);
   }
 
+  /// Whether this instance's list has held an upstream with `origin` lately.
+  [[nodiscard]] bool listed_lately(const stream_origin& origin) const {
+    return versions_.listed(origin);
+  }
+
   /// Finds where the stream of `request` began, for a caller that resumes it on `route`. Calls
   /// `on_end` once, possibly before it returns; empty if nobody knows.
   void find(const std::string& request, const proxy_route& route, handler on_end);
--- a/src/proxy/origin_store.cpp
+++ b/src/proxy/origin_store.cpp
@@ -293,8 +293,13 @@
 void
 origin_store::find(const std::string& request, milliseconds window, handler on_end) {
   questions_.push_back({request, window, std::move(on_end)});
-  if (!reading_) {
-    reading_ = true;
+  read_for_questions();
+}
+
+void
+origin_store::read_for_questions() {
+  if (being_read_.empty() && !questions_.empty()) {
+    being_read_ = std::exchange(questions_, {});
     read_page(std::string{origin_prefix});
   }
 }
@@ -349,11 +354,11 @@
 
 void
 origin_store::end_read(bool complete) {
-  const auto asked = std::exchange(questions_, {});
-  reading_ = false;
+  const auto asked = std::exchange(being_read_, {});
   for (const auto& it : asked) {
     it.on_end(complete ? found(it) : std::nullopt);
   }
+  read_for_questions();
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/origin_store.h
+++ b/src/proxy/origin_store.h
@@ -79,6 +79,9 @@
   void put_batch();
   void grant_lease();
 
+  /// Starts a read for all questions that wait. One that arrives later waits for the next read: its
+  /// stream may have begun after the store executed this one.
+  void read_for_questions();
   void read_page(const std::string& from);
   void on_page(const kv_range_reply& reply);
   void end_read(bool complete);
@@ -105,8 +108,8 @@
   lease_id lease_;
   time_point lease_renewed_{};
 
-  std::vector<question> questions_;
-  bool reading_ = false;
+  std::vector<question> questions_; ///< To be answered by the next read.
+  std::vector<question> being_read_;
 };
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -67,6 +67,9 @@
   /// one first; at most `count`, without this one.
   [[nodiscard]] std::vector<endpoint> origin_keepers(const std::string& request,
                                                      std::size_t count) const;
+  /// Whether any other instance is known, live or not.
+  [[nodiscard]] bool any_known() const { return !peers_.empty(); }
+
   /// Sends the origins of streams to their keepers.
   void send_origins(const std::vector<stream_origin_notice>& origins);
 
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -318,7 +318,10 @@
     return;
   }
   if (stream_version_ && eligible_upstreams().empty()) {
-    end_request(after_last_attempt(history_), "version_gone", std::nullopt, 0);
+    // This instance may be behind the list of the one that knew the origin.
+    const bool seen = origins_.listed_lately({service_name_, *stream_version_});
+    end_request(after_last_attempt(history_), "version_gone",
+                seen ? std::nullopt : std::optional{retry_after_unknown_origin}, 0);
     return;
   }
   end_request(after_last_attempt(history_), to_name(refusal.why),
