--- a/src/http1/truncated_response_test.cpp
+++ b/src/http1/truncated_response_test.cpp
@@ -25,12 +25,14 @@
 responses() {
   const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Type: text/event-stream\r\n";
   const std::string body = "id: 1\ndata: x\n\n";
-  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+  const std::string interim =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
   std::vector<response_case> all;
   for (const std::string& before : {std::string{}, interim}) {
     const auto add = [&](const std::string& framing, const std::string& rest) {
-      all.push_back({before + head + framing + "\r\n" + rest, 0});
-      all.back().whole = all.back().bytes.size();
+      std::string bytes = before;
+      bytes.append(head).append(framing).append("\r\n").append(rest);
+      all.push_back({bytes, bytes.size()});
     };
     add("Content-Length: 15\r\n", body);
     add("Content-Length: 0\r\n", "");
@@ -41,9 +43,9 @@
   }
   // The caller gets the prompt handle only if its body is whole.
   const std::string handle = R"({"kv_handle":"3f","tokens":1})";
-  all.push_back({"HTTP/1.1 200\r\nContent-Length: " + std::to_string(handle.size()) + "\r\n\r\n" +
-                     handle,
-                 0});
+  all.push_back(
+      {"HTTP/1.1 200\r\nContent-Length: " + std::to_string(handle.size()) + "\r\n\r\n" + handle,
+       0});
   all.back().whole = all.back().bytes.size();
   all.push_back({"HTTP/1.1 204 No Content\r\nX-Id: 7\r\n\r\n", 0});
   all.back().whole = all.back().bytes.size();
@@ -72,7 +74,8 @@
           at += progress.consumed;
         }
         reader.feed_end();
-        ASSERT_EQ(complete, cut >= it.whole) << cut << " in pieces of " << piece << ": " << it.bytes;
+        ASSERT_EQ(complete, cut >= it.whole)
+            << cut << " in pieces of " << piece << ": " << it.bytes;
       }
     }
   }
--- a/src/include/nutmegspur/stream_origins.h
+++ b/src/include/nutmegspur/stream_origins.h
@@ -5,8 +5,8 @@
 ///
 /// An instance remembers the streams that it began itself and those of peers that chose it as a
 /// keeper (`origin_keepers`). Without a record, the origin is still known if all upstreams of the
-/// service had one version for as long as a stream can be resumed (`version_history`), and the keepers
-/// confirm that they have no record either (`origin_votes`).
+/// service had one version for as long as a stream can be resumed (`version_history`), and the
+/// keepers confirm that they have no record either (`origin_votes`).
 #pragma once
 
 #include <nutmegspur/clock.h>
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -19,9 +19,8 @@
   constexpr std::string_view events = "text/event-stream";
   const std::string_view name = media_type.substr(0, events.size());
   const bool same_name =
-      std::equal(name.begin(), name.end(), events.begin(), events.end(), [](char a, char b) {
-        return std::tolower(static_cast<unsigned char>(a)) == b;
-      });
+      std::equal(name.begin(), name.end(), events.begin(), events.end(),
+                 [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; });
   const std::string_view rest = media_type.substr(name.size());
   const bool names_events = same_name && (rest.empty() || rest.find_first_of("; \t") == 0);
   return status == status_ok && !not_run && authentic && (media_type.empty() || names_events);
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -105,9 +105,8 @@
 for_each_response(Visitor visit) {
   constexpr int flag_sets = 1 << 6;
   for (const int status : {200, 201, 204, 206, 301, 302, 304, 400, 404, 421, 429, 500, 503, 504}) {
-    for (const std::string_view type :
-         {"", "text/event-stream", "Text/Event-Stream; charset=utf-8", "application/json",
-          "text/event-streams", "text/html"}) {
+    for (const std::string_view type : {"", "text/event-stream", "Text/Event-Stream; charset=utf-8",
+                                        "application/json", "text/event-streams", "text/html"}) {
       for (int flags = 0; flags < flag_sets; ++flags) {
         const auto flag = [&](int n) { return (flags >> n & 1) != 0; };
         visit(response_case{status, flag(0), flag(1), type, flag(2), flag(3), flag(4), flag(5)});
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -195,10 +195,9 @@
                   phase_ = seal_phase::unread;
                   return;
                 }
-                const auto* value =
-                    sealed_record_.on_read(std::get<kv_range_reply>(*reply.answer));
-                auto window = value == nullptr ? result<usage_window>{usage_window{}}
-                                               : parse_record(*value);
+                const auto* value = sealed_record_.on_read(std::get<kv_range_reply>(*reply.answer));
+                auto window =
+                    value == nullptr ? result<usage_window>{usage_window{}} : parse_record(*value);
                 if (!window) {
                   log(log_event::usage_rejected, window.error());
                 }
@@ -209,10 +208,11 @@
 void
 duty_holder::continue_from(const usage_window& stored, const authority& granted) {
   const auto position = continue_after(stored, sealed_, peers_.sealed_window());
-  log(log_event::usage_record_read, {{"window", std::to_string(stored.number)},
-                                     {"requests", std::to_string(request_count(stored))},
-                                     {"revision", std::to_string(number_of(sealed_record_.current()))},
-                                     {"next", std::string{to_name(position.step)}}});
+  log(log_event::usage_record_read,
+      {{"window", std::to_string(stored.number)},
+       {"requests", std::to_string(request_count(stored))},
+       {"revision", std::to_string(number_of(sealed_record_.current()))},
+       {"next", std::string{to_name(position.step)}}});
   switch (position.step) {
   case sealed_step::report:
     sealed_ = position.window;
@@ -239,19 +239,19 @@
     if (written != cas_result::applied) {
       // Another write may have sealed the window, with other counts, or may do so until the next.
       phase_ = seal_phase::unread;
-      log(log_event::usage_seal_unconfirmed,
-          {{"window", std::to_string(window.number)},
-           {"requests", std::to_string(request_count(window))},
-           {"how", std::string{to_name(written)}}});
+      log(log_event::usage_seal_unconfirmed, {{"window", std::to_string(window.number)},
+                                              {"requests", std::to_string(request_count(window))},
+                                              {"how", std::string{to_name(written)}}});
       return;
     }
     sealed_ = window;
     peers_.on_sealed(window.number);
     phase_ = seal_phase::sealed;
-    log(log_event::usage_sealed, {{"window", std::to_string(window.number)},
-                                  {"teams", std::to_string(window.counts.size())},
-                                  {"requests", std::to_string(request_count(window))},
-                                  {"revision", std::to_string(number_of(sealed_record_.current()))}});
+    log(log_event::usage_sealed,
+        {{"window", std::to_string(window.number)},
+         {"teams", std::to_string(window.counts.size())},
+         {"requests", std::to_string(request_count(window))},
+         {"revision", std::to_string(number_of(sealed_record_.current()))}});
   });
 }
 
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -5,8 +5,8 @@
 ///
 /// Invariants: no call is sent unless the lease is valid for longer than the call's timeout; a new
 /// holder sends nothing until the calls of the former holder must have ended; a usage window is
-/// sealed in the store before it is reported, and the record of it is only replaced by compare-and-swap,
-/// so that no two reports of it differ.
+/// sealed in the store before it is reported, and the record of it is only replaced by
+/// compare-and-swap, so that no two reports of it differ.
 #pragma once
 
 #include "call_set.h"
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -67,6 +67,7 @@
   /// one first; at most `count`, without this one.
   [[nodiscard]] std::vector<endpoint> origin_keepers(const std::string& request,
                                                      std::size_t count) const;
+
   /// Whether any other instance is known, live or not.
   [[nodiscard]] bool any_known() const { return !peers_.empty(); }
 
