A circuit breaker's probe whose caller left is followed by another at once

Ruled out: no other upstream was withheld or limited.

Change: where the caller leaves after the upstream has begun to respond, the probe is given back. An upstream that has sent nothing keeps its probe for the second.

--- a/src/include/nutmegspur/upstream_health.h
+++ b/src/include/nutmegspur/upstream_health.h
@@ -43,6 +43,9 @@
   [[nodiscard]] bool allows(const moment& now, const upstream_id& id) const;
   /// Must be called for each request sent to the upstream.
   void on_sent(const moment& now, const upstream_id& id);
+  /// The caller of a request sent to the upstream left, so its result will not be known. If it was
+  /// the probe of a half-open breaker, another request may be.
+  void on_abandoned(const upstream_id& id);
   /// Moving average of the failure rate, from 0 to 1.
   [[nodiscard]] double failure_share(const upstream_id& id) const;
 
--- a/src/libnutmegspur/upstream_health.cpp
+++ b/src/libnutmegspur/upstream_health.cpp
@@ -68,6 +68,14 @@
   }
 }
 
+void
+upstream_health::on_abandoned(const upstream_id& id) {
+  const auto it = breakers_.find(id);
+  if (it != breakers_.end()) {
+    it->second.probe_until = {};
+  }
+}
+
 double
 upstream_health::failure_share(const upstream_id& id) const {
   const auto it = breakers_.find(id);
--- a/src/libnutmegspur/upstream_health_test.cpp
+++ b/src/libnutmegspur/upstream_health_test.cpp
@@ -25,6 +25,22 @@
   EXPECT_TRUE(health.allows(clock.now(), upstream));
 }
 
+// Regression: callers that left after their first events had been probes of all engines' breakers,
+// and the next requests were refused for up to a second, although the engines served.
+TEST(upstream_health, a_probe_whose_caller_left_is_followed_by_another_at_once) {
+  manual_clock clock;
+  upstream_health health;
+  health.on_result(clock.now(), upstream, attempt_result::unreachable);
+  clock.advance(upstream_health::initial_open_time);
+  health.on_sent(clock.now(), upstream);
+  EXPECT_FALSE(health.allows(clock.now(), upstream));
+  health.on_abandoned(upstream);
+  EXPECT_TRUE(health.allows(clock.now(), upstream));
+  health.on_sent(clock.now(), upstream);
+  EXPECT_FALSE(health.allows(clock.now(), upstream)); // Still half open.
+  health.on_abandoned(upstream_id{"unknown"});
+}
+
 TEST(upstream_health, a_failed_probe_opens_the_breaker_for_longer) {
   manual_clock clock;
   upstream_health health;
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -391,6 +391,10 @@
     return;
   }
   log(log_event::caller_left, {{"request", request_.id}, {"elapsed_ms", elapsed_text()}});
+  // An upstream that has not responded may be silent: its probe keeps waiting for a result.
+  if (attempt_ && attempt_->first_byte_received) {
+    state_.health.on_abandoned(attempt_->upstream.id);
+  }
   constexpr int client_closed_request = 499;
   finish(client_closed_request);
 }
