A stream whose caller does not name its first request goes on only at the one origin that the store lists

Cause: keepers know origins by the request that brought the first event. Change: such a question goes to the store at once. The own list decides alone only where no other instance is known. Keepers' answers are weighed with the list as it is when the last one has come. Price: a read of the store for each such stream.

--- a/src/include/nutmegspur/stream_origins.h
+++ b/src/include/nutmegspur/stream_origins.h
@@ -111,10 +111,8 @@
 /// What the keepers of a stream say that an instance has asked for its origin.
 class origin_votes {
  public:
-  /// `asked`: number of keepers. `only`: the origin that follows from this instance's own list; it
-  /// may be older than the stream.
-  origin_votes(std::size_t asked, std::optional<stream_origin> only)
-      : open_(asked), only_(std::move(only)) {}
+  /// `asked`: number of keepers.
+  explicit origin_votes(std::size_t asked) : open_(asked) {}
 
   /// Takes a keeper's answer; empty if it gave none, an empty origin if it knows of none.
   void add(const std::optional<std::optional<stream_origin>>& answer);
@@ -122,12 +120,12 @@
   /// Whether no further answer can change the origin.
   [[nodiscard]] bool decided() const { return found_ || open_ == 0; }
 
-  /// The origin once it is decided(); empty if the store must tell.
-  [[nodiscard]] std::optional<stream_origin> origin() const;
+  /// The origin once it is decided(); empty if the store must tell. `only`: the origin that follows
+  /// from this instance's own list, which may be older than the stream.
+  [[nodiscard]] std::optional<stream_origin> origin(const std::optional<stream_origin>& only) const;
 
  private:
   std::size_t open_;
-  std::optional<stream_origin> only_;
   std::optional<stream_origin> found_;
   bool all_answered_ = true;
 };
--- a/src/libnutmegspur/stream_origins.cpp
+++ b/src/libnutmegspur/stream_origins.cpp
@@ -117,11 +117,11 @@
 }
 
 std::optional<stream_origin>
-origin_votes::origin() const {
+origin_votes::origin(const std::optional<stream_origin>& only) const {
   if (found_) {
     return found_;
   }
-  return open_ == 0 && all_answered_ ? only_ : std::nullopt;
+  return open_ == 0 && all_answered_ ? only : std::nullopt;
 }
 
 std::string
--- a/src/libnutmegspur/stream_origins_test.cpp
+++ b/src/libnutmegspur/stream_origins_test.cpp
@@ -142,7 +142,7 @@
 TEST(origin_votes, the_own_list_counts_only_if_all_keepers_answer_that_they_know_nothing) {
   constexpr std::size_t keepers = 3;
   for (int answers = 0; answers < 27; ++answers) { // Of each: none, unknown, or v2.
-    origin_votes votes{keepers, v1};
+    origin_votes votes{keepers};
     bool any_none = false;
     bool any_v2 = false;
     for (int n = 0, rest = answers; n < 3; ++n, rest /= 3) {
@@ -154,13 +154,13 @@
                                 : std::optional{std::optional{v2}});
     }
     EXPECT_TRUE(votes.decided());
-    EXPECT_EQ(votes.origin(), any_v2     ? std::optional{v2}
-                              : any_none ? std::nullopt
-                                         : std::optional{v1});
+    EXPECT_EQ(votes.origin(v1), any_v2     ? std::optional{v2}
+                                : any_none ? std::nullopt
+                                           : std::optional{v1});
   }
-  origin_votes nothing_known{1, std::nullopt};
+  origin_votes nothing_known{1};
   nothing_known.add(std::optional{std::optional<stream_origin>{}});
-  EXPECT_EQ(nothing_known.origin(), std::nullopt);
+  EXPECT_EQ(nothing_known.origin(std::nullopt), std::nullopt);
 }
 
 TEST(origin_messages, survive_encoding_and_decoding) {
--- a/src/proxy/origin_client.cpp
+++ b/src/proxy/origin_client.cpp
@@ -115,17 +115,35 @@
     return;
   }
 
-  const auto only = only_origin(now, route);
-  const auto keepers = request.empty() || request.size() > stream_origins::max_request_bytes
-                           ? std::vector<endpoint>{}
-                           : peers_.origin_keepers(request, origin_keeper_count + 1);
-  if (keepers.empty()) {
-    // No other instance is known that could have begun the stream.
-    if (only && !peers_.any_known()) {
-      on_end(only);
+  if (!peers_.any_known()) {
+    if (const auto only = only_origin(now, route)) {
+      on_end(only); // No other instance could have begun the stream.
+      return;
+    }
+  }
+  // An unnamed stream must have begun at the only origin that the store lists.
+  const bool named = !request.empty() && request.size() <= stream_origins::max_request_bytes;
+  const auto read_store = [this, request, notify = on_end] {
+    stored_.find(request, window_, notify);
+  };
+  if (!named) {
+    read_store();
+    return;
+  }
+  ask_keepers(request, route, [read_store, notify = on_end](const auto& origin) {
+    if (origin) {
+      notify(origin);
     } else {
-      stored_.find(request, window_, std::move(on_end));
+      read_store();
     }
+  });
+}
+
+void
+origin_client::ask_keepers(const std::string& request, const proxy_route& route, handler on_end) {
+  const auto keepers = peers_.origin_keepers(request, origin_keeper_count + 1);
+  if (keepers.empty()) {
+    on_end(std::nullopt);
     return;
   }
 
@@ -134,10 +152,11 @@
     handler on_end; ///< Empty once it was called.
   };
 
-  const auto state = std::make_shared<search>(search{{keepers.size(), only}, std::move(on_end)});
+  const auto state =
+      std::make_shared<search>(search{origin_votes{keepers.size()}, std::move(on_end)});
   for (const auto& at : keepers) {
     calls_.send(at, {"POST", std::string{origin_path}, {}, pack_origin_question(request)},
-                {answer_limit}, [this, request, state](const call_outcome& outcome) {
+                {answer_limit}, [this, route, state](const call_outcome& outcome) {
                   std::optional<std::optional<stream_origin>> answer;
                   constexpr int ok = 200;
                   if (outcome.complete() && outcome.status == ok) {
@@ -146,13 +165,9 @@
                     }
                   }
                   state->votes.add(answer);
-                  if (!state->on_end || !state->votes.decided()) {
-                    return;
-                  }
-                  if (const auto found = state->votes.origin()) {
-                    std::exchange(state->on_end, {})(found);
-                  } else {
-                    stored_.find(request, window_, std::exchange(state->on_end, {}));
+                  if (state->on_end && state->votes.decided()) {
+                    const auto only = only_origin(http1::event_loop::now(), route);
+                    std::exchange(state->on_end, {})(state->votes.origin(only));
                   }
                 });
   }
--- a/src/proxy/origin_client.h
+++ b/src/proxy/origin_client.h
@@ -65,6 +65,8 @@
   [[nodiscard]] result<std::string> answer(std::string_view question) const;
 
  private:
+  /// Asks the keepers of `request`; empty if the store must tell.
+  void ask_keepers(const std::string& request, const proxy_route& route, handler on_end);
   void observe(const moment& now);
   void observe_config(const moment& now);
   /// What the origin of any stream on `route` must be; empty if there are several possibilities.
