--- a/src/proxy/origin_client.cpp
+++ b/src/proxy/origin_client.cpp
@@ -108,7 +108,7 @@
 }
 
 void
-origin_client::find(const std::string& request, const proxy_route& route, handler on_end) {
+origin_client::find(const std::string& request, const proxy_route& route, const handler& on_end) {
   const moment now = http1::event_loop::now();
   if (const auto own = state_.origins.find(now, request)) {
     on_end(own);
--- a/src/proxy/origin_client.h
+++ b/src/proxy/origin_client.h
@@ -60,7 +60,7 @@
 
   /// Finds where the stream of `request` began, for a caller that resumes it on `route`. Calls
   /// `on_end` once, possibly before it returns; empty if nobody knows.
-  void find(const std::string& request, const proxy_route& route, handler on_end);
+  void find(const std::string& request, const proxy_route& route, const handler& on_end);
   /// Answers the question of a peer; an error if it is malformed.
   [[nodiscard]] result<std::string> answer(std::string_view question) const;
 
