--- a/src/http1/truncated_response_test.cpp
+++ b/src/http1/truncated_response_test.cpp
@@ -42,7 +42,7 @@
     all.back().whole -= body.size();
   }
   // The caller gets the prompt handle only if its body is whole.
-  const std::string handle = R"({"kv_handle":"3f","tokens":1})";
+  const std::string handle = R"({"handle":"3f","tokens":1})";
   all.push_back(
       {"HTTP/1.1 200\r\nContent-Length: " + std::to_string(handle.size()) + "\r\n\r\n" + handle,
        0});
