--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -77,6 +77,7 @@
   breaker_opened = 610,
   paths_lost = 611,
   paths_regained = 612,
+  service_unserved = 613,
   peer_connected = 700,
   peer_lost = 701,
   peer_rejected = 702,
@@ -86,6 +87,7 @@
   history_lost = 802,
   store_followed = 803,
   store_restored = 804,
+  content_differs = 805,
 };
 
 /// An entry of the catalogue of events.
--- a/src/include/nutmegspur/upstream_list.h
+++ b/src/include/nutmegspur/upstream_list.h
@@ -1,6 +1,7 @@
 /// \file upstream_list.h
 /// The upstreams registered in the key-value service (the store), and which of them may take new
-/// work.
+/// work. Derived from the replica of the store (store_replica.h), which decides which of two states
+/// of an entry is the newer one.
 ///
 /// During an outage of the store the entries of running upstreams expire. Entries that disappear
 /// during an outage or shortly after it are therefore kept until the upstreams have had time to
@@ -72,27 +73,25 @@
   }};
 };
 
-/// The list, updated from reads and watches of the store or from a peer's copy.
+/// The list. Entries and removals must come in the order of the store's changes.
 class upstream_list {
  public:
   /// Grace period after an outage for upstreams to register again. They do so within about two
   /// seconds of the store's return.
   static constexpr milliseconds reregistration_grace{2'500};
 
-  /// Applies a written entry. Ignored if a write or removal at `modified` or later was already
-  /// applied, or if the entry is older than what is held, as entries of a restored store can be: a
-  /// process that is leaving does not serve again, nor does an earlier process of the same id.
+  /// The store has the entry, written at `modified`. An entry that is older than what is held, as
+  /// entries of a restored store can be, changes nothing: a process that is leaving does not serve
+  /// again, nor does an earlier process of the same id.
   upstream_change put(const listed_upstream& entry, revision modified);
-  /// Applies the removal of an entry at `modified`, or its absence from a full read at that
-  /// revision.
-  upstream_change remove(const moment& now, const upstream_id& id, revision modified);
-  /// Applies a full read at revision `at`: older entries that are not in `present` are removed.
-  /// Returns the ids that were removed at once.
-  std::vector<upstream_id> apply_full_read(const moment& now,
-                                           const std::vector<upstream_id>& present, revision at);
-  /// The same for a peer that follows the store. Removes without grace period, because the peer has
-  /// already applied it.
-  std::vector<upstream_id> apply_peer_read(const std::vector<upstream_id>& present, revision at);
+  /// The store has no entry of `id`; it was removed at `modified` or before. In a grace period it
+  /// stays in the list until the period ends: this instance's own, or at `keep_until` if a peer
+  /// told of the removal.
+  upstream_change remove(const moment& now, const upstream_id& id, revision modified,
+                         std::optional<time_point> keep_until = std::nullopt);
+  /// A peer that reaches the store lacks the same entries: they are kept until `keep_until` at
+  /// most, also while this instance does not reach the store.
+  void limit_grace(time_point keep_until);
 
   /// The store was restored from an older copy; upstreams that the copy lacks register again.
   void on_store_restored(const moment& now) { grace_until_ = now.boot + reregistration_grace; }
@@ -111,22 +110,27 @@
 
   [[nodiscard]] bool empty() const { return entries_.empty(); }
 
-  /// Hash of all entries, without their revisions; equal for equal lists in every process.
-  [[nodiscard]] std::uint64_t content_hash() const;
+  /// Time for which removals from the store may still be followed by registrations, because it was
+  /// out of reach until a short time ago; empty while it is.
+  [[nodiscard]] std::optional<milliseconds> grace_left(const moment& now) const;
 
  private:
+  /// A removal that takes effect at the end of a grace period.
+  struct pending_removal {
+    revision modified;
+    std::optional<time_point> until; ///< If empty, the end of this instance's own grace period.
+  };
+
   struct entry {
     listed_upstream upstream;
-    revision modified;
-    std::optional<revision> pending_removal; ///< Revision of the removal, while in grace.
+    std::optional<pending_removal> removal;
   };
 
   [[nodiscard]] bool in_grace(const moment& now) const;
-  [[nodiscard]] std::vector<upstream_id> missing_from(const std::vector<upstream_id>& present,
-                                                      revision at) const;
 
   std::map<upstream_id, entry> entries_;
-  /// Revisions of removals, so that a late update from an older write does not restore an entry.
+  /// Revisions of removals, so that an entry of a store restored from an older copy does not
+  /// return.
   std::map<upstream_id, revision> removal_revisions_;
   bool reachable_ = true;
   time_point grace_until_{};
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 56> catalogue{{
+constexpr std::array<log_event_info, 58> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -111,6 +111,8 @@
      "peers."},
     {log_event::paths_regained, "paths_regained", severity::info,
      "This instance reaches upstreams again whose paths were cut."},
+    {log_event::service_unserved, "service_unserved", severity::warning,
+     "A service that had usable upstreams has none in this instance's list any more."},
     {log_event::peer_connected, "peer_connected", severity::info,
      "A peer connection was established."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
@@ -129,6 +131,9 @@
     {log_event::store_restored, "store_restored", severity::warning,
      "The store was restored from an older copy: leases are taken anew and all keys are read "
      "again."},
+    {log_event::content_differs, "content_differs", severity::warning,
+     "A peer that follows the store up to the same revision holds other content: the store is read "
+     "again."},
 }};
 
 const log_event_info&
--- a/src/libnutmegspur/store_era_test.cpp
+++ b/src/libnutmegspur/store_era_test.cpp
@@ -129,7 +129,8 @@
   upstream_list list;
   list.put(entry(5), store_position(1, 90));
   list.on_store_restored(clock.now());
-  EXPECT_TRUE(list.apply_full_read(clock.now(), {}, store_position(2, 85)).empty());
+  EXPECT_EQ(list.remove(clock.now(), upstream_id{"a"}, store_position(2, 85)),
+            upstream_change::none);
   EXPECT_NE(list.usable(upstream_id{"a"}), nullptr);
   clock.advance(upstream_list::reregistration_grace);
   EXPECT_EQ(list.expire(clock.now()).size(), 1U);
--- a/src/libnutmegspur/store_history_test.cpp
+++ b/src/libnutmegspur/store_history_test.cpp
@@ -3,8 +3,10 @@
 // follows it. Guards against dead or leaving upstreams that serve again, and against live ones that
 // never do.
 // labels: P14
+#include "testing/stored_upstream.h"
+
 #include <nutmegspur/store_era.h>
-#include <nutmegspur/upstream_list.h>
+#include <nutmegspur/upstream_derivation.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -17,6 +19,9 @@
 namespace nutmegspur {
 namespace {
 
+using testing::stored_upstream;
+using testing::upstream_prefix;
+
 constexpr int upstream_count = 4;
 
 /// The store's own view: revision numbers go back with each restore.
@@ -55,7 +60,9 @@
 struct reader {
   manual_clock clock;
   store_era era;
+  store_replica replica;
   upstream_list list;
+  upstream_derivation derivation{upstream_prefix, testing::parse_stored_upstream};
   std::deque<read_reply> replies;
   std::set<std::pair<upstream_id, std::int64_t>> seen; ///< Processes listed, by their start.
   std::set<std::pair<upstream_id, std::int64_t>> left; ///< Processes seen leaving.
@@ -72,13 +79,23 @@
     if (verdict != store_era::verdict::usable) {
       return;
     }
-    std::vector<upstream_id> present;
+    const revision read_at = store_position(era.current(), reply.store.number);
+    std::vector<kv_pair> pairs;
+    std::set<std::string> present;
+    for (const auto& [id, it] : reply.store.items) {
+      pairs.push_back({upstream_prefix + id.value,
+                       stored_upstream(it.entry),
+                       {},
+                       store_position(era.current(), it.number)});
+      present.insert(pairs.back().key);
+    }
+    replica.apply_page(pairs, read_at);
+    replica.apply_absence(upstream_prefix, present, read_at);
+    replica.finish_read(read_at);
+    derivation.step(clock.now(), replica, list);
     for (const auto& [id, it] : reply.store.items) {
-      present.push_back(id);
-      list.put(it.entry, store_position(era.current(), it.number));
       note(id);
     }
-    list.apply_full_read(clock.now(), present, store_position(era.current(), reply.store.number));
   }
 
   void note(const upstream_id& id) {
--- a/src/libnutmegspur/upstream_list_test.cpp
+++ b/src/libnutmegspur/upstream_list_test.cpp
@@ -1,5 +1,5 @@
-// Tests of the upstream list. They guard against late updates that restore removed or leaving
-// upstreams, and against losing running upstreams whose entries expire in an outage of the store.
+// Tests of the upstream list. They guard against leaving upstreams that take new work, and against
+// losing running upstreams whose entries expire in an outage of the store.
 // labels: P12
 #include <nutmegspur/upstream_list.h>
 
@@ -30,19 +30,6 @@
   ASSERT_NE(list.find(upstream_id{"a"}), nullptr);
 }
 
-TEST(upstream_list, an_older_update_is_ignored) {
-  manual_clock clock;
-  upstream_list list;
-  auto leaving = entry("a");
-  leaving.leaving = true;
-  list.put(leaving, revision{5});
-  EXPECT_EQ(list.put(entry("a"), revision{4}), upstream_change::none);
-  EXPECT_EQ(list.usable(upstream_id{"a"}), nullptr);
-  EXPECT_EQ(list.remove(clock.now(), upstream_id{"a"}, revision{6}), upstream_change::removed);
-  EXPECT_EQ(list.put(entry("a"), revision{5}), upstream_change::none);
-  EXPECT_EQ(list.find(upstream_id{"a"}), nullptr);
-}
-
 TEST(upstream_list, a_restart_under_the_same_id_is_detected) {
   upstream_list list;
   list.put(entry("a", 1), revision{1});
@@ -79,37 +66,40 @@
   EXPECT_EQ(list.remove(clock.now(), upstream_id{"a"}, revision{2}), upstream_change::removed);
 }
 
-TEST(upstream_list, a_full_read_removes_missing_entries_but_keeps_newer_ones) {
+TEST(upstream_list, a_removal_by_a_peer_applies_while_the_store_is_unreachable) {
   manual_clock clock;
   upstream_list list;
   list.put(entry("a"), revision{1});
-  list.put(entry("b"), revision{9});
-  const auto removed = list.apply_full_read(clock.now(), {}, revision{5});
-  ASSERT_EQ(removed.size(), 1U);
-  EXPECT_EQ(removed.front(), upstream_id{"a"});
+  list.set_store_reachable(clock.now(), false);
+  EXPECT_EQ(list.remove(clock.now(), upstream_id{"a"}, revision{5}, clock.now().boot),
+            upstream_change::removed);
+  EXPECT_EQ(list.find(upstream_id{"a"}), nullptr);
 }
 
-TEST(upstream_list, a_removal_by_a_peer_applies_while_the_store_is_unreachable) {
+// A removal that this instance keeps for its own grace period would never apply while it does not
+// reach the store.
+TEST(upstream_list, a_peers_grace_period_ends_the_own_one) {
   manual_clock clock;
   upstream_list list;
   list.put(entry("a"), revision{1});
   list.set_store_reachable(clock.now(), false);
-  EXPECT_EQ(list.apply_peer_read({}, revision{5}).size(), 1U);
-  EXPECT_EQ(list.find(upstream_id{"a"}), nullptr);
+  list.remove(clock.now(), upstream_id{"a"}, revision{5});
+  EXPECT_FALSE(list.grace_left(clock.now()));
+  list.limit_grace(clock.now().boot + seconds{1});
+  EXPECT_TRUE(list.expire(clock.now()).empty());
+  clock.advance(seconds{1});
+  EXPECT_EQ(list.expire(clock.now()).size(), 1U);
 }
 
-TEST(upstream_list, equal_lists_have_equal_hashes_regardless_of_revisions) {
-  upstream_list one;
-  upstream_list other;
-  one.put(entry("a"), revision{1});
-  one.put(entry("b"), revision{2});
-  other.put(entry("b"), revision{7});
-  other.put(entry("a"), revision{8});
-  EXPECT_EQ(one.content_hash(), other.content_hash());
-  auto leaving = entry("a");
-  leaving.leaving = true;
-  other.put(leaving, revision{9});
-  EXPECT_NE(one.content_hash(), other.content_hash());
+TEST(upstream_list, an_entry_that_is_back_unchanged_is_kept) {
+  manual_clock clock;
+  upstream_list list;
+  list.put(entry("a"), revision{1});
+  list.remove(clock.now(), upstream_id{"a"}, revision{2}, clock.now().boot + seconds{1});
+  EXPECT_EQ(list.put(entry("a"), revision{3}), upstream_change::none);
+  clock.advance(seconds{2});
+  EXPECT_TRUE(list.expire(clock.now()).empty());
+  EXPECT_NE(list.usable(upstream_id{"a"}), nullptr);
 }
 
 } // namespace
--- a/src/proxy/metrics_page.cpp
+++ b/src/proxy/metrics_page.cpp
@@ -78,7 +78,7 @@
   metrics.get_gauge("nutmegspur_store_reachable").set(store.reachable() ? 1 : 0);
   metrics.get_gauge("nutmegspur_store_watched").set(store.watching() ? 1 : 0);
   metrics.get_gauge("nutmegspur_store_age_ms").set(store.age(now).count());
-  metrics.get_gauge("nutmegspur_store_revision").set(number_of(store.copy().store));
+  metrics.get_gauge("nutmegspur_store_revision").set(number_of(store.replica().position()));
   metrics.get_gauge("nutmegspur_store_era").set(store.era());
   return metrics.render();
 }
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -44,6 +44,9 @@
 constexpr milliseconds update_call_timeout{1'000};
 /// Interval between two requests for the same content.
 constexpr milliseconds update_request_period{2'000};
+/// An instance whose relay sends updates that it cannot read, as one of another release may,
+/// watches the store itself for this long.
+constexpr milliseconds unreadable_relay_period{10'000};
 /// Number of votes given to a relay's agreed time by an instance that receives notices only from
 /// it.
 constexpr std::size_t agreed_votes = 3;
@@ -229,9 +232,9 @@
   it.sequence = ++sequence_;
   it.wall = scope == notice_scope::others ? state_.clock.agreed(now).wall : now.wall;
   it.config_version = state_.config == nullptr ? 0 : state_.config->config().version;
-  it.store = store_.copy().store;
+  it.store = store_.replica().position();
   it.store_reachable = store_.reachable();
-  it.content_hash = store_.content_hash();
+  it.content_hash = store_.replica().content_hash();
   it.lifetime = std::max(min_lifetime, period() * lifetime_rounds);
   it.sealed = sealed_window_;
   const wall_time agreed = state_.clock.agreed(now).wall;
@@ -358,7 +361,8 @@
         now.boot - it->second.last_notice < std::max(relay_timeout, it->second.lifetime * 3 / 4);
     // A relay that does not notice a restore of the store cannot pass on what comes after it.
     const bool relay_behind = it != peers_.end() && era_of(it->second.store) < store_.era();
-    relay_notices_arrive = relay_notices_arrive && !(relay_behind && store_.era_settled(now));
+    relay_notices_arrive = relay_notices_arrive && !(relay_behind && store_.era_settled(now)) &&
+                           now.boot >= relay_unreadable_until_;
   }
   store_.set_watching(!relay_notices_arrive);
 }
@@ -511,16 +515,21 @@
 
 void
 peer_group::sync_with_sender(const moment& now, const instance_id& name, peer& it) {
-  const copy_position held{store_.copy().store, store_.copy().config_version};
+  const copy_position held = store_.position();
   if (state_.config == nullptr || it.config_version > held.config_version) {
     request_update(name, it.at, held);
     return;
   }
-  if (store_.watching() || relays_.own_relay() != name) {
+  if (store_.watching()) {
+    store_.check_content(it.store, it.content_hash, name);
+    return;
+  }
+  if (relays_.own_relay() != name) {
     return;
   }
   store_.on_peer_state(it.store_reachable, name.value);
-  if (it.content_hash == store_.content_hash()) {
+  const store_replica& replica = store_.replica();
+  if (it.content_hash == replica.content_hash()) {
     store_.on_same_content(it.store);
     requested_content_ = 0;
     return;
@@ -528,8 +537,9 @@
   if (it.content_hash == requested_content_ && now.boot < next_update_request_) {
     return;
   }
-  // Request the changes; if that did not make the contents equal, request everything.
-  const bool repeated = it.content_hash == requested_content_;
+  // Requests the changes; everything if these did not make the contents equal, or cannot.
+  const bool repeated =
+      it.content_hash == requested_content_ || replica.contradicts(it.store, it.content_hash);
   requested_content_ = it.content_hash;
   next_update_request_ = now.boot + update_request_period;
   request_update(name, it.at, repeated ? copy_position{{}, held.config_version} : held);
@@ -579,9 +589,9 @@
   }
   count_instances(now);
   const bool store_unreachable = store_.watching() && !store_.reachable();
-  if (store_unreachable && most_recent != nullptr && most_recent->store > store_.copy().store) {
-    request_update(*most_recent_name, most_recent->at,
-                   {store_.copy().store, store_.copy().config_version});
+  if (store_unreachable && most_recent != nullptr &&
+      most_recent->store > store_.replica().position()) {
+    request_update(*most_recent_name, most_recent->at, store_.position());
   }
 }
 
@@ -600,6 +610,10 @@
                               {error_code::unavailable, step::peer_call, name.value, "no answer"})};
                 if (!update) {
                   log(log_event::peer_rejected, update.error());
+                  if (ended.complete() && relays_.own_relay() == name) {
+                    relay_unreadable_until_ =
+                        http1::event_loop::now().boot + unreadable_relay_period;
+                  }
                   return;
                 }
                 store_.apply_update(*update, name);
--- a/src/proxy/peer_group.h
+++ b/src/proxy/peer_group.h
@@ -150,6 +150,7 @@
   std::optional<instance_id> usage_holder_;
   std::uint64_t requested_content_ = 0; ///< Content hash of the relay at the last update request.
   time_point next_update_request_{};
+  time_point relay_unreadable_until_{}; ///< The own relay's updates cannot be used until then.
 };
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -141,7 +141,11 @@
   if (caller->head().path() == update_path) {
     fields.add("Content-Type", "application/msgpack");
     const auto position = parse_update_target(caller->head().target);
-    caller->reply(ok, "", fields, pack_store_update(update_since(store_.copy(), position)));
+    caller->reply(ok, "", fields, pack_store_update(store_.update_since(position)));
+  } else if (caller->head().path() == earlier_update_path) {
+    fields.add("Content-Type", "application/msgpack");
+    const auto position = parse_update_target(caller->head().target);
+    caller->reply(ok, "", fields, store_.earlier_update_since(position));
   } else if (caller->head().path() == permit_path) {
     const auto answer = permits_.answer(caller->body());
     fields.add("Content-Type", "application/msgpack");
--- a/src/proxy/store_copy.cpp
+++ b/src/proxy/store_copy.cpp
@@ -1,4 +1,4 @@
-// Updates of the store copy for peers, as msgpack arrays.
+// Updates of the replica for peers, as msgpack arrays.
 #include "store_copy.h"
 
 #include <QtCore/QUrlQuery>
@@ -10,8 +10,10 @@
 namespace {
 
 /// First element of each message; must change with the layout of the message.
-constexpr int layout_version = 1;
-constexpr std::size_t element_count = 8;
+constexpr int layout_version = 2;
+constexpr std::size_t element_count = 7;
+/// In place of a grace period, if there is none to state.
+constexpr std::int64_t no_grace = -1;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 using object_list = std::vector<msgpack::object>;
@@ -39,43 +41,59 @@
   return values;
 }
 
-void
-collect_changes(const stored_values& all, revision after, stored_values& changed,
-                std::vector<std::string>& keys) {
-  for (const auto& [key, held] : all) {
-    keys.push_back(key);
-    if (held.modified > after) {
-      changed.emplace(key, held);
-    }
-  }
-}
-
 } // namespace
 
-store_update
-update_since(const store_copy& copy, const copy_position& position) {
-  store_update update;
-  update.store = copy.store;
-  update.config = copy.config_version > position.config_version ? copy.config : "";
-  update.duties_holder = copy.duties_holder;
-  collect_changes(copy.upstreams, position.store, update.upstreams, update.upstream_keys);
-  collect_changes(copy.instances, position.store, update.instances, update.instance_names);
-  return update;
-}
-
 std::string
 pack_store_update(const store_update& update) {
   msgpack::sbuffer buf;
   packer out{buf};
   out.pack_array(element_count);
   out.pack(layout_version);
-  out.pack(update.store.value);
+  out.pack(update.replica.base.value);
+  out.pack(update.replica.store.value);
+  pack_values(out, update.replica.written);
+  out.pack_map(static_cast<std::uint32_t>(update.replica.removed.size()));
+  for (const auto& [key, at] : update.replica.removed) {
+    out.pack(key);
+    out.pack(at.value);
+  }
   out.pack(update.config);
-  pack_values(out, update.upstreams);
-  pack_values(out, update.instances);
-  out.pack(update.upstream_keys);
-  out.pack(update.instance_names);
-  out.pack(update.duties_holder ? update.duties_holder->value : std::string{});
+  out.pack(update.removal_grace ? std::int64_t{update.removal_grace->count()} : no_grace);
+  return {buf.data(), buf.size()};
+}
+
+std::string
+pack_earlier_update(const store_replica& replica, revision base, const std::string& config,
+                    std::string_view upstream_prefix, std::string_view instance_prefix,
+                    const std::string& duties_holder) {
+  constexpr int earlier_layout = 1;
+  constexpr std::size_t earlier_elements = 8;
+  std::map<std::string_view, stored_values> changed;
+  std::map<std::string_view, std::vector<std::string>> keys;
+  for (const auto& [key, it] : replica.values()) {
+    for (const auto prefix : {upstream_prefix, instance_prefix}) {
+      if (!key.starts_with(prefix)) {
+        continue;
+      }
+      // Instances are named without their prefix.
+      const std::string name = prefix == instance_prefix ? key.substr(prefix.size()) : key;
+      keys[prefix].push_back(name);
+      if (it.modified > base) {
+        changed[prefix].emplace(name, it);
+      }
+    }
+  }
+  msgpack::sbuffer buf;
+  packer out{buf};
+  out.pack_array(earlier_elements);
+  out.pack(earlier_layout);
+  out.pack(replica.position().value);
+  out.pack(config);
+  pack_values(out, changed[upstream_prefix]);
+  pack_values(out, changed[instance_prefix]);
+  out.pack(keys[upstream_prefix]);
+  out.pack(keys[instance_prefix]);
+  out.pack(duties_holder);
   return {buf.data(), buf.size()};
 }
 
@@ -90,14 +108,15 @@
                    "store update has an unknown layout version or element count"});
     }
     store_update update;
-    update.store = revision{top[1].as<std::int64_t>()};
-    update.config = top[2].as<std::string>();
-    update.upstreams = unpack_values(top[3]);
-    update.instances = unpack_values(top[4]);
-    update.upstream_keys = top[5].as<std::vector<std::string>>();
-    update.instance_names = top[6].as<std::vector<std::string>>();
-    if (const auto holder = top[7].as<std::string>(); !holder.empty()) {
-      update.duties_holder = instance_id{holder};
+    update.replica.base = revision{top[1].as<std::int64_t>()};
+    update.replica.store = revision{top[2].as<std::int64_t>()};
+    update.replica.written = unpack_values(top[3]);
+    for (const auto& [key, at] : top[4].as<std::map<std::string, std::int64_t>>()) {
+      update.replica.removed.emplace(key, revision{at});
+    }
+    update.config = top[5].as<std::string>();
+    if (const auto grace = top[6].as<std::int64_t>(); grace != no_grace) {
+      update.removal_grace = milliseconds{grace};
     }
     return update;
   } catch (const std::exception& ec) {
--- a/src/proxy/store_copy.h
+++ b/src/proxy/store_copy.h
@@ -1,57 +1,34 @@
 /// \file store_copy.h
-/// An instance's copy of the platform's store, and the update of it that is sent to a peer: an
-/// instance that does not watch the store, or cannot reach it, follows it through a peer.
+/// The message with which an instance that does not watch the store, or cannot reach it, follows it
+/// through a peer: an update of the replica (store_replica.h) and of the configuration, which has
+/// an order of its own, its version.
 #pragma once
 
+#include <nutmegspur/clock.h>
 #include <nutmegspur/error.h>
-#include <nutmegspur/ids.h>
+#include <nutmegspur/store_replica.h>
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace nutmegspur::proxy {
 
-/// A value as stored.
-struct stored_value {
-  std::string value;
-  revision modified; ///< Revision of the last change that is not just a heartbeat.
-};
-
-using stored_values = std::map<std::string, stored_value>;
-
-struct store_copy {
-  revision store; ///< The copy contains all changes up to this revision.
-  std::int64_t config_version = 0;
-  std::string config;
-  stored_values upstreams; ///< By key.
-  stored_values instances; ///< Registrations, by the instance's name.
-  std::optional<instance_id> duties_holder;
-};
-
-/// State of the copy of a peer that requests an update.
+/// What an instance that requests an update holds.
 struct copy_position {
   revision store;
   std::int64_t config_version = 0;
 };
 
-/// The entries that changed since the peer's position, and the keys of all that exist, so that the
-/// peer can remove the others.
 struct store_update {
-  revision store;
+  replica_update replica;
   std::string config; ///< Empty if the peer's configuration is at least as new.
-  stored_values upstreams;
-  stored_values instances;
-  std::vector<std::string> upstream_keys;
-  std::vector<std::string> instance_names;
-  std::optional<instance_id> duties_holder;
+  /// Time for which upstreams that are removed may still register again, because the sender could
+  /// not reach the store until a short time ago; empty while it cannot.
+  std::optional<milliseconds> removal_grace;
 };
 
-store_update update_since(const store_copy& copy, const copy_position& position);
-
 std::string pack_store_update(const store_update& update);
 result<store_update> unpack_store_update(std::string_view bytes);
 
@@ -60,6 +37,13 @@
 std::string update_target(const copy_position& position);
 copy_position parse_update_target(std::string_view target);
 /// Path of update requests.
-inline constexpr std::string_view update_path = "/store-news";
+inline constexpr std::string_view update_path = "/store-update";
+
+/// The path and the message of earlier releases, whose instances still run while a release is
+/// rolled out: the entries that changed since `base`, and the keys of all that exist.
+inline constexpr std::string_view earlier_update_path = "/store-news";
+std::string pack_earlier_update(const store_replica& replica, revision base,
+                                const std::string& config, std::string_view upstream_prefix,
+                                std::string_view instance_prefix, const std::string& duties_holder);
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -1,12 +1,11 @@
 // Reads, watches and single calls of the store.
 #include "store_link.h"
 
-#include <nutmegspur/hashing.h>
 #include <nutmegspur/json_reader.h>
 #include <nutmegspur/records.h>
 
 #include <algorithm>
-#include <set>
+#include <limits>
 
 namespace nutmegspur::proxy {
 
@@ -29,6 +28,10 @@
 constexpr milliseconds tick_period{250};
 /// Time in which a relay notices that the store was restored, and reads all keys again.
 constexpr milliseconds relay_read_time{3'000};
+/// Pause before the store is read again because a peer's content differs. It doubles while the
+/// reads change nothing: the peer is wrong then, or runs another release.
+constexpr milliseconds check_pause{5'000};
+constexpr milliseconds max_check_pause{320'000};
 
 std::optional<registered_instance>
 parse_registration(const std::string& name, const std::string& value) {
@@ -49,6 +52,12 @@
 store_link::store_link(proxy_state& state, http1::http_client& client, hooks callbacks,
                        std::int64_t started_ms)
     : state_(state), calls_(state.loop, client), callbacks_(std::move(callbacks)),
+      upstream_derivation_(state.wire.upstream_prefix(),
+                           [this](const std::string& key, const std::string& value) {
+                             return state_.wire.parse_upstream(key, value);
+                           }),
+      instance_changes_(std::string{instance_prefix}), holder_changes_(zone_lease_key(duties_zone)),
+      check_pause_(check_pause),
       registration_(
           state,
           [this](const platform_request& request, reply_handler on_reply) {
@@ -70,17 +79,14 @@
 
 void
 store_link::tick(const moment& now) {
-  on_upstreams_removed(state_.upstreams.expire(now), "grace");
-  state_.pauses.expire(now);
-}
-
-void
-store_link::on_upstreams_removed(const std::vector<upstream_id>& gone, std::string_view source) {
+  const auto gone = state_.upstreams.expire(now);
   for (const auto& id : gone) {
-    copy_.upstreams.erase(state_.wire.upstream_prefix() + id.value);
-    content_hash_stale_ = true;
-    state_.on_upstream_change(id, upstream_change::removed, source);
+    state_.on_upstream_change(id, upstream_change::removed, "grace");
+  }
+  if (!gone.empty()) {
+    log_unserved("grace");
   }
+  state_.pauses.expire(now);
 }
 
 void
@@ -140,7 +146,7 @@
   restored_at_ = now.boot;
   log(log_event::store_restored, {{"era", std::to_string(era_.current())},
                                   {"source", std::string{source}},
-                                  {"revision", std::to_string(number_of(copy_.store))}});
+                                  {"revision", std::to_string(number_of(replica_.position()))}});
   state_.upstreams.on_store_restored(now);
   registration_.on_restored();
   callbacks_.on_restored();
@@ -164,7 +170,7 @@
   log(now_reachable ? log_event::platform_reachable : log_event::platform_unreachable,
       {{"peer", "store"},
        {"why", std::string{why}},
-       {"revision", std::to_string(copy_.store.value)}});
+       {"revision", std::to_string(replica_.position().value)}});
 }
 
 void
@@ -180,104 +186,120 @@
 
 void
 store_link::read_all() {
-  pending_reads_ = 4;
-  min_read_revision_ = revision{std::numeric_limits<std::int64_t>::max()};
-  read_upstreams_.clear();
-  read_instances_.clear();
-  read_config();
-  read_duties_holder();
-  read_range(state_.wire.upstream_prefix(), state_.wire.upstream_prefix());
-  const std::string instances{instance_prefix};
-  read_range(instances, instances);
+  constexpr int parts = 4;
+  read_wanted_ = false;
+  read_ = std::make_shared<full_read>();
+  const read_ptr read = read_;
+  read->open_parts = parts;
+  read->read_at = revision{std::numeric_limits<std::int64_t>::max()};
+  read_config(read);
+  read_duties_holder(read);
+  for (const auto& prefix : {state_.wire.upstream_prefix(), std::string{instance_prefix}}) {
+    auto range = std::make_shared<range_read>();
+    range->prefix = prefix;
+    range->read_at = read->read_at;
+    read_range(read, range, prefix);
+  }
 }
 
 void
-store_link::read_config() {
-  call({duty::config, 0}, kv_range{state_.wire.config_key(), ""}, read_timeout,
-       [this](const platform_reply& reply) {
+store_link::read_part(const read_ptr& read, const kv_range& what,
+                      std::function<void(const kv_range_reply&)> on_reply) {
+  call({duty::config, 0}, what, read_timeout,
+       [this, read, notify = std::move(on_reply)](const platform_reply& reply) {
+         if (read != read_) {
+           return;
+         }
          if (!reply.answer) {
            fail_full_read(reply.answer.error().message);
            return;
          }
-         const auto& range = std::get<kv_range_reply>(*reply.answer);
-         if (!range.pairs.empty()) {
-           apply_config_value(range.pairs.front().value, "read");
-         }
-         min_read_revision_ = std::min(min_read_revision_, range.store);
-         on_read_done();
+         notify(std::get<kv_range_reply>(*reply.answer));
        });
 }
 
 void
-store_link::read_duties_holder() {
-  call({duty::config, 0}, kv_range{zone_lease_key(duties_zone), ""}, read_timeout,
-       [this](const platform_reply& reply) {
-         if (!reply.answer) {
-           fail_full_read(reply.answer.error().message);
-           return;
-         }
-         const auto& range = std::get<kv_range_reply>(*reply.answer);
-         apply_duties_holder(range.pairs.empty() ? std::nullopt
-                                                 : std::optional{range.pairs.front().value});
-         on_read_done();
-       });
+store_link::read_config(const read_ptr& read) {
+  read_part(read, {state_.wire.config_key(), ""}, [this, read](const kv_range_reply& reply) {
+    if (!reply.pairs.empty()) {
+      apply_config_value(reply.pairs.front().value, "read");
+    }
+    on_part_read(read, reply.store);
+  });
 }
 
 void
-store_link::fail_full_read(std::string_view why) {
-  set_reachable(false, why);
-  if (pending_reads_ > 0) {
-    pending_reads_ = -1;
-    schedule_retry();
-  }
+store_link::read_duties_holder(const read_ptr& read) {
+  const std::string key = zone_lease_key(duties_zone);
+  read_part(read, {key, ""}, [this, read, key](const kv_range_reply& reply) {
+    replica_.apply_page(reply.pairs, reply.store);
+    if (reply.pairs.empty()) {
+      replica_.apply_absence(key, {}, reply.store);
+    }
+    derive("read");
+    on_part_read(read, reply.store);
+  });
 }
 
 void
-store_link::read_range(const std::string& prefix, const std::string& from) {
-  call({duty::config, 0}, kv_range{from, prefix_end(prefix)}, read_timeout,
-       [this, prefix](const platform_reply& reply) {
-         if (!reply.answer) {
-           fail_full_read(reply.answer.error().message);
-           return;
-         }
-         on_range(prefix, std::get<kv_range_reply>(*reply.answer));
-       });
+store_link::read_range(const read_ptr& read, const std::shared_ptr<range_read>& range,
+                       const std::string& from) {
+  read_part(read, {from, prefix_end(range->prefix)},
+            [this, read, range](const kv_range_reply& reply) {
+              for (const auto& it : reply.pairs) {
+                range->present.insert(it.key);
+              }
+              range->read_at = std::min(range->read_at, reply.store);
+              replica_.apply_page(reply.pairs, reply.store);
+              if (reply.more && !reply.pairs.empty()) {
+                read_range(read, range, reply.pairs.back().key + std::string(1, '\0'));
+                return;
+              }
+              replica_.apply_absence(range->prefix, range->present, range->read_at);
+              state_.upstreams_known =
+                  state_.upstreams_known || range->prefix == state_.wire.upstream_prefix();
+              derive("read");
+              on_part_read(read, range->read_at);
+            });
 }
 
 void
-store_link::on_range(const std::string& prefix, const kv_range_reply& reply) {
-  for (const auto& it : reply.pairs) {
-    if (prefix != instance_prefix) {
-      read_upstreams_.push_back(upstream_id{it.key.substr(prefix.size())});
-    } else {
-      read_instances_.push_back(it.key.substr(prefix.size()));
-    }
-    apply({it.key, it.value, it.created, it.modified}, "read");
-  }
-  min_read_revision_ = std::min(min_read_revision_, reply.store);
-  if (reply.more && !reply.pairs.empty()) {
-    read_range(prefix, reply.pairs.back().key + std::string(1, '\0'));
+store_link::fail_full_read(std::string_view why) {
+  read_.reset();
+  set_reachable(false, why);
+  schedule_retry();
+}
+
+void
+store_link::on_part_read(const read_ptr& read, revision read_at) {
+  read->read_at = std::min(read->read_at, read_at);
+  if (--read->open_parts != 0) {
     return;
   }
-  if (prefix != instance_prefix) {
-    on_upstreams_removed(
-        state_.upstreams.apply_full_read(http1::event_loop::now(), read_upstreams_, reply.store),
-        "read");
-    state_.upstreams_known = true;
-  } else {
-    remove_missing_instances(read_instances_, reply.store);
+  read_.reset();
+  replica_.finish_read(read->read_at);
+  if (replica_.content_hash() != contradicted_content_) {
+    check_pause_ = check_pause;
   }
-  on_read_done();
+  set_reachable(true, "read");
+  watch();
 }
 
 void
-store_link::on_read_done() {
-  if (--pending_reads_ != 0) {
+store_link::check_content(revision at, std::uint64_t hash, const instance_id& peer) {
+  const moment now = http1::event_loop::now();
+  if (!reachable_ || now.boot < next_check_ || !replica_.contradicts(at, hash)) {
     return;
   }
-  copy_.store = std::max(copy_.store, min_read_revision_);
-  set_reachable(true, "read");
-  watch();
+  if (contradicted_content_ == replica_.content_hash()) {
+    check_pause_ = std::min(check_pause_ * 2, max_check_pause);
+  }
+  contradicted_content_ = replica_.content_hash();
+  next_check_ = now.boot + check_pause_;
+  read_wanted_ = true;
+  state_.metrics.get_counter("nutmegspur_store_contradictions_total").add();
+  log(log_event::content_differs,
+      {{"peer", peer.value}, {"revision", std::to_string(replica_.position().value)}});
 }
 
 void
@@ -286,21 +308,22 @@
     follow_active_ = false;
     return;
   }
-  if (era_of(copy_.store) != era_.current()) {
-    // The history that a watch would continue is gone.
+  // In a new era, the history that a watch would continue is gone.
+  if (read_wanted_ || era_of(replica_.position()) != era_.current()) {
     read_all();
     return;
   }
   // One call watches everything: the keys of operators, upstreams and instances.
-  const revision after{number_of(copy_.store)};
+  const revision from = replica_.position();
+  const revision after{number_of(from)};
   calls_.send(state_.settings.store, state_.wire.watch_call("", after, watch_wait), {watch_timeout},
-              [this, sent_in = era_.known()](const call_outcome& ended) {
+              [this, from, sent_in = era_.known()](const call_outcome& ended) {
                 if (ended.complete() && !check_era(sent_in, ended.fields)) {
                   read_all();
                   return;
                 }
                 if (ended.complete()) {
-                  on_watch(ended.status, ended.body);
+                  on_watch(from, ended.status, ended.body);
                   return;
                 }
                 set_reachable(false, "watch ended");
@@ -309,7 +332,7 @@
 }
 
 void
-store_link::on_watch(int status, const std::string& body) {
+store_link::on_watch(revision after, int status, const std::string& body) {
   auto answer = state_.wire.parse_watch_reply(status, body);
   if (!answer) {
     set_reachable(false, answer.error().message);
@@ -317,128 +340,125 @@
     return;
   }
   if (answer->compacted) {
-    log(log_event::history_lost, {{"revision", std::to_string(copy_.store.value)}});
+    log(log_event::history_lost, {{"revision", std::to_string(replica_.position().value)}});
     read_all();
     return;
   }
   set_reachable(true, "watch");
-  answer->store = store_position(era_.current(), answer->store.value);
+  std::vector<kv_change> changes;
   for (auto& it : answer->changes) {
-    it.created = store_position(era_.current(), it.created.value);
-    it.modified = store_position(era_.current(), it.modified.value);
-    apply(it, "watch");
+    if (it.key == state_.wire.config_key() && it.value) {
+      apply_config_value(*it.value, "watch");
+    } else if (followed(it.key)) {
+      it.created = store_position(era_.current(), it.created.value);
+      it.modified = store_position(era_.current(), it.modified.value);
+      changes.push_back(std::move(it));
+    }
   }
-  copy_.store = std::max(copy_.store, answer->store);
+  replica_.apply_changes(changes, after, store_position(era_.current(), answer->store.value));
+  derive("watch");
   const auto peers = static_cast<std::int64_t>(state_.live_peers);
   state_.loop.once(std::min(watch_pause + watch_pause_per_peer * peers, max_watch_pause),
                    [this](const moment&) { watch(); });
 }
 
-void
-store_link::apply(const kv_change& change, std::string_view source) {
-  if (change.key == state_.wire.config_key()) {
-    if (change.value) {
-      apply_config_value(*change.value, source);
-    }
-  } else if (change.key.starts_with(state_.wire.upstream_prefix())) {
-    apply_upstream(change, source);
-  } else if (change.key.starts_with(instance_prefix)) {
-    if (!change.value && change.key == instance_key(state_.settings.instance)) {
-      registration_.on_lapsed();
-    }
-    apply_instance(change);
-  } else if (change.key == zone_lease_key(duties_zone)) {
-    apply_duties_holder(change.value);
-  }
+bool
+store_link::followed(const std::string& key) const {
+  return key.starts_with(state_.wire.upstream_prefix()) || key.starts_with(instance_prefix) ||
+         key == zone_lease_key(duties_zone);
 }
 
 void
-store_link::apply_duties_holder(const std::optional<std::string>& record) {
-  if (!record) {
-    set_duties_holder(std::nullopt);
-    return;
+store_link::derive(std::string_view source, std::optional<time_point> keep_until) {
+  const auto upstreams =
+      upstream_derivation_.step(http1::event_loop::now(), replica_, state_.upstreams, keep_until);
+  for (const auto& it : upstreams) {
+    if (it.unreadable) {
+      log(log_event::upstream_unreadable, *it.unreadable, {{"upstream", it.id.value}});
+    }
+    state_.on_upstream_change(it.id, it.how, source);
   }
-  const auto lease = parse_zone_lease(*record);
-  if (lease) {
-    set_duties_holder(lease->holder);
-  } else {
-    log(log_event::config_refused, lease.error());
+  if (!upstreams.empty()) {
+    log_unserved(source);
+  }
+  for (const auto& key : instance_changes_.take(replica_)) {
+    derive_instance(key);
+  }
+  for (const auto& key : holder_changes_.take(replica_)) {
+    derive_duties_holder(key);
   }
 }
 
 void
-store_link::set_duties_holder(const std::optional<instance_id>& holder) {
-  content_hash_stale_ = content_hash_stale_ || copy_.duties_holder != holder;
-  copy_.duties_holder = holder;
-  callbacks_.on_duties_holder(holder);
-}
-
-void
-store_link::apply_config_value(const std::string& value, std::string_view source) {
-  auto config = state_.wire.parse_config(value);
-  if (!config) {
-    log(log_event::config_refused, config.error());
+store_link::derive_instance(const std::string& key) {
+  const std::string name = key.substr(instance_prefix.size());
+  const auto* held = replica_.find(key);
+  if (name == state_.settings.instance.value) {
+    if (held == nullptr) {
+      registration_.on_lapsed();
+    }
     return;
   }
-  const std::int64_t version = config->version;
-  if (state_.apply_config(std::move(*config), source)) {
-    copy_.config = value;
-    copy_.config_version = version;
-    content_hash_stale_ = true;
+  if (held == nullptr) {
+    callbacks_.on_instance({instance_id{name}, {}, {}, 0}, false);
+    return;
   }
-}
-
-void
-store_link::apply_upstream(const kv_change& change, std::string_view source) {
-  const moment now = http1::event_loop::now();
-  const upstream_id id{change.key.substr(state_.wire.upstream_prefix().size())};
-  const auto entry = change.value ? state_.wire.parse_upstream(change.key, *change.value)
-                                  : result<listed_upstream>{listed_upstream{}};
+  const auto entry = parse_registration(name, held->value);
   if (!entry) {
-    log(log_event::upstream_unreadable, entry.error(), {{"key", change.key}});
-  }
-  const bool present = change.value.has_value() && entry.has_value();
-  const auto how = present ? state_.upstreams.put(*entry, change.modified)
-                           : state_.upstreams.remove(now, id, change.modified);
-  if (how == upstream_change::none) {
+    log(log_event::peer_rejected, {{"peer", name}, {"why", "its registration cannot be read"}});
     return;
   }
-  if (present) {
-    copy_.upstreams[change.key] = {*change.value, change.modified};
-  } else {
-    copy_.upstreams.erase(change.key);
+  callbacks_.on_instance(*entry, true);
+}
+
+void
+store_link::derive_duties_holder(const std::string& key) {
+  const auto* held = replica_.find(key);
+  duties_holder_.reset();
+  if (held != nullptr) {
+    const auto lease = parse_zone_lease(held->value);
+    if (!lease) {
+      log(log_event::config_refused, lease.error());
+      return;
+    }
+    duties_holder_ = lease->holder;
   }
-  content_hash_stale_ = true;
-  state_.on_upstream_change(id, how, source);
+  callbacks_.on_duties_holder(duties_holder_);
 }
 
 void
-store_link::apply_instance(const kv_change& change) {
-  const std::string name = change.key.substr(instance_prefix.size());
-  const bool self = name == state_.settings.instance.value;
-  const auto held = copy_.instances.find(name);
-  if (held != copy_.instances.end() && change.modified <= held->second.modified) {
-    return;
+store_link::log_unserved(std::string_view source) {
+  std::set<service_id> served;
+  for (const auto* it : state_.upstreams.all()) {
+    if (!it->leaving) {
+      served.insert(it->service);
+      unserved_.erase(it->service);
+    }
   }
-  if (!change.value) {
-    if (held != copy_.instances.end()) {
-      copy_.instances.erase(held);
-      content_hash_stale_ = true;
-      if (!self) {
-        callbacks_.on_instance({instance_id{name}, {}, {}, 0}, false);
-      }
+  for (const auto& it : served_) {
+    if (!served.contains(it)) {
+      unserved_.insert(it);
+      log(log_event::service_unserved, {{"service", it.value},
+                                        {"source", std::string{source}},
+                                        {"revision", std::to_string(replica_.position().value)}});
     }
-    return;
   }
-  const auto entry = parse_registration(name, *change.value);
-  if (!entry) {
-    log(log_event::peer_rejected, {{"peer", name}, {"why", "its registration cannot be read"}});
+  served_ = std::move(served);
+  state_.metrics.get_gauge("nutmegspur_services_unserved")
+      .set(static_cast<std::int64_t>(unserved_.size()));
+}
+
+void
+store_link::apply_config_value(const std::string& value, std::string_view source) {
+  auto config = state_.wire.parse_config(value);
+  if (!config) {
+    log(log_event::config_refused, config.error());
     return;
   }
-  copy_.instances[name] = {*change.value, change.modified};
-  content_hash_stale_ = true;
-  if (!self) {
-    callbacks_.on_instance(*entry, true);
+  const std::int64_t version = config->version;
+  if (state_.apply_config(std::move(*config), source)) {
+    config_ = value;
+    config_version_ = version;
   }
 }
 
@@ -448,8 +468,8 @@
     return;
   }
   watching_ = watching;
-  log(log_event::store_followed,
-      {{"by", watching ? "watch" : "peer"}, {"revision", std::to_string(copy_.store.value)}});
+  log(log_event::store_followed, {{"by", watching ? "watch" : "peer"},
+                                  {"revision", std::to_string(replica_.position().value)}});
   if (watching_ && !follow_active_) {
     follow_active_ = true;
     watch();
@@ -469,52 +489,32 @@
   if (!from.config.empty()) {
     apply_config_value(from.config, source);
   }
-  if (from.store < copy_.store && state_.upstreams_known) {
+  if (!replica_.apply_update(from.replica)) {
     return;
   }
-  for (const auto& [key, held] : from.upstreams) {
-    apply_upstream({key, held.value, held.modified, held.modified}, source);
-  }
-  for (const auto& [name, held] : from.instances) {
-    apply_instance({instance_key(instance_id{name}), held.value, held.modified, held.modified});
-  }
-  std::vector<upstream_id> present;
-  for (const auto& key : from.upstream_keys) {
-    present.push_back(upstream_id{key.substr(state_.wire.upstream_prefix().size())});
+  std::optional<time_point> keep_until;
+  if (from.removal_grace) {
+    keep_until = http1::event_loop::now().boot + *from.removal_grace;
+    state_.upstreams.limit_grace(*keep_until);
   }
-  on_upstreams_removed(state_.upstreams.apply_peer_read(present, from.store), source);
   state_.upstreams_known = true;
-  remove_missing_instances(from.instance_names, from.store);
-  set_duties_holder(from.duties_holder);
-  copy_.store = std::max(copy_.store, from.store);
+  derive(source, keep_until);
 }
 
-void
-store_link::remove_missing_instances(const std::vector<std::string>& present, revision at) {
-  const std::set<std::string> kept{present.begin(), present.end()};
-  std::vector<std::string> gone;
-  for (const auto& [name, held] : copy_.instances) {
-    if (!kept.contains(name)) {
-      gone.push_back(name);
-    }
-  }
-  for (const auto& name : gone) {
-    apply_instance({instance_key(instance_id{name}), std::nullopt, {}, at});
-  }
+store_update
+store_link::update_since(const copy_position& from) const {
+  store_update update;
+  update.replica = replica_.update_since(from.store);
+  update.config = config_version_ > from.config_version ? config_ : "";
+  update.removal_grace = state_.upstreams.grace_left(http1::event_loop::now());
+  return update;
 }
 
-std::uint64_t
-store_link::content_hash() {
-  if (content_hash_stale_) {
-    std::uint64_t hash = fnv1a(fnv_basis, std::to_string(state_.upstreams.content_hash()));
-    hash = fnv1a(hash, std::to_string(copy_.config_version));
-    for (const auto& [name, held] : copy_.instances) {
-      hash = fnv1a(fnv1a(hash, name), held.value);
-    }
-    content_hash_ = fnv1a(hash, copy_.duties_holder ? copy_.duties_holder->value : "");
-    content_hash_stale_ = false;
-  }
-  return content_hash_;
+std::string
+store_link::earlier_update_since(const copy_position& from) const {
+  return pack_earlier_update(
+      replica_, from.store, config_version_ > from.config_version ? config_ : "",
+      state_.wire.upstream_prefix(), instance_prefix, duties_holder_ ? duties_holder_->value : "");
 }
 
 } // namespace nutmegspur::proxy
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -2,7 +2,9 @@
 /// This instance's connection to the platform's store: follows the configuration and the lists of
 /// upstreams and instances, by a watch of its own or through a peer, and sends single calls.
 ///
-/// Invariant: older data never replaces newer data; positions (store_era.h) decide.
+/// Everything that is learned about the store goes into the replica (store_replica.h), which
+/// decides what is newer; the lists of upstreams and instances are derived from it. The
+/// configuration has an order of its own, its version.
 #pragma once
 
 #include "call_set.h"
@@ -11,10 +13,13 @@
 #include "store_copy.h"
 
 #include <nutmegspur/store_era.h>
+#include <nutmegspur/store_replica.h>
+#include <nutmegspur/upstream_derivation.h>
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace nutmegspur::proxy {
@@ -61,15 +66,23 @@
   void apply_update(const store_update& from, const instance_id& peer);
 
   /// A peer with the same content has followed the store up to `at`.
-  void on_same_content(revision at) { copy_.store = std::max(copy_.store, at); }
+  void on_same_content(revision at) { replica_.on_same_content(at); }
+
+  /// A peer's content at position `at` has this hash. If that contradicts this instance's content,
+  /// one of both is wrong: reads the store again.
+  void check_content(revision at, std::uint64_t hash, const instance_id& peer);
 
   /// Removes this instance's registration.
   void unregister() { registration_.unregister(); }
 
-  [[nodiscard]] const store_copy& copy() const { return copy_; }
+  [[nodiscard]] const store_replica& replica() const { return replica_; }
+
+  [[nodiscard]] copy_position position() const { return {replica_.position(), config_version_}; }
 
-  /// Hash of the copy; equal for instances with equal content.
-  [[nodiscard]] std::uint64_t content_hash();
+  /// What a peer that holds `from` lacks.
+  [[nodiscard]] store_update update_since(const copy_position& from) const;
+  /// The same as a message for a peer of an earlier release.
+  [[nodiscard]] std::string earlier_update_since(const copy_position& from) const;
 
   /// Time since the store, or the peer that this instance follows, last responded successfully.
   [[nodiscard]] milliseconds age(const moment& now) const {
@@ -87,29 +100,47 @@
   [[nodiscard]] bool reachable() const { return reachable_; }
 
  private:
+  /// A full read of the followed keys. Replies to a read that was given up are ignored.
+  struct full_read {
+    int open_parts = 0;
+    revision read_at; ///< Lowest revision of the replies.
+  };
+
+  /// The keys of one prefix, page by page.
+  struct range_read {
+    std::string prefix;
+    std::set<std::string> present;
+    revision read_at; ///< Lowest revision of the pages, which are not a snapshot.
+  };
+
+  using read_ptr = std::shared_ptr<full_read>;
+
   void read_all();
-  void read_config();
-  void read_duties_holder();
+  /// Sends a call of `read`; `on_reply` runs if the call succeeded while the read is in progress.
+  void read_part(const read_ptr& read, const kv_range& what,
+                 std::function<void(const kv_range_reply&)> on_reply);
+  void read_config(const read_ptr& read);
+  void read_duties_holder(const read_ptr& read);
+  void read_range(const read_ptr& read, const std::shared_ptr<range_read>& range,
+                  const std::string& from);
   /// Part of a full read failed: schedules one repetition of all of it.
   void fail_full_read(std::string_view why);
-  void read_range(const std::string& prefix, const std::string& from);
-  void on_range(const std::string& prefix, const kv_range_reply& reply);
-  void on_read_done();
+  void on_part_read(const read_ptr& read, revision read_at);
   void watch();
-  void on_watch(int status, const std::string& body);
+  void on_watch(revision after, int status, const std::string& body);
   /// Whether a reply to a call may be used that was made when the era `sent_in` was known.
   bool check_era(std::optional<std::int64_t> sent_in, const http_fields& fields);
   void on_restored(std::string_view source);
-  void apply(const kv_change& change, std::string_view source);
+  [[nodiscard]] bool followed(const std::string& key) const;
+  /// Brings what is derived from the replica up to date. `keep_until`: see upstream_list::remove().
+  void derive(std::string_view source, std::optional<time_point> keep_until = std::nullopt);
+  void derive_instance(const std::string& key);
+  void derive_duties_holder(const std::string& key);
   void apply_config_value(const std::string& value, std::string_view source);
-  void apply_upstream(const kv_change& change, std::string_view source);
-  void apply_instance(const kv_change& change);
-  void remove_missing_instances(const std::vector<std::string>& present, revision at);
-  void apply_duties_holder(const std::optional<std::string>& record);
-  void set_duties_holder(const std::optional<instance_id>& holder);
   void schedule_retry();
   void set_reachable(bool now_reachable, std::string_view why);
-  void on_upstreams_removed(const std::vector<upstream_id>& gone, std::string_view source);
+  /// Logs the services that have just lost their last usable upstream.
+  void log_unserved(std::string_view source);
   void tick(const moment& now);
 
   proxy_state& state_;
@@ -117,17 +148,24 @@
   hooks callbacks_;
   store_era era_;
   time_point restored_at_{};
-  store_copy copy_;
-  revision min_read_revision_; ///< Lowest revision of the reads in progress.
-  int pending_reads_ = 0;
-  std::vector<upstream_id> read_upstreams_; ///< Upstreams found by the read in progress.
-  std::vector<std::string> read_instances_;
+  store_replica replica_;
+  upstream_derivation upstream_derivation_;
+  key_changes instance_changes_;
+  key_changes holder_changes_;
+  std::string config_; ///< The accepted configuration with the highest version, as stored.
+  std::int64_t config_version_ = 0;
+  std::optional<instance_id> duties_holder_;
+  std::set<service_id> served_;            ///< Services with usable upstreams.
+  std::set<service_id> unserved_;          ///< Services that had some.
+  read_ptr read_;                          ///< Null while no full read is in progress.
+  bool read_wanted_ = false;               ///< The content was contradicted.
+  std::uint64_t contradicted_content_ = 0; ///< Its hash then.
+  time_point next_check_{};
+  milliseconds check_pause_;
   bool reachable_ = true;
   time_point last_success_ = http1::event_loop::now().boot;
   bool watching_ = true;
   bool follow_active_ = false; ///< A read, a watch or the pause before one is in progress.
-  std::uint64_t content_hash_ = 0;
-  bool content_hash_stale_ = true; ///< The copy changed since `content_hash_` was computed.
   instance_registration registration_;
   timer_id tick_timer_;
 };
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -141,6 +141,14 @@
                 self.remove(key)
             self.changed.notify_all()
 
+    async def write_heartbeat(self, key, value):
+        """Writes a worker's entry. It changes only if more than its sequence does."""
+        def content(entry):
+            return {field: it for field, it in json.loads(entry).items() if field != "sequence"}
+
+        if key not in self.items or content(self.items[key][0]) != content(value):
+            await self.write(puts=[(key, value)])
+
     def compact(self):
         self.compacted_revision = self.revision
         self.history.clear()
@@ -264,6 +272,7 @@
 
     def __init__(self, store, links):
         self.store = store
+        self.refuses = False  # Responds to every request of the instance with status 503.
         self.links = links  # By the worker's port.
 
     def translate(self, item):
@@ -276,7 +285,11 @@
         return {**item, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
 
     async def handle(self, request, writer):
+        if self.refuses:
+            return self.store.with_era(make_response(503))
         reply = await self.store.handle(request, writer)
+        if self.refuses:  # A watch that waited.
+            return self.store.with_era(make_response(503))
         if request.method != "GET" or reply is None:
             return reply
         head, _, body = reply.partition(b"\r\n\r\n")
@@ -358,6 +371,7 @@
         self.deadly_part = None  # The process ends when it begins to generate for a prompt with this part.
         self.deadly_request = None  # (path, team, body) of a request that ends the process when it begins to run.
         self.restart_s = 1.0  # How long it is down then.
+        self.registers = True
         self.crashes = []  # Times of these ends.
         self.writers = set()  # Open connections.
 
@@ -372,8 +386,8 @@
 
     async def send_heartbeats(self, store):
         while True:
-            if not store.down and self.server.is_serving():
-                await store.write(puts=[("servers/" + self.name, self.registration())])
+            if self.registers and not store.down and self.server.is_serving():
+                await store.write_heartbeat("servers/" + self.name, self.registration())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def handle(self, request, writer):
@@ -608,6 +622,7 @@
         """Serves the store on `port` with the workers' addresses replaced by those of `links`."""
         view = StoreView(self.store, links)
         self.views.append(self.run(serve(port, view.handle)))
+        return view
 
     def remove_worker(self, name):
         """The worker ends: its connections are reset and its registration is removed."""
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -57,6 +57,7 @@
         self.ports = {}
         self.links = {}  # Of each instance, by the worker's port.
         self.store_ports = {}
+        self.store_views = {}  # Of each instance.
         self.report_window_s = REPORT_WINDOW_S
         self.zones = {f"front-{n}": zones[(n - 1) % len(zones)] for n in range(1, instances + 1)}
         self.extra_args = list(extra_args)
@@ -74,11 +75,17 @@
         called after workers were added and before instances start."""
         for name in self.ports:
             self.links[name] = {}
-            self.store_ports[name] = processes.free_port()
-            self.platform.add_store_view(self.store_ports[name], self.links[name])
+        self.separate_stores()
         for it in self.platform.workers.values():
             self.link_port(it.port)
 
+    def separate_stores(self):
+        """Gives each instance a view of its own on the store, which may refuse it. Must be called before instances
+        start."""
+        for name in self.ports:
+            self.store_ports[name] = processes.free_port()
+            self.store_views[name] = self.platform.add_store_view(self.store_ports[name], self.links.get(name, {}))
+
     def link_port(self, port):
         """Gives each instance a link of its own to the worker at `port`; before the worker registers."""
         for links in self.links.values():
