A stopping instance starts only what it can answer before its process ends

Cause: a request was taken while half of the limit was left at its arrival, whatever its deadline, and nothing asked again when an attempt started.

Change: stop_window decides, at arrival and before each attempt of a request that has not run: its deadline lies before the end, or it came before the balancer could know (first byte by 2.7 s) and half of the limit is left. Everything else is refused at once, not run, with Retry-After; more late requests are served than before where their deadlines fit. The times of a stop are fixed at the signal, so a reload does not move them. Responses after the signal close their connections. The process ends by itself at its end also where that comes before the balancer's notice.

--- a/src/http1/http_server.cpp
+++ b/src/http1/http_server.cpp
@@ -115,7 +115,7 @@
 
 void
 http_server::drain() {
-  draining_ = true;
+  closing_ = true;
   for (auto& [key, connection] : connections_) {
     connection->drain();
   }
--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -23,9 +23,10 @@
 /// dropped.
 class exchange {
  public:
-  exchange(server_connection& connection, http_request_head head, std::string body, moment arrived)
+  exchange(server_connection& connection, http_request_head head, std::string body, moment arrived,
+           time_point first_byte_at)
       : head_(std::move(head)), body_(std::move(body)), arrived_(arrived),
-        connection_(&connection) {}
+        first_byte_at_(first_byte_at), connection_(&connection) {}
 
   [[nodiscard]] const http_request_head& head() const { return head_; }
 
@@ -34,6 +35,9 @@
   /// When the last byte of the request was read.
   [[nodiscard]] const moment& arrived() const { return arrived_; }
 
+  /// When its first byte arrived.
+  [[nodiscard]] time_point first_byte_at() const { return first_byte_at_; }
+
   [[nodiscard]] bool disconnected() const { return connection_ == nullptr; }
 
   [[nodiscard]] bool started() const { return started_; }
@@ -59,6 +63,7 @@
   http_request_head head_;
   std::string body_;
   moment arrived_;
+  time_point first_byte_at_;
   server_connection* connection_; ///< Null once the connection or the exchange has ended.
   std::function<void()> on_disconnect_;
   bool started_ = false;
@@ -85,6 +90,10 @@
   ~http_server();
 
   result<void> listen(const endpoint& at);
+
+  /// From now on each response tells its caller that the connection ends with it.
+  void close_after_responses() { closing_ = true; }
+
   /// Closes idle connections now and each other connection after its current response.
   void drain();
 
@@ -103,7 +112,7 @@
   server_hooks hooks_;
   tcp_listener listener_;
   std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
-  bool draining_ = false;
+  bool closing_ = false; ///< No connection is kept after its current or next response.
 };
 
 } // namespace nutmegspur::http1
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -79,6 +79,7 @@
 server_connection::process_input() {
   if (phase_ == phase::idle && !unread_.empty()) {
     phase_ = phase::head;
+    first_byte_at_ = event_loop::now().boot;
     start_timer(server_.hooks_.limits().header_timeout);
   }
   if (phase_ == phase::head) {
@@ -146,7 +147,7 @@
   phase_ = phase::responding;
   close_after_response_ = !reader_.request().keep_alive;
   auto request = std::make_shared<exchange>(*this, std::move(reader_.request()), std::move(body_),
-                                            event_loop::now());
+                                            event_loop::now(), first_byte_at_);
   body_.clear();
   current_exchange_ = request;
   server_.hooks_.on_request(std::move(request));
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -26,7 +26,7 @@
   void finish_response(bool keep_alive);
   void abort_response();
 
-  [[nodiscard]] bool closing() const { return close_after_response_ || server_.draining_; }
+  [[nodiscard]] bool closing() const { return close_after_response_ || server_.closing_; }
 
   [[nodiscard]] std::size_t unsent() const { return stream_->unsent(); }
 
@@ -50,7 +50,7 @@
   message_reader reader_;
   std::string unread_; ///< Bytes received but not yet parsed.
   std::string body_;
-  moment arrived_{};
+  time_point first_byte_at_{}; ///< When the first byte of the current request arrived.
   phase phase_ = phase::idle;
   bool complete_ = false; ///< The parser has reached the end of the request.
   bool close_after_response_ = false;
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -12,11 +12,11 @@
 /// Maximum number of connections to one upstream; the upstream's limit is shared by all instances.
 constexpr std::size_t upstream_connections = 48;
 constexpr std::size_t platform_connections = 32;
-/// The load balancer removes an instance after two failed probes, one second apart.
-constexpr milliseconds balancer_lag{2'600};
 /// Part of the stop limit that is reserved for the exit itself.
 constexpr milliseconds stop_margin{900};
 constexpr milliseconds stop_poll{50};
+/// Time after the balancer has noticed in which requests that it sent before still arrive.
+constexpr milliseconds last_arrivals{400};
 
 std::int64_t
 unix_millis(const moment& now) {
@@ -204,25 +204,25 @@
   if (state_.stopping) {
     return;
   }
-  state_.stopping = true;
-  stop_started_ = http1::event_loop::now().boot;
-  state_.stop_deadline = stop_started_ + state_.settings.shutdown_limit - stop_margin;
+  state_.stopping =
+      begin_stop(http1::event_loop::now(), state_.settings.shutdown_limit, stop_margin);
   log(log_event::process_stopping, {{"requests", std::to_string(flows_.size())}});
   duties_.stop();
   store_.unregister();
-  loop_.once(balancer_lag, [this](const moment&) { caller_server_.drain(); });
+  // Until the balancer has noticed, callers on idle connections may still send; each response tells
+  // its caller that the connection ends.
+  caller_server_.close_after_responses();
+  loop_.once(balancer_notice, [this](const moment&) { caller_server_.drain(); });
   loop_.every(stop_poll, [this](const moment&) { finish_stop(); });
 }
 
 void
 proxy_node::finish_stop() {
   const moment now = http1::event_loop::now();
-  const auto elapsed = now.boot - stop_started_;
+  const stop_window& stop = *state_.stopping;
   const bool idle = flows_.empty() && caller_server_.busy() == 0 && forwarded_.empty();
-  if (elapsed < balancer_lag + milliseconds{400}) {
-    return;
-  }
-  if (idle || now.boot >= state_.stop_deadline) {
+  const bool noticed = now.boot - stop.begun >= balancer_notice + last_arrivals;
+  if ((idle && noticed) || now.boot >= stop.end) {
     peers_.send_final_notices(now);
     log(log_event::process_stopped, {{"requests", std::to_string(flows_.size())}});
     loop_.stop();
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -69,7 +69,6 @@
   http1::http_server ready_server_;
   http1::http_server peer_server_;
   std::unordered_map<request_flow*, std::unique_ptr<request_flow>> flows_;
-  time_point stop_started_{};
   bool was_ready_ = false;
 };
 
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -5,13 +5,6 @@
 
 namespace nutmegspur::proxy {
 
-bool
-proxy_state::accepts_requests(const moment& now) const {
-  // Responses must be complete within the platform's stop limit; half of it is reserved for the
-  // last requests. A load balancer that has no ready instance may send until the process exits.
-  return !stopping || stop_deadline - now.boot >= settings.shutdown_limit / 2;
-}
-
 void
 proxy_state::record_placed(const moment& now, const upstream_id& upstream,
                            const std::vector<chained_part>& parts, const instance_id& from) {
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -13,6 +13,7 @@
 #include <nutmegspur/placement.h>
 #include <nutmegspur/prompt_cache_view.h>
 #include <nutmegspur/retry_budget.h>
+#include <nutmegspur/stop_window.h>
 #include <nutmegspur/stream_origins.h>
 #include <nutmegspur/upstream_health.h>
 #include <nutmegspur/upstream_limits.h>
@@ -26,6 +27,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -98,12 +100,14 @@
   /// Number of other instances that are live.
   std::size_t live_peers = 0;
   bool upstreams_known = false;
-  bool stopping = false;
-  /// While stopping: the time at which the process ends at the latest.
-  time_point stop_deadline = time_point::max();
+  /// Set once this instance was told to stop.
+  std::optional<stop_window> stopping;
+
+  /// Whether an attempt at `request` may start before this process ends.
+  [[nodiscard]] bool may_start(const moment& now, const unstarted_request& request) const {
+    return !stopping || nutmegspur::may_start(*stopping, now, request);
+  }
 
-  /// Whether a request that arrives now can be expected to complete before this process ends.
-  [[nodiscard]] bool accepts_requests(const moment& now) const;
   /// Records that `from` placed `parts` at `upstream`; peers are notified.
   void record_placed(const moment& now, const upstream_id& upstream,
                      const std::vector<chained_part>& parts, const instance_id& from);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -139,10 +139,6 @@
     refuse("no configuration yet", retry_after_not_ready, 0);
     return false;
   }
-  if (!state_.accepts_requests(caller_->arrived())) {
-    refuse("stopping", retry_after_stopping, 0);
-    return false;
-  }
   route_ = config_->find_route(host_of(caller_->head()), caller_->head().path());
   if (route_ == nullptr) {
     reject(404, "no route");
@@ -173,6 +169,9 @@
   history_.resumable = route_->resumable;
   history_.max_attempts = route_->max_attempts;
   last_event_id_ = request_.last_event_id;
+  if (stop_if_too_late()) {
+    return false;
+  }
   if (!resumes_earlier_request()) {
     set_service(pick_service(*route_, std::hash<std::string>{}(request_.id) ^
                                           static_cast<std::uint64_t>(
@@ -296,6 +295,17 @@
   return left.has_value();
 }
 
+bool
+request_flow::stop_if_too_late() {
+  const moment now = http1::event_loop::now();
+  if (state_.may_start(now, {caller_->first_byte_at(), deadline_}) ||
+      after_last_attempt(history_) != next_step::refuse) {
+    return false;
+  }
+  refuse("stopping", retry_after_stopping, 0);
+  return true;
+}
+
 void
 request_flow::place() {
   if (stop_if_quarantined()) {
@@ -445,6 +455,9 @@
 
 void
 request_flow::start_placement() {
+  if (stop_if_too_late()) {
+    return;
+  }
   const bool separate_prefill = !placement_.prefill_upstream.empty();
   log(log_event::request_placed,
       {{"request", request_.id},
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -121,6 +121,9 @@
   /// Asks one of the upstreams without a permit for the promise of one, once. Returns whether it
   /// did.
   bool ask_for_promise();
+  /// Refuses the request if this instance ends before an attempt would; not if it may have run
+  /// already. Returns whether it did.
+  bool stop_if_too_late();
   /// Ends the request if upstreams crash on it or on a part of its prompt. Returns whether it did.
   bool stop_if_quarantined();
   /// Time until the first upstream that asked for a pause, or states a rate, may be used again.
--- a/testsuite/lib/proxied_system.py
+++ b/testsuite/lib/proxied_system.py
@@ -59,6 +59,7 @@
         self.store_ports = {}
         self.store_views = {}  # Of each instance.
         self.report_window_s = REPORT_WINDOW_S
+        self.grace_s = 8
         self.zones = {f"front-{n}": zones[(n - 1) % len(zones)] for n in range(1, instances + 1)}
         self.extra_args = list(extra_args)
         self.request_numbers = itertools.count(1)
@@ -124,7 +125,7 @@
             "platform": {"address": f"{processes.LOOPBACK}:{self.store_ports.get(name, self.platform.store_port)}"},
             "cloud": {"address": f"{processes.LOOPBACK}:{self.platform.cloud_port}",
                       "duties": ["usage_report", "autoscale"]},
-            "bounds": {"grace_s": 8, "lease_ms": 3000, "report_window_s": self.report_window_s,
+            "bounds": {"grace_s": self.grace_s, "lease_ms": 3000, "report_window_s": self.report_window_s,
                        "usage_late_s": 10, "retry_budget_ratio": 0.2, "budget_min_retries": 54,
                        "budget_window_s": 10},
         }
