--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -512,6 +512,12 @@
             self.disconnected.append(request_id)
             return None
         headers = {"X-Request-Id": request_id, "X-Response-Stamp": f"{self.name}.{request_id}"}
+        if fault.startswith("head "):  # Ends after this share of its head.
+            head = make_response(200, b"x", headers).partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+            writer.write(head[:int(len(head) * float(fault.split()[1]))])
+            await writer.drain()
+            writer.close()
+            return b""
         if fault.startswith("endless"):
             await self.send_endlessly(fault, writer, headers)
             return None
