Prefill and decode engines are divided version by version

Cause: the division counted a zone's engines whatever their version. An engine decodes only what its own version has prefilled, so both decode engines of a version could be ordered to prefill because another version had decode engines enough.

Change: stage_plan divides each version's engines in a zone for themselves; while a service has several versions, a version whose engines are in one zone keeps two that decode, if it has them. A single version is divided as before.

--- a/src/libnutmegspur/stage_plan.cpp
+++ b/src/libnutmegspur/stage_plan.cpp
@@ -18,8 +18,25 @@
 
 std::vector<stage_change>
 stage_plan::step(const moment& now, const std::vector<const listed_upstream*>& engines) {
+  std::map<std::string, std::map<zone_id, group>> versions;
+  for (const auto* it : engines) {
+    versions[it->software_version][it->zone].push_back(it);
+  }
+  std::vector<stage_change> changes;
+  for (const auto& [version, zones] : versions) {
+    const bool kept_for_resuming = versions.size() > 1 && zones.size() == 1;
+    for (const auto& [zone, of_zone] : zones) {
+      step_group(now, of_zone, kept_for_resuming ? 2 : 1, changes);
+    }
+  }
+  return changes;
+}
+
+void
+stage_plan::step_group(const moment& now, const group& engines, std::size_t least_decode_engines,
+                       std::vector<stage_change>& changes) {
   std::size_t prefill_engines = 0;
-  std::vector<const listed_upstream*> available;
+  group available;
   for (const auto* it : engines) {
     const auto last = ordered_.find(it->id);
     const bool in_cooldown = last != ordered_.end() && now.boot - last->second.at < order_cooldown;
@@ -30,8 +47,9 @@
       available.push_back(it);
     }
   }
-  const std::size_t target = target_prefill_engines(engines.size());
-  std::vector<stage_change> changes;
+  const std::size_t target =
+      std::min(target_prefill_engines(engines.size()),
+               engines.size() - std::min(engines.size(), least_decode_engines));
   for (const auto* it : available) {
     const bool is_prefill = it->stage == engine_stage::prefill;
     const bool change = is_prefill ? prefill_engines > target : prefill_engines < target;
@@ -43,7 +61,6 @@
     ordered_[it->id] = {now.boot, new_stage};
     changes.push_back({it->id, new_stage});
   }
-  return changes;
 }
 
 } // namespace nutmegspur
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -322,14 +322,8 @@
     if (!service.engine) {
       continue;
     }
-    std::map<zone_id, std::vector<const listed_upstream*>> zones;
-    for (const auto* it : state_.upstreams.usable_of(service.name)) {
-      zones[it->zone].push_back(it);
-    }
-    for (const auto& [zone, engines] : zones) {
-      for (const auto& change : stages_.step(now, engines)) {
-        prepare_stage_order(now, service.engine->role_change_time, change);
-      }
+    for (const auto& change : stages_.step(now, state_.upstreams.usable_of(service.name))) {
+      prepare_stage_order(now, service.engine->role_change_time, change);
     }
   }
 }
