--- a/src/include/nutmegspur/store_replica.h
+++ b/src/include/nutmegspur/store_replica.h
@@ -85,9 +85,16 @@
   /// Whether no key is held at a later revision than the position.
   [[nodiscard]] bool settled() const { return newest_ <= position_; }
 
-  /// Whether a peer's content at position `at` contradicts this one: one of both is wrong.
+  /// The content hash for peers; zero while the content is not that of one position, as during the
+  /// first read.
+  [[nodiscard]] std::uint64_t stated_hash() const {
+    return settled() && position_ != revision{} ? content_hash_ : 0;
+  }
+
+  /// Whether a peer's content at position `at` contradicts this one: one of both is wrong. `hash`
+  /// is the peer's stated_hash().
   [[nodiscard]] bool contradicts(revision at, std::uint64_t hash) const {
-    return at == position_ && settled() && hash != content_hash_;
+    return hash != 0 && at == position_ && stated_hash() != 0 && hash != content_hash_;
   }
 
  private:
--- a/src/libnutmegspur/stage_plan_test.cpp
+++ b/src/libnutmegspur/stage_plan_test.cpp
@@ -152,7 +152,7 @@
       40, rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::inRange(0, 2), rc::gen::inRange(1, 4)));
   for (const auto& [kind, zone, version] : steps) {
     if (kind == 0) {
-      all.remove(static_cast<std::size_t>(zone + version * 3));
+      all.remove(static_cast<std::size_t>(zone) + static_cast<std::size_t>(version) * 3);
     } else {
       all.add(zone, version);
     }
--- a/src/libnutmegspur/store_replica_test.cpp
+++ b/src/libnutmegspur/store_replica_test.cpp
@@ -161,6 +161,20 @@
   EXPECT_EQ(wrong.content_hash(), right.content_hash());
 }
 
+// Two instances that are reading the store at their start do not hold the content of one position.
+TEST(store_replica, a_content_that_is_being_read_contradicts_nothing) {
+  store_replica one;
+  store_replica other;
+  one.apply_page({{"a", "A", {}, revision{1}}}, revision{10});
+  EXPECT_EQ(one.stated_hash(), 0U);
+  EXPECT_FALSE(one.contradicts(other.position(), other.stated_hash()));
+  EXPECT_FALSE(other.contradicts(one.position(), one.stated_hash()));
+  one.finish_read(revision{10});
+  EXPECT_EQ(one.stated_hash(), one.content_hash());
+  one.apply_page({{"b", "B", {}, revision{12}}}, revision{12});
+  EXPECT_EQ(one.stated_hash(), 0U);
+}
+
 TEST(store_replica, a_restored_copy_replaces_the_content_of_the_era_before) {
   store_replica it;
   it.apply_changes({written("a", "A", store_position(1, 90).value)}, {}, store_position(1, 95));
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -234,7 +234,7 @@
   it.config_version = state_.config == nullptr ? 0 : state_.config->config().version;
   it.store = store_.replica().position();
   it.store_reachable = store_.reachable();
-  it.content_hash = store_.replica().content_hash();
+  it.content_hash = store_.replica().stated_hash();
   it.lifetime = std::max(min_lifetime, period() * lifetime_rounds);
   it.sealed = sealed_window_;
   const wall_time agreed = state_.clock.agreed(now).wall;
@@ -529,6 +529,9 @@
   }
   store_.on_peer_state(it.store_reachable, name.value);
   const store_replica& replica = store_.replica();
+  if (it.content_hash == 0) {
+    return; // The relay is reading the store.
+  }
   if (it.content_hash == replica.content_hash()) {
     store_.on_same_content(it.store);
     requested_content_ = 0;
