--- a/src/include/nutmegspur/wire_binding.h
+++ b/src/include/nutmegspur/wire_binding.h
@@ -134,6 +134,9 @@
   engine_stage stage = engine_stage::decode;
   instance_id holder;
   fence authority;
+  /// Orders that the engine must have accepted before this one. One that is carried out late, after
+  /// another holder's, is refused by it.
+  std::int64_t accepted_before = 0;
 };
 
 /// An adapter. Functions named `..._call` build a call; functions named `parse_...` parse what the
@@ -195,6 +198,9 @@
   [[nodiscard]] virtual wire_call running_check_call(const upstream_id& upstream,
                                                      const proxy_service* service) const = 0;
 
+  /// The number of orders that an engine has accepted, in its response to running_check_call().
+  [[nodiscard]] virtual result<std::int64_t> parse_order_count(std::string_view body) const = 0;
+
   // Duties.
   [[nodiscard]] virtual wire_call usage_call(const usage_window& window, const instance_id& holder,
                                              fence authority) const = 0;
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -346,18 +346,44 @@
 void
 duty_holder::order_stage(const stage_change& change, const authority& granted) {
   const auto* upstream = state_.upstreams.usable(change.upstream);
-  if (upstream == nullptr || !state_.accepts_calls(http1::event_loop::now(), *upstream)) {
+  if (upstream == nullptr || state_.config == nullptr ||
+      !state_.accepts_calls(http1::event_loop::now(), *upstream)) {
     return;
   }
-  const stage_order order{change.upstream, change.target, state_.settings.instance, granted.number};
-  log(log_event::order_sent, {{"upstream", change.upstream.value},
-                              {"zone", upstream->zone.value},
-                              {"stage", std::string{to_name(change.target)}},
+  calls_.send(
+      {upstream->address, upstream->port},
+      state_.wire.running_check_call(upstream->id, state_.config->find_service(upstream->service)),
+      {.all = call_timeout, .new_connection = true},
+      [this, change, it = *upstream](const call_outcome& ended) {
+        constexpr int ok = 200;
+        const bool reported = ended.complete() && ended.status == ok;
+        const auto accepted = state_.wire.parse_order_count(reported ? ended.body : "");
+        const auto granted_now = authority_for_call(http1::event_loop::now());
+        if (!accepted || !granted_now || state_.stopping) {
+          log(log_event::order_resolved,
+              {{"upstream", it.id.value}, {"status", accepted ? "not sent" : "no report"}});
+          return;
+        }
+        send_stage_order(it,
+                         {change.upstream, change.target, state_.settings.instance,
+                          granted_now->number, *accepted},
+                         *granted_now);
+      },
+      granted.until);
+}
+
+void
+duty_holder::send_stage_order(const listed_upstream& to, const stage_order& order,
+                              const authority& granted) {
+  log(log_event::order_sent, {{"upstream", to.id.value},
+                              {"zone", to.zone.value},
+                              {"stage", std::string{to_name(order.stage)}},
+                              {"accepted_before", std::to_string(order.accepted_before)},
                               {"fence", std::to_string(granted.number.value)}});
   calls_.send(
-      {upstream->address, upstream->port}, state_.wire.stage_call(order),
+      {to.address, to.port}, state_.wire.stage_call(order),
       {.all = call_timeout, .new_connection = true},
-      [this, it = *upstream](const call_outcome& ended) {
+      [this, it = to](const call_outcome& ended) {
         log(log_event::order_resolved,
             {{"upstream", it.id.value},
              {"status", ended.complete() ? std::to_string(ended.status) : "no answer"}});
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -74,7 +74,10 @@
   void order_stages(const moment& now);
   void prepare_stage_order(const moment& now, milliseconds role_change_time,
                            const stage_change& change);
+  /// Asks the engine how many orders it has accepted, then sends it the order.
   void order_stage(const stage_change& change, const authority& granted);
+  void send_stage_order(const listed_upstream& to, const stage_order& order,
+                        const authority& granted);
 
   proxy_state& state_;
   store_link& store_;
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -354,6 +354,8 @@
         self.executed = []  # Ids of executed requests.
         self.disconnected = []  # Ids of hanging requests whose connection the peer closed.
         self.orders = []
+        self.delays_order = False  # The next order gets no response; it may be carried out later.
+        self.delayed_order = None
         self.kv_handles = set()
         self.repeats_refusals = None  # How it writes refusals once more, see `handle`.
         self.last_refusal = None
@@ -464,13 +466,22 @@
             return True
         return self.deadly_part is not None and self.deadly_part in parts
 
+    def accept_order(self, order):
+        if order.get("expected", len(self.orders)) != len(self.orders):
+            return False
+        self.orders.append(order)
+        self.stage = order["stage"]
+        return True
+
     async def respond(self, request, writer):
         if request.path == "/report":
-            return make_response(200, {"stage": self.stage})
+            return make_response(200, {"stage": self.stage, "sequence": len(self.orders)})
         if request.path == "/order":
-            self.orders.append(json.loads(request.body))
-            self.stage = self.orders[-1]["stage"]
-            return make_response(202)
+            if self.delays_order:
+                self.delays_order = False
+                self.delayed_order = json.loads(request.body)
+                return None
+            return make_response(202 if self.accept_order(json.loads(request.body)) else 409)
         if request.path.startswith("/kv-handle/"):
             self.kv_handles.discard(request.path.split("/")[-1])
             return make_response(200)
