A removal of an upstream that is final stays so through any number of peers

A relay that the store was silent to dropped the upstream at 2.8 s, on the word of a peer that reached the store; its follower, told by the relay, took the removal for one in an outage and kept the upstream until 14.6 s (E602 source=grace).

Change: removals up to a revision are final once an instance that reaches the store, and is in no grace period, knows of them. That revision only grows, and updates carry it on. A final removal applies at once everywhere; any other one after the receiver's own grace period.

--- a/src/include/nutmegspur/upstream_derivation.h
+++ b/src/include/nutmegspur/upstream_derivation.h
@@ -31,10 +31,9 @@
       : prefix_(std::move(prefix)), parse_(std::move(parse)), changes_(prefix_) {}
 
   /// Applies what has changed in `replica` since the last call to `list`, which nothing else may
-  /// change. `keep_until`: see upstream_list::remove().
+  /// change.
   std::vector<derived_upstream> step(const moment& now, const store_replica& replica,
-                                     upstream_list& list,
-                                     std::optional<time_point> keep_until = std::nullopt);
+                                     upstream_list& list);
 
  private:
   std::string prefix_;
--- a/src/include/nutmegspur/upstream_list.h
+++ b/src/include/nutmegspur/upstream_list.h
@@ -12,6 +12,7 @@
 #include <nutmegspur/ids.h>
 #include <nutmegspur/names.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -85,13 +86,16 @@
   /// again, nor does an earlier process of the same id.
   upstream_change put(const listed_upstream& entry, revision modified);
   /// The store has no entry of `id`; it was removed at `modified` or before. In a grace period it
-  /// stays in the list until the period ends: this instance's own, or at `keep_until` if a peer
-  /// told of the removal.
-  upstream_change remove(const moment& now, const upstream_id& id, revision modified,
-                         std::optional<time_point> keep_until = std::nullopt);
-  /// A peer that reaches the store lacks the same entries: they are kept until `keep_until` at
-  /// most, also while this instance does not reach the store.
-  void limit_grace(time_point keep_until);
+  /// stays in the list until the period ends, unless the removal is final.
+  upstream_change remove(const moment& now, const upstream_id& id, revision modified);
+
+  /// Removals up to `through` are final: an instance that reached the store, and was in no grace
+  /// period, knew of them. They need no grace period here either, even if this instance does not
+  /// reach the store.
+  void confirm_removals(revision through) { final_through_ = std::max(final_through_, through); }
+
+  /// Removals up to this revision are final.
+  [[nodiscard]] revision final_through() const { return final_through_; }
 
   /// The store was restored from an older copy; upstreams that the copy lacks register again.
   void on_store_restored(const moment& now) { grace_until_ = now.boot + reregistration_grace; }
@@ -110,28 +114,21 @@
 
   [[nodiscard]] bool empty() const { return entries_.empty(); }
 
-  /// Time for which removals from the store may still be followed by registrations, because it was
-  /// out of reach until a short time ago; empty while it is.
-  [[nodiscard]] std::optional<milliseconds> grace_left(const moment& now) const;
+  /// Whether removals may be followed by registrations, because the store is out of reach or was
+  /// until a short time ago.
+  [[nodiscard]] bool in_grace(const moment& now) const;
 
  private:
-  /// A removal that takes effect at the end of a grace period.
-  struct pending_removal {
-    revision modified;
-    std::optional<time_point> until; ///< If empty, the end of this instance's own grace period.
-  };
-
   struct entry {
     listed_upstream upstream;
-    std::optional<pending_removal> removal;
+    std::optional<revision> pending_removal; ///< Revision of the removal, while in grace.
   };
 
-  [[nodiscard]] bool in_grace(const moment& now) const;
-
   std::map<upstream_id, entry> entries_;
   /// Revisions of removals, so that an entry of a store restored from an older copy does not
   /// return.
   std::map<upstream_id, revision> removal_revisions_;
+  revision final_through_;
   bool reachable_ = true;
   time_point grace_until_{};
 };
--- a/src/libnutmegspur/upstream_derivation.cpp
+++ b/src/libnutmegspur/upstream_derivation.cpp
@@ -4,8 +4,7 @@
 namespace nutmegspur {
 
 std::vector<derived_upstream>
-upstream_derivation::step(const moment& now, const store_replica& replica, upstream_list& list,
-                          std::optional<time_point> keep_until) {
+upstream_derivation::step(const moment& now, const store_replica& replica, upstream_list& list) {
   std::vector<derived_upstream> all;
   for (const auto& key : changes_.take(replica)) {
     derived_upstream it;
@@ -20,7 +19,7 @@
       }
       it.unreadable = entry.error();
     }
-    it.how = list.remove(now, it.id, replica.revision_of(key), keep_until);
+    it.how = list.remove(now, it.id, replica.revision_of(key));
     all.push_back(std::move(it));
   }
   return all;
--- a/src/libnutmegspur/upstream_list.cpp
+++ b/src/libnutmegspur/upstream_list.cpp
@@ -36,17 +36,15 @@
 }
 
 upstream_change
-upstream_list::remove(const moment& now, const upstream_id& id, revision modified,
-                      std::optional<time_point> keep_until) {
+upstream_list::remove(const moment& now, const upstream_id& id, revision modified) {
   const auto it = entries_.find(id);
   if (it == entries_.end()) {
     auto& at = removal_revisions_[id];
     at = std::max(at, modified);
     return upstream_change::none;
   }
-  const bool kept = keep_until ? now.boot < *keep_until : in_grace(now);
-  if (kept && !it->second.upstream.leaving) {
-    it->second.removal = pending_removal{modified, keep_until};
+  if (in_grace(now) && modified > final_through_ && !it->second.upstream.leaving) {
+    it->second.pending_removal = modified;
     return upstream_change::none;
   }
   entries_.erase(it);
@@ -54,15 +52,6 @@
   return upstream_change::removed;
 }
 
-void
-upstream_list::limit_grace(time_point keep_until) {
-  for (auto& [id, it] : entries_) {
-    if (it.removal) {
-      it.removal->until = std::min(it.removal->until.value_or(keep_until), keep_until);
-    }
-  }
-}
-
 void
 upstream_list::set_store_reachable(const moment& now, bool reachable) {
   if (reachable && !reachable_) {
@@ -76,26 +65,17 @@
   return !reachable_ || now.boot < grace_until_;
 }
 
-std::optional<milliseconds>
-upstream_list::grace_left(const moment& now) const {
-  if (!reachable_) {
-    return std::nullopt;
-  }
-  return std::chrono::ceil<milliseconds>(std::max(grace_until_ - now.boot, duration{0}));
-}
-
 std::vector<upstream_id>
 upstream_list::expire(const moment& now) {
   std::vector<upstream_id> removed;
   for (auto it = entries_.begin(); it != entries_.end();) {
-    const auto& removal = it->second.removal;
-    const bool kept = !removal || (removal->until ? now.boot < *removal->until : in_grace(now));
-    if (kept) {
+    const auto& removal = it->second.pending_removal;
+    if (!removal || (in_grace(now) && *removal > final_through_)) {
       ++it;
       continue;
     }
     removed.push_back(it->first);
-    removal_revisions_[it->first] = removal->modified;
+    removal_revisions_[it->first] = *removal;
     it = entries_.erase(it);
   }
   return removed;
--- a/src/proxy/store_copy.cpp
+++ b/src/proxy/store_copy.cpp
@@ -12,8 +12,6 @@
 /// First element of each message; must change with the layout of the message.
 constexpr int layout_version = 2;
 constexpr std::size_t element_count = 7;
-/// In place of a grace period, if there is none to state.
-constexpr std::int64_t no_grace = -1;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 using object_list = std::vector<msgpack::object>;
@@ -58,7 +56,7 @@
     out.pack(at.value);
   }
   out.pack(update.config);
-  out.pack(update.removal_grace ? std::int64_t{update.removal_grace->count()} : no_grace);
+  out.pack(update.final_through.value);
   return {buf.data(), buf.size()};
 }
 
@@ -115,9 +113,7 @@
       update.replica.removed.emplace(key, revision{at});
     }
     update.config = top[5].as<std::string>();
-    if (const auto grace = top[6].as<std::int64_t>(); grace != no_grace) {
-      update.removal_grace = milliseconds{grace};
-    }
+    update.final_through = revision{top[6].as<std::int64_t>()};
     return update;
   } catch (const std::exception& ec) {
     return fail({error_code::invalid_argument, step::peer_call, "", ec.what()});
--- a/src/proxy/store_copy.h
+++ b/src/proxy/store_copy.h
@@ -4,12 +4,10 @@
 /// an order of its own, its version.
 #pragma once
 
-#include <nutmegspur/clock.h>
 #include <nutmegspur/error.h>
 #include <nutmegspur/store_replica.h>
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,9 +22,8 @@
 struct store_update {
   replica_update replica;
   std::string config; ///< Empty if the peer's configuration is at least as new.
-  /// Time for which upstreams that are removed may still register again, because the sender could
-  /// not reach the store until a short time ago; empty while it cannot.
-  std::optional<milliseconds> removal_grace;
+  /// Removals of upstreams up to this revision are final (upstream_list::confirm_removals()).
+  revision final_through;
 };
 
 std::string pack_store_update(const store_update& update);
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -282,6 +282,7 @@
     check_pause_ = check_pause;
   }
   set_reachable(true, "read");
+  confirm_removals();
   watch();
 }
 
@@ -357,6 +358,7 @@
   }
   replica_.apply_changes(changes, after, store_position(era_.current(), answer->store.value));
   derive("watch");
+  confirm_removals();
   const auto peers = static_cast<std::int64_t>(state_.live_peers);
   state_.loop.once(std::min(watch_pause + watch_pause_per_peer * peers, max_watch_pause),
                    [this](const moment&) { watch(); });
@@ -369,9 +371,9 @@
 }
 
 void
-store_link::derive(std::string_view source, std::optional<time_point> keep_until) {
+store_link::derive(std::string_view source) {
   const auto upstreams =
-      upstream_derivation_.step(http1::event_loop::now(), replica_, state_.upstreams, keep_until);
+      upstream_derivation_.step(http1::event_loop::now(), replica_, state_.upstreams);
   for (const auto& it : upstreams) {
     if (it.unreadable) {
       log(log_event::upstream_unreadable, *it.unreadable, {{"upstream", it.id.value}});
@@ -389,6 +391,13 @@
   }
 }
 
+void
+store_link::confirm_removals() {
+  if (!state_.upstreams.in_grace(http1::event_loop::now())) {
+    state_.upstreams.confirm_removals(replica_.position());
+  }
+}
+
 void
 store_link::derive_instance(const std::string& key) {
   const std::string name = key.substr(instance_prefix.size());
@@ -492,13 +501,9 @@
   if (!replica_.apply_update(from.replica)) {
     return;
   }
-  std::optional<time_point> keep_until;
-  if (from.removal_grace) {
-    keep_until = http1::event_loop::now().boot + *from.removal_grace;
-    state_.upstreams.limit_grace(*keep_until);
-  }
+  state_.upstreams.confirm_removals(from.final_through);
   state_.upstreams_known = true;
-  derive(source, keep_until);
+  derive(source);
 }
 
 store_update
@@ -506,7 +511,7 @@
   store_update update;
   update.replica = replica_.update_since(from.store);
   update.config = config_version_ > from.config_version ? config_ : "";
-  update.removal_grace = state_.upstreams.grace_left(http1::event_loop::now());
+  update.final_through = state_.upstreams.final_through();
   return update;
 }
 
--- a/src/proxy/store_link.h
+++ b/src/proxy/store_link.h
@@ -132,8 +132,10 @@
   bool check_era(std::optional<std::int64_t> sent_in, const http_fields& fields);
   void on_restored(std::string_view source);
   [[nodiscard]] bool followed(const std::string& key) const;
-  /// Brings what is derived from the replica up to date. `keep_until`: see upstream_list::remove().
-  void derive(std::string_view source, std::optional<time_point> keep_until = std::nullopt);
+  /// Brings what is derived from the replica up to date.
+  void derive(std::string_view source);
+  /// The store has answered: if no grace period is left, the removals up to the position are final.
+  void confirm_removals();
   void derive_instance(const std::string& key);
   void derive_duties_holder(const std::string& key);
   void apply_config_value(const std::string& value, std::string_view source);
