E510 tells of each stream of events how its attempt ended, and what followed the end

E505 named neither the framing nor the events of a stream; an attempt that was resumed left no line of what it had forwarded; what followed a complete response (more bytes, a reset) was used only to keep its connection from being used again. Change: event_sequence places the events of an attempt by their ids; the client looks at what had arrived behind a complete response (tail), also for peers that forward; E510 shows both for each attempt. ctl explain says what a stream's end was believed on. Events with a lower id than the last one are still dropped as before, now counted as repeated or misplaced.

--- a/src/http1/http_client.cpp
+++ b/src/http1/http_client.cpp
@@ -161,7 +161,7 @@
       }
       bytes.remove_prefix(std::min(progress.consumed, bytes.size()));
       if (complete_) {
-        finish_message(!bytes.empty());
+        finish_message(bytes);
         if (closed_) {
           return;
         }
@@ -169,13 +169,17 @@
     }
   }
 
-  void finish_message(bool more_bytes) {
+  /// `rest` are the bytes that were read behind the message.
+  void finish_message(std::string_view rest) {
     complete_ = false;
     if (!accepted_) {
       return;
     }
     // Unsent bytes of this request would be read by the server as part of the next one.
-    const bool clean = reusable_ && !more_bytes && stream_.unsent() == 0;
+    const bool clean = reusable_ && rest.empty() && stream_.unsent() == 0;
+    if (call_->options_.examine_tail) {
+      call_->tail_ = rest.empty() ? stream_.peek() : classify_tail(rest);
+    }
     client_call* call = std::exchange(call_, nullptr);
     call->connection_ = nullptr;
     if (clean) {
@@ -191,7 +195,7 @@
     if (call_ != nullptr && how == stream_end::closed && accepted_ && reader_.feed_end() &&
         complete_) {
       reusable_ = false;
-      finish_message(false);
+      finish_message({});
       return;
     }
     fail_call(connected_ ? call_end::broken : call_end::unreachable);
--- a/src/http1/http_client.h
+++ b/src/http1/http_client.h
@@ -59,6 +59,7 @@
   /// a process that was paused in between sends nothing late. Never later than the timeout.
   time_point not_after = time_point::max();
   bool new_connection = false; ///< Do not reuse an idle connection.
+  bool examine_tail = false;   ///< Look at what follows the response, for `open_call::tail`.
   /// Maximum body bytes of the response; a longer one ends the call as malformed.
   std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
   /// Whether a response belongs to this call; others are skipped. Empty accepts any response.
@@ -79,6 +80,8 @@
 
   /// Whether the server may have received the request.
   [[nodiscard]] virtual bool sent() const = 0;
+  /// What had arrived behind the response when it was complete; needs `examine_tail`.
+  [[nodiscard]] virtual response_tail tail() const = 0;
   /// Ends the call without calling `on_end`.
   virtual void cancel() = 0;
 };
@@ -94,6 +97,8 @@
 
   [[nodiscard]] bool sent() const override { return sent_; }
 
+  [[nodiscard]] response_tail tail() const override { return tail_; }
+
   /// Whether it is too late to write the request.
   [[nodiscard]] bool expired() const { return event_loop::now().boot >= options_.not_after; }
 
@@ -114,6 +119,7 @@
   bool no_body_;
   bool sent_ = false;
   bool ended_ = false;
+  response_tail tail_ = response_tail::nothing;
   timer_id timer_;
   client_connection* connection_ = nullptr;
 };
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 
 namespace nutmegspur::http1 {
 
@@ -233,6 +234,24 @@
   handle_ = nullptr;
 }
 
+response_tail
+tcp_stream::peek() const {
+  int fd = -1;
+  if (handle_ == nullptr || uv_fileno(as_handle(&handle_->tcp), &fd) != 0) {
+    return response_tail::reset;
+  }
+  constexpr std::size_t enough_bytes = 64;
+  std::array<char, enough_bytes> buf{};
+  const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) {
+    return classify_tail({buf.data(), static_cast<std::size_t>(n)});
+  }
+  if (n == 0) {
+    return response_tail::closed;
+  }
+  return errno == EAGAIN ? response_tail::nothing : response_tail::reset;
+}
+
 std::size_t
 tcp_stream::unsent() const {
   return handle_ == nullptr
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -7,6 +7,7 @@
 
 #include "event_loop.h"
 
+#include <nutmegspur/stream_evidence.h>
 #include <nutmegspur/wire_binding.h>
 
 #include <functional>
@@ -54,6 +55,9 @@
   /// message.
   void abort();
 
+  /// What has arrived and is not read yet, or how the connection has ended. Reads nothing.
+  [[nodiscard]] response_tail peek() const;
+
   /// Bytes that were written but not yet accepted by the kernel.
   [[nodiscard]] std::size_t unsent() const;
 
--- a/src/include/nutmegspur/event_log.h
+++ b/src/include/nutmegspur/event_log.h
@@ -64,6 +64,7 @@
   caller_left = 507,
   part_quarantined = 508,
   part_released = 509,
+  stream_ended = 510,
   upstream_added = 600,
   upstream_leaving = 601,
   upstream_gone = 602,
--- a/src/include/nutmegspur/forward_frame.h
+++ b/src/include/nutmegspur/forward_frame.h
@@ -12,6 +12,7 @@
 #include <nutmegspur/error.h>
 #include <nutmegspur/http_message.h>
 #include <nutmegspur/ids.h>
+#include <nutmegspur/stream_evidence.h>
 
 #include <cstdint>
 #include <memory>
@@ -61,6 +62,8 @@
   std::string bytes;       ///< With `body`: the bytes. With `end`: how it ended, by name.
   /// With `end`: the forwarding instance reaches upstreams, so that a failure is the upstream's.
   bool path_known = false;
+  /// With `end`: what had arrived behind a complete response.
+  response_tail tail = response_tail::nothing;
 };
 
 std::string pack_forward_event(const forward_event& it);
--- a/src/include/nutmegspur/log_reader.h
+++ b/src/include/nutmegspur/log_reader.h
@@ -46,6 +46,10 @@
 /// Collects the lines of request `request`; `records` may be in any order.
 request_trace find_request_trace(std::string_view request, const std::vector<log_record>& records);
 
+/// What the lines of a request's streams (E510) say of the end that its caller got, for an
+/// operator; empty if no stream was passed on to its end.
+std::string stream_end_text(const request_trace& trace);
+
 /// The trace as text for an operator: the lines in the order of their times, then what the final
 /// line means and where to look next.
 std::string trace_text(std::string_view request, const request_trace& trace);
--- /dev/null
+++ b/src/include/nutmegspur/stream_evidence.h
@@ -0,0 +1,109 @@
+/// \file stream_evidence.h
+/// What an attempt saw of a stream of events (WHATWG HTML, "Server-sent events"): the order of its
+/// events, and what surrounded the end of its response.
+#pragma once
+
+#include <nutmegspur/http_message.h>
+#include <nutmegspur/names.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nutmegspur {
+
+/// What ends the body of a response.
+enum class body_framing {
+  chunks,     ///< Its last chunk.
+  length,     ///< Its stated length.
+  connection, ///< The end of its connection.
+};
+
+template <> struct enum_names<body_framing> {
+  static constexpr std::array<enum_name<body_framing>, 3> table{{
+      {body_framing::chunks, "chunks"},
+      {body_framing::length, "length"},
+      {body_framing::connection, "connection"},
+  }};
+};
+
+body_framing framing_of(const http_response_head& head);
+
+/// What had arrived on a connection behind a complete response when its end was read.
+enum class response_tail {
+  nothing,
+  closed,   ///< The upstream has closed the connection.
+  reset,    ///< The upstream has reset it.
+  response, ///< The start of another response, which belongs to no request.
+  body,     ///< More of the same body, such as a chunk or a field of an event.
+  other,    ///< Bytes of another kind.
+};
+
+template <> struct enum_names<response_tail> {
+  static constexpr std::array<enum_name<response_tail>, 6> table{{
+      {response_tail::nothing, "nothing"},
+      {response_tail::closed, "closed"},
+      {response_tail::reset, "reset"},
+      {response_tail::response, "response"},
+      {response_tail::body, "body"},
+      {response_tail::other, "other"},
+  }};
+};
+
+/// What the first bytes behind a response are; `bytes` must not be empty.
+response_tail classify_tail(std::string_view bytes);
+
+/// The place of an event among those that its caller has.
+enum class event_place {
+  next,       ///< The event after the last one, or the first one.
+  repeated,   ///< The caller has it.
+  ahead,      ///< Ids between the last event and this one are missing.
+  misplaced,  ///< Its id is lower than the last one, and the caller does not have it.
+  unnumbered, ///< It has no id, or one that is not a number.
+  comment,    ///< It has neither an id nor data.
+};
+
+/// Counts of the events of an attempt, and its ids.
+struct event_counts {
+  std::uint32_t events = 0; ///< All but comments.
+  std::uint32_t repeated = 0;
+  std::uint32_t ahead = 0;
+  std::uint32_t misplaced = 0;
+  std::uint32_t unnumbered = 0;
+  std::string first_id;
+  std::string last_id;
+};
+
+/// Follows the ids of the events of one attempt.
+///
+/// Ids of the attempt are compared with each other, and with the last one that the caller got from
+/// earlier attempts.
+class event_sequence {
+ public:
+  event_sequence() = default;
+
+  /// `after`: the id of the last event that the caller has from earlier attempts; empty if none.
+  explicit event_sequence(std::string_view after);
+
+  /// Takes the next event that the upstream sent.
+  event_place add(std::string_view id, bool has_data);
+
+  [[nodiscard]] const event_counts& counts() const { return counts_; }
+
+ private:
+  /// Ids that were passed over, both ends excluded.
+  struct gap {
+    std::int64_t from = 0;
+    std::int64_t to = 0;
+  };
+
+  [[nodiscard]] bool inside_gap(std::int64_t n) const;
+
+  std::optional<std::int64_t> last_; ///< The highest id that the caller has.
+  std::vector<gap> gaps_; ///< In order of their ids; cover all ids that were passed over.
+  event_counts counts_;
+};
+
+} // namespace nutmegspur
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 58> catalogue{{
+constexpr std::array<log_event_info, 59> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -79,6 +79,9 @@
     {log_event::part_released, "part_released", severity::info,
      "A response to a request with a quarantined part, session or request completed; such requests "
      "are accepted."},
+    {log_event::stream_ended, "stream_ended", severity::info,
+     "An upstream's stream of events ended, in whichever way; shows its framing, its events and "
+     "their ids, what followed it, and what was done next."},
     {log_event::upstream_added, "upstream_added", severity::info,
      "An upstream was added to the list."},
     {log_event::upstream_leaving, "upstream_leaving", severity::info,
--- a/src/libnutmegspur/forward_frame.cpp
+++ b/src/libnutmegspur/forward_frame.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::size_t request_elements = 9;
-constexpr std::size_t event_elements = 4;
+/// Elements of an event; the last one may be missing.
+constexpr std::size_t event_elements = 5;
 constexpr std::size_t head_elements = 5;
 
 using texts = std::vector<std::pair<std::string, std::string>>;
@@ -44,14 +45,21 @@
 forward_event
 read_event(const msgpack::object& from) {
   const auto row = from.as<std::vector<msgpack::object>>();
-  if (row.size() != event_elements) {
+  if (row.size() != event_elements && row.size() + 1 != event_elements) {
     throw std::invalid_argument("wrong element count");
   }
   const auto step = from_name<forward_step>(row[0].as<std::string>());
   if (!step) {
     throw std::invalid_argument("unknown step");
   }
-  return {*step, read_head(row[1]), row[2].as<std::string>(), row[3].as<bool>()};
+  auto tail = std::optional{response_tail::nothing};
+  if (row.size() == event_elements) {
+    tail = from_name<response_tail>(row[4].as<std::string>());
+  }
+  if (!tail) {
+    throw std::invalid_argument("unknown tail");
+  }
+  return {*step, read_head(row[1]), row[2].as<std::string>(), row[3].as<bool>(), *tail};
 }
 
 tl::unexpected<error>
@@ -105,7 +113,9 @@
 pack_forward_event(const forward_event& it) {
   msgpack::sbuffer buf;
   msgpack::packer<msgpack::sbuffer> out{buf};
-  out.pack_array(event_elements);
+  // Instances of earlier builds know no tail; without one they can read the message.
+  const bool has_tail = it.tail != response_tail::nothing;
+  out.pack_array(event_elements - (has_tail ? 0 : 1));
   out.pack(std::string{to_name(it.step)});
   if (it.step == forward_step::head) {
     pack_head(out, it.head);
@@ -114,6 +124,9 @@
   }
   out.pack(it.bytes);
   out.pack(it.path_known);
+  if (has_tail) {
+    out.pack(std::string{to_name(it.tail)});
+  }
   return {buf.data(), buf.size()};
 }
 
--- a/src/libnutmegspur/forward_frame_test.cpp
+++ b/src/libnutmegspur/forward_frame_test.cpp
@@ -45,10 +45,11 @@
   head.fields.add("X-Name", "value");
   head.close_delimited = true;
   const auto body = *rc::gen::arbitrary<std::string>();
+  const auto tail = *rc::gen::element(response_tail::nothing, response_tail::body);
   const std::string bytes = pack_forward_event({forward_step::sent, {}, {}, false}) +
                             pack_forward_event({forward_step::head, head, {}, false}) +
                             pack_forward_event({forward_step::body, {}, body, false}) +
-                            pack_forward_event({forward_step::end, {}, "broken", true});
+                            pack_forward_event({forward_step::end, {}, "broken", true, tail});
   forward_reader reader;
   std::vector<forward_event> events;
   for (std::size_t at = 0; at < bytes.size();) {
@@ -67,6 +68,7 @@
   RC_ASSERT(events[2].bytes == body);
   RC_ASSERT(events[3].bytes == "broken");
   RC_ASSERT(events[3].path_known);
+  RC_ASSERT(events[3].tail == tail);
 }
 
 TEST(forward_reader, malformed_or_endless_bytes_are_an_error) {
--- a/src/libnutmegspur/log_reader.cpp
+++ b/src/libnutmegspur/log_reader.cpp
@@ -260,6 +260,34 @@
   return trace;
 }
 
+std::string
+stream_end_text(const request_trace& trace) {
+  const auto last =
+      std::find_if(trace.request_lines.rbegin(), trace.request_lines.rend(),
+                   [](const auto& it) { return it.number == number_of(log_event::stream_ended); });
+  if (last == trace.request_lines.rend() || last->field("next") != "pass_on") {
+    return {};
+  }
+  const auto counted = [&](std::string_view key) {
+    const std::string n = last->field(key);
+    return !n.empty() && n != "0";
+  };
+  const std::string tail = last->field("tail");
+  std::string out = "the stream was complete by its ";
+  out += last->field("framing") == "connection" ? "connection's end alone" : last->field("framing");
+  if (counted("misplaced") || counted("ahead") || counted("unnumbered")) {
+    out += "; ids of its events are missing, wrong or out of order";
+  }
+  if (tail == "body" || tail == "other" || tail == "response" || tail == "reset") {
+    out += "; what followed contradicts the end, or belongs to no request: " + tail;
+  }
+  if (const std::string after = last->field("resumed_after"); !after.empty()) {
+    out += "; it was resumed after event " + after;
+    out += counted("events") ? "" : ", and nothing was left of it";
+  }
+  return out + "; last event " + last->field("last_id") + "\n";
+}
+
 std::string
 trace_text(std::string_view request, const request_trace& trace) {
   if (trace.request_lines.empty()) {
@@ -282,6 +310,7 @@
            "no line reports its end: it may still be running, its instance may have ended, or "
            "lines were dropped (E107)\n";
   }
+  out += stream_end_text(trace);
   out += "ended by E" + std::to_string(trace.end->number) + " " + trace.end->name + " at " +
          trace.end->source + "\n";
   return out + std::string{advice_for(*trace.end)->text} + "\n";
--- a/src/libnutmegspur/log_reader_test.cpp
+++ b/src/libnutmegspur/log_reader_test.cpp
@@ -90,5 +90,26 @@
   EXPECT_NE(trace_text("a", trace).find("no line reports its end"), std::string::npos);
 }
 
+// A stream that ended short could not be told from a whole one by its instance's log.
+TEST(log_reader, the_end_of_a_stream_is_explained_by_what_its_attempt_saw) {
+  const auto text = [](const std::string& fields) {
+    return stream_end_text(find_request_trace(
+        "a",
+        records({"f time_ms=1 E510 stream_ended request=a upstream=u next=retry framing=chunks",
+                 "f time_ms=2 E510 stream_ended request=a upstream=v last_id=4 " + fields})));
+  };
+  EXPECT_EQ(text("next=cut framing=chunks"), "");
+  const auto has = [&](const std::string& fields, const std::string& part) {
+    return text("next=pass_on " + fields).find(part) != std::string::npos;
+  };
+  EXPECT_TRUE(has("framing=chunks tail=nothing", "complete by its chunks; last event 4"));
+  EXPECT_TRUE(has("framing=connection tail=closed", "its connection's end alone"));
+  EXPECT_TRUE(
+      has("framing=chunks tail=body", "contradicts the end, or belongs to no request: body"));
+  EXPECT_TRUE(has("framing=chunks misplaced=6", "missing, wrong or out of order"));
+  EXPECT_TRUE(has("framing=chunks resumed_after=4 events=0", "resumed after event 4, and nothing"));
+  EXPECT_FALSE(has("framing=chunks resumed_after=4 events=2", "nothing was left"));
+}
+
 } // namespace
 } // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/stream_evidence.cpp
@@ -0,0 +1,109 @@
+// The order of a stream's events, and the bytes behind its end.
+#include <nutmegspur/stream_evidence.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace nutmegspur {
+
+namespace {
+
+/// Gaps that are remembered one by one; beyond it the oldest two become one.
+constexpr std::size_t max_gaps = 16;
+
+std::optional<std::int64_t>
+read_id(std::string_view text) {
+  std::int64_t n = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (text.empty() || ec != std::errc{} || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+bool
+is_hex_digit(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+}
+
+/// Whether `bytes` begin with the size line of a chunk.
+bool
+begins_chunk(std::string_view bytes) {
+  const std::string_view line = bytes.substr(0, bytes.find("\r\n"));
+  return !line.empty() && line.size() < bytes.size() &&
+         std::all_of(line.begin(), line.end(), is_hex_digit);
+}
+
+} // namespace
+
+body_framing
+framing_of(const http_response_head& head) {
+  if (head.close_delimited) {
+    return body_framing::connection;
+  }
+  return head.fields.has("Transfer-Encoding") ? body_framing::chunks : body_framing::length;
+}
+
+response_tail
+classify_tail(std::string_view bytes) {
+  constexpr std::string_view protocol = "HTTP/";
+  const std::size_t n = std::min(bytes.size(), protocol.size());
+  if (bytes.substr(0, n) == protocol.substr(0, n)) {
+    return response_tail::response;
+  }
+  if (begins_chunk(bytes)) {
+    return response_tail::body;
+  }
+  for (const std::string_view field : {"id:", "data:", "event:"}) {
+    if (bytes.starts_with(field)) {
+      return response_tail::body;
+    }
+  }
+  return response_tail::other;
+}
+
+event_sequence::event_sequence(std::string_view after) : last_(read_id(after)) {}
+
+bool
+event_sequence::inside_gap(std::int64_t n) const {
+  return std::any_of(gaps_.begin(), gaps_.end(),
+                     [&](const gap& it) { return n > it.from && n < it.to; });
+}
+
+event_place
+event_sequence::add(std::string_view id, bool has_data) {
+  if (id.empty() && !has_data) {
+    return event_place::comment;
+  }
+  counts_.events++;
+  if (!id.empty()) {
+    if (counts_.first_id.empty()) {
+      counts_.first_id = id;
+    }
+    counts_.last_id = id;
+  }
+  const auto n = read_id(id);
+  if (!n) {
+    counts_.unnumbered++;
+    return event_place::unnumbered;
+  }
+  if (last_ && *n <= *last_) {
+    const bool misplaced = inside_gap(*n);
+    (misplaced ? counts_.misplaced : counts_.repeated)++;
+    return misplaced ? event_place::misplaced : event_place::repeated;
+  }
+  const bool ahead =
+      last_ && static_cast<std::uint64_t>(*n) - static_cast<std::uint64_t>(*last_) > 1;
+  if (ahead) {
+    counts_.ahead++;
+    if (gaps_.size() == max_gaps) {
+      gaps_[1].from = gaps_[0].from;
+      gaps_.erase(gaps_.begin());
+    }
+    gaps_.push_back({*last_, *n});
+  }
+  last_ = n;
+  return ahead ? event_place::ahead : event_place::next;
+}
+
+} // namespace nutmegspur
--- /dev/null
+++ b/src/libnutmegspur/stream_evidence_test.cpp
@@ -0,0 +1,95 @@
+// Guards the order of a stream's events, and what is read from the bytes behind its end.
+// labels: P09
+#include <nutmegspur/stream_evidence.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace nutmegspur {
+namespace {
+
+std::vector<event_place>
+places(std::string_view after, const std::vector<std::string>& ids) {
+  event_sequence it{after};
+  std::vector<event_place> all;
+  all.reserve(ids.size());
+  for (const auto& id : ids) {
+    all.push_back(it.add(id, true));
+  }
+  return all;
+}
+
+using enum event_place;
+
+// Events with their own ids were taken for repeated ones after an event with a wrong id.
+TEST(stream_evidence, an_event_below_a_wrong_id_is_not_a_repeated_one) {
+  EXPECT_EQ(places("", {"1", "2", "3", "97", "5", "6"}),
+            (std::vector{next, next, next, ahead, misplaced, misplaced}));
+}
+
+// A resumed run that began again at the first event was forwarded twice.
+TEST(stream_evidence, events_that_the_caller_has_are_repeated) {
+  EXPECT_EQ(places("2", {"1", "2", "3", "3", "4"}),
+            (std::vector{repeated, repeated, next, repeated, next}));
+}
+
+// A resumed run that did not begin right after the last event looked continuous.
+TEST(stream_evidence, a_resumed_run_is_compared_with_the_last_event_before_it) {
+  EXPECT_EQ(places("4", {"5", "6"}), (std::vector{next, next}));
+  EXPECT_EQ(places("4", {"7"}), (std::vector{ahead}));
+  EXPECT_EQ(places("", {"7"}), (std::vector{next}));
+}
+
+// Events without an id stopped the comparison of those that follow.
+TEST(stream_evidence, ids_that_are_no_numbers_are_passed_over) {
+  EXPECT_EQ(places("", {"1", "", "x2", "2", "9223372036854775808"}),
+            (std::vector{next, unnumbered, unnumbered, next, unnumbered}));
+  event_sequence it;
+  EXPECT_EQ(it.add("", false), comment);
+  EXPECT_EQ(it.counts().events, 0U);
+}
+
+// The distance of two ids overflowed.
+TEST(stream_evidence, any_two_numbers_are_compared) {
+  EXPECT_EQ(places("", {"-9223372036854775808", "9223372036854775807", "0"}),
+            (std::vector{next, ahead, misplaced}));
+}
+
+// An event was dropped, or forwarded twice, by a wrong place in the sequence.
+RC_GTEST_PROP(stream_evidence, an_event_is_repeated_only_if_its_caller_has_it, ()) {
+  const auto ids = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40));
+  event_sequence it;
+  std::set<int> forwarded;
+  int lowest = 0;
+  for (const int id : ids) {
+    const event_place place = it.add(std::to_string(id), true);
+    if (forwarded.empty()) {
+      lowest = id;
+    }
+    if (place == repeated) {
+      RC_ASSERT(forwarded.contains(id) || id < lowest);
+    }
+    if (place == next || place == ahead) {
+      RC_ASSERT(forwarded.insert(id).second);
+      RC_ASSERT(*forwarded.rbegin() == id);
+    }
+  }
+}
+
+// A following response made an end doubtful, or the rest of a body did not.
+TEST(stream_evidence, bytes_behind_a_response_are_told_apart) {
+  for (const char* it : {"HTTP/1.1 200 OK\r\n", "HTTP/", "HT"}) {
+    EXPECT_EQ(classify_tail(it), response_tail::response) << it;
+  }
+  for (const char* it : {"1c\r\nid: 5\n", "0\r\n\r\n", "id: 5\ndata: x", "data: x", "event: y"}) {
+    EXPECT_EQ(classify_tail(it), response_tail::body) << it;
+  }
+  for (const char* it : {"garbage", "\r\n", "1cx\r\n", "1c"}) {
+    EXPECT_EQ(classify_tail(it), response_tail::other) << it;
+  }
+}
+
+} // namespace
+} // namespace nutmegspur
--- a/src/proxy/forward_client.cpp
+++ b/src/proxy/forward_client.cpp
@@ -132,6 +132,7 @@
       break;
     }
     path_known_ = event.path_known;
+    tail_ = event.tail;
     end(how);
     break;
   }
--- a/src/proxy/forward_client.h
+++ b/src/proxy/forward_client.h
@@ -38,6 +38,8 @@
   /// Whether the upstream may have received the request.
   [[nodiscard]] bool sent() const override { return sent_ || asked_; }
 
+  [[nodiscard]] response_tail tail() const override { return tail_; }
+
   void cancel() override;
 
   /// No peer was able to forward the request.
@@ -72,6 +74,7 @@
   bool ended_ = false;
   bool no_peer_ = false;
   bool path_known_ = false;
+  response_tail tail_ = response_tail::nothing;
 };
 
 class forward_client {
--- a/src/proxy/forward_server.cpp
+++ b/src/proxy/forward_server.cpp
@@ -55,6 +55,7 @@
   options.timeout = request.limit;
   options.connect_timeout = upstream_connect_limit;
   options.not_after = now.boot + (request.not_after - state_.clock.agreed(now).wall);
+  options.examine_tail = true;
   options.accepts_response = [this, id = request.request_id](const http_response_head& head,
                                                              bool reused) {
     return is_response_to(state_.wire.parse_response_head(head), id, reused);
@@ -109,7 +110,11 @@
                                                                : attempt_result::unreachable);
     });
   }
-  it.peer->write(pack_forward_event({forward_step::end, {}, std::string{to_name(how)}, known}));
+  forward_event end{forward_step::end, {}, std::string{to_name(how)}, known, it.call->tail()};
+  if (end.tail == response_tail::closed) {
+    end.tail = response_tail::nothing; // Instances of earlier builds read no other message.
+  }
+  it.peer->write(pack_forward_event(end));
   it.peer->finish();
   close(number);
 }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -519,11 +519,12 @@
   it.upstream = *upstream;
   it.sent_at = http1::event_loop::now();
   it.engine_idle = state_.loads.total(it.sent_at, it.upstream.id).backlog_millis <= 0;
-  if (const auto& after = history_.response_started ? last_event_id_ : request_.last_event_id;
-      task != attempt_task::prefill && !after.empty()) {
+  it.resumed_after = history_.response_started ? last_event_id_ : request_.last_event_id;
+  it.sequence = event_sequence{it.resumed_after};
+  if (task != attempt_task::prefill && !it.resumed_after.empty()) {
     log(log_event::request_resumed, {{"request", request_.id},
                                      {"resumes", request_.resumes},
-                                     {"after_event", after},
+                                     {"after_event", it.resumed_after},
                                      {"service", service_name_.value},
                                      {"upstream", it.upstream.id.value},
                                      {"version", it.upstream.software_version}});
@@ -570,6 +571,7 @@
   http1::call_options options;
   options.timeout = attempt_limit(it.task);
   options.connect_timeout = upstream_connect_limit;
+  options.examine_tail = streaming() && it.task != attempt_task::prefill;
   options.accepts_response = [this](const http_response_head& head, bool reused) {
     return is_response_to(state_.wire.parse_response_head(head), request_.id, reused);
   };
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -19,6 +19,7 @@
 #include "upstream_paths.h"
 
 #include <nutmegspur/attempt_rules.h>
+#include <nutmegspur/stream_evidence.h>
 
 #include <functional>
 #include <memory>
@@ -52,7 +53,11 @@
   response_metadata marks;
   std::string body;
   event_splitter events;
-  bool has_events = false; ///< A complete event was received.
+  event_sequence sequence;
+  std::string resumed_after;   ///< Id of the last event that the caller had when it was sent.
+  std::uint32_t forwarded = 0; ///< Events that were forwarded.
+  bool has_events = false;     ///< A complete event was received.
+  bool stream_logged = false;  ///< Its end is in the log.
 };
 
 class request_flow {
@@ -154,6 +159,8 @@
   void start_decode();
   void free_handle();
   void close_attempt(attempt_end how);
+  /// Logs what the attempt's stream was like; `how` it ended and what follows.
+  void log_stream(std::string_view how, std::string_view next);
   void end_attempt(attempt_end how);
   void forward_response();
   /// Ends the request as `step` says: refuse, fail or cut.
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -3,8 +3,6 @@
 #include "millis_text.h"
 #include "request_flow.h"
 
-#include <charconv>
-
 namespace nutmegspur::proxy {
 
 namespace {
@@ -22,19 +20,6 @@
 constexpr std::size_t max_held_body_bytes = 8UL * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
 
-/// Whether event `id` comes after `last`. Numeric ids increase; if either is not a number, `id`
-/// counts as later.
-bool
-is_later_event(const std::string& id, const std::string& last) {
-  std::int64_t a = 0;
-  std::int64_t b = 0;
-  const auto read = [](const std::string& text, std::int64_t& to) {
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), to);
-    return ec == std::errc{} && end == text.data() + text.size();
-  };
-  return !read(id, a) || !read(last, b) || a > b;
-}
-
 } // namespace
 
 void
@@ -158,10 +143,11 @@
 void
 request_flow::forward_event(const std::string& event) {
   const std::string id = event_splitter::id_of(event);
-  if (!id.empty() && !last_event_id_.empty() && history_.response_started &&
-      !is_later_event(id, last_event_id_)) {
-    return; // Forwarded already, from an earlier attempt.
+  const event_place place = attempt_->sequence.add(id, event_splitter::has_data(event));
+  if (place == event_place::repeated || place == event_place::misplaced) {
+    return;
   }
+  attempt_->forwarded++;
   if (!history_.response_started) {
     history_.response_started = true;
     stream_version_ = attempt_->upstream.software_version;
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -76,6 +76,36 @@
   }
 }
 
+void
+request_flow::log_stream(std::string_view how, std::string_view next) {
+  if (!is_event_stream()) {
+    return;
+  }
+  upstream_attempt& it = *attempt_;
+  it.stream_logged = true;
+  const event_counts& seen = it.sequence.counts();
+  log(log_event::stream_ended,
+      {{"request", request_.id},
+       {"upstream", it.upstream.id.value},
+       {"peer", it.by_peer == nullptr ? "" : it.by_peer->peer().value},
+       {"attempt", std::to_string(history_.sent)},
+       {"how", std::string{how}},
+       {"next", std::string{next}},
+       {"framing", std::string{to_name(framing_of(it.head))}},
+       {"tail",
+        std::string{to_name(it.call == nullptr ? response_tail::nothing : it.call->tail())}},
+       {"resumed_after", it.resumed_after},
+       {"events", std::to_string(seen.events)},
+       {"forwarded", std::to_string(it.forwarded)},
+       {"first_id", seen.first_id},
+       {"last_id", seen.last_id},
+       {"repeated", std::to_string(seen.repeated)},
+       {"ahead", std::to_string(seen.ahead)},
+       {"misplaced", std::to_string(seen.misplaced)},
+       {"unnumbered", std::to_string(seen.unnumbered)},
+       {"partial_event", std::to_string(it.events.held_bytes())}});
+}
+
 void
 request_flow::record_evidence(attempt_end how) {
   const upstream_attempt& it = *attempt_;
@@ -267,6 +297,7 @@
     count_usage(it.sent_at);
   }
   history_.may_have_run = history_.may_have_run || may_have_run(how);
+  log_stream(to_name(how), to_name(step));
   switch (step) {
   case next_step::pass_on:
     if (is_event_stream() || (!streaming() && it.marks.stamped_by_upstream)) {
@@ -426,6 +457,9 @@
   origin_wait_.reset();
   const moment now = http1::event_loop::now();
   if (attempt_) {
+    if (attempt_->call != nullptr && attempt_->first_byte_received && !attempt_->stream_logged) {
+      log_stream("unfinished", std::to_string(status));
+    }
     state_.loads.on_ended(now, attempt_->load_id);
     paths_.on_ended(attempt_->path_attempt);
     http1::discard(state_.loop, std::move(attempt_->call));
