Test: streams that engines spoil end as complete before their last event

The first engine of a request sends its ten events badly, a later one is sound; 30 ways, each on a route with one attempt that may not be resumed (chat) and on two that may (two and three attempts), on the own path, by way of a peer, and resumed by its caller at another instance after its own was killed in the middle. Each row has a service of its own that has sent twenty sound streams before. 136 of 192 streams failed.

What callers got, the same on all routes, on the own path, by way of a peer and resumed by the caller, but where noted:

event 4 has id 97 complete: 1 2 3 97 event 4 has no id complete: 1 2 3 (no id) 5 to 10 event 4 has an id that is no number complete: 1 2 3 x4 5 to 10 event 4 comes twice whole events 5 and 6 are missing complete: 1 to 4, 7 to 10 size of the chunk of event 5 is 0 complete: 1 to 4 wrong bytes after the chunk of event 4 whole last chunk after 4, then more chunks, garbage, another response or a reset, at once or 30 ms later complete: 1 to 4 last chunk after 4 (no byte tells) complete: 1 to 4 no framing, clean close after 4 complete: 1 to 4 no framing, process killed (SIGKILL) after 4 complete: 1 to 4 process killed after 4 chat: cut; resumable: whole ten events, then another response whole last chunk missing after 10, empty run at a sound engine chat: cut; resumable: whole cut after 4, empty / short run at a sound engine (no byte tells) complete: 1 to 4 / 1 to 6 cut after 4, empty / short run at a faulty engine complete: 1 to 4 / 1 to 6 two spoiled attempts in a row complete, as the first of the two that looks complete

What no byte tells is listed in the case with what is done now.

--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -14,6 +14,8 @@
 import time
 import urllib.parse
 
+import spoiled_streams
+
 LOOPBACK = "127.0.0.1"
 HEARTBEAT_S = 0.5
 malformed_requests = []  # Why requests could not be read.
@@ -376,11 +378,13 @@
         self.registers = True
         self.crashes = []  # Times of these ends.
         self.writers = set()  # Open connections.
+        self.pace_s = 0.01  # Between events.
+        self.slots = 8
 
     def registration(self):
         self.heartbeats += 1
         it = {"service": self.service, "address": f"{LOOPBACK}:{self.port}", "zone": self.zone,
-              "version": self.version, "slots": 8, "state": self.state, "cold_remaining_ms": 0,
+              "version": self.version, "slots": self.slots, "state": self.state, "cold_remaining_ms": 0,
               "sequence": self.heartbeats, "born": self.born}
         if self.stage:
             it["stage"] = self.stage
@@ -545,6 +549,11 @@
                     return b""
                 return reply
             fault = "cut"
+        if fault == "no HTTP":
+            writer.write(response_to_resumed(fault, headers))
+            await writer.drain()
+            writer.close()
+            return b""
         if "x-prompt-prefix" in request.headers:
             return await self.stream(request, writer, headers, fault)
         body = json.dumps({"path": request.target, "size": len(request.body), "worker": self.name})
@@ -552,18 +561,20 @@
 
     async def stream(self, request, writer, headers, fault):
         """Streams ten events. With an `unframed` fault the response has neither a length nor chunks and
-        ends with its connection."""
-        unframed = fault.startswith("unframed")
+        ends with its connection. `spoiled_streams` has those that begin with "spoiled"."""
+        unframed = fault.startswith(("unframed", "spoiled unframed"))
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
                  "Connection: close" if unframed else "Transfer-Encoding: chunked"]
         lines += [f"{name}: {value}" for name, value in [*headers.items(), *self.statements()]]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         first = int(request.headers.get("last-event-id", "0") or "0") + 1
+        if fault.startswith("spoiled "):
+            return await spoiled_streams.send(fault.partition(" ")[2], writer, first, self.version)
         # The event that is truncated; the response ends there.
         truncated = {"cut": 5, "chunked_end_inside": 5, "unframed_end_inside": 5, "unframed_reset_inside": 5,
                      "unframed_end_inside_first": first, "unframed_end_empty": first}.get(fault)
         for event_id in range(first, 11):
-            event = f"id: {event_id}\ndata: token {event_id} of {self.version}\n\n".encode()
+            event = spoiled_streams.event(event_id, self.version)
             while fault == "trickle" and event_id == 5 and not writer.transport.is_closing():
                 writer.write(b"1\r\n:\r\n")  # A comment that does not end.
                 await asyncio.sleep(0.2)
@@ -574,7 +585,7 @@
             await writer.drain()
             if event_id == truncated:
                 break
-            await asyncio.sleep(0.6 if fault == "slow_events" else 0.01)
+            await asyncio.sleep(0.6 if fault == "slow_events" else self.pace_s)
         if fault == "unframed_reset_inside":
             await asyncio.sleep(0.02)  # The bytes before the reset are read first.
         if fault in ("cut", "unframed_reset_inside"):
