An event whose id is wrong, or skips others, ends its attempt

What callers got (system_proxied_short_streams, before): of a stream whose event 4 had the id 97, events 1 to 4 as complete; of one without events 5 and 6, the other eight as complete; on routes that may be resumed and on others, own path and by way of a peer. Cause: an event was compared only with the last one that was forwarded, whichever attempt it came from: a lower id counted as forwarded already, though no attempt had sent that event, and a higher one as the next. An event inside a gap of ids was never forwarded: the attempt ends as malformed; the caller has a wrong id, after which nothing can be resumed, and is cut. Where a service's streams have shown that it numbers events consecutively, an event that skips an id or has none ends the attempt before it is forwarded, and the stream goes on elsewhere after the last good event, or is cut. Numbering is learned from the service's own streams, since an upstream may count tokens instead of events.

--- a/src/include/nutmegspur/stream_evidence.h
+++ b/src/include/nutmegspur/stream_evidence.h
@@ -106,4 +106,19 @@
   event_counts counts_;
 };
 
+/// Whether the upstreams of a service number the events of a stream consecutively, learned from the
+/// streams that they have sent.
+class event_numbering {
+ public:
+  void on_stream(const event_counts& seen);
+
+  /// Whether an event that skips an id, or has none, shows that events are missing.
+  [[nodiscard]] bool consecutive() const { return other_share_ < max_other_share; }
+
+ private:
+  static constexpr double max_other_share = 0.5;
+
+  double other_share_ = 1; ///< Moving average of the streams with other ids.
+};
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/stream_evidence.cpp
+++ b/src/libnutmegspur/stream_evidence.cpp
@@ -106,4 +106,14 @@
   return ahead ? event_place::ahead : event_place::next;
 }
 
+void
+event_numbering::on_stream(const event_counts& seen) {
+  const bool other = seen.ahead > 0 || seen.unnumbered > 0 || seen.misplaced > 0;
+  if (!other && seen.events < 2) {
+    return; // Tells nothing.
+  }
+  constexpr double newest_weight = 0.05;
+  other_share_ += newest_weight * ((other ? 1.0 : 0.0) - other_share_);
+}
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/stream_evidence_test.cpp
+++ b/src/libnutmegspur/stream_evidence_test.cpp
@@ -91,5 +91,36 @@
   }
 }
 
+event_counts
+stream(std::uint32_t events, std::uint32_t ahead) {
+  event_counts it;
+  it.events = events;
+  it.ahead = ahead;
+  return it;
+}
+
+// Sound streams were cut at a service that numbers its events in steps.
+TEST(stream_evidence, consecutive_numbering_is_learned_and_unlearned) {
+  event_numbering it;
+  EXPECT_FALSE(it.consecutive());
+  constexpr int enough = 20;
+  for (int n = 0; n < enough; ++n) {
+    it.on_stream(stream(1, 0)); // Tells nothing.
+  }
+  EXPECT_FALSE(it.consecutive());
+  for (int n = 0; n < enough; ++n) {
+    it.on_stream(stream(3, 0));
+  }
+  EXPECT_TRUE(it.consecutive());
+  for (int n = 0; n < enough; ++n) {
+    it.on_stream(n % 4 == 0 ? stream(3, 1) : stream(3, 0)); // Some are spoiled.
+  }
+  EXPECT_TRUE(it.consecutive());
+  for (int n = 0; n < enough; ++n) {
+    it.on_stream(stream(3, 1));
+  }
+  EXPECT_FALSE(it.consecutive());
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -14,6 +14,7 @@
 #include <nutmegspur/prompt_cache_view.h>
 #include <nutmegspur/retry_budget.h>
 #include <nutmegspur/stop_window.h>
+#include <nutmegspur/stream_evidence.h>
 #include <nutmegspur/stream_origins.h>
 #include <nutmegspur/upstream_health.h>
 #include <nutmegspur/upstream_limits.h>
@@ -84,6 +85,7 @@
   upstream_pauses pauses;
   upstream_limits limits;
   crash_blame blame;
+  std::map<service_id, event_numbering> numberings; ///< Of the services' streams.
   stream_origins origins;
   load_view loads;
   prompt_cache_view caches;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -58,6 +58,7 @@
   std::uint32_t forwarded = 0; ///< Events that were forwarded.
   bool has_events = false;     ///< A complete event was received.
   bool stream_logged = false;  ///< Its end is in the log.
+  bool contradicted = false;   ///< An id shows that events are missing or wrong.
 };
 
 class request_flow {
@@ -149,7 +150,8 @@
   /// Whether the upstream sent more than a response that is held here may have.
   [[nodiscard]] bool holds_too_much() const;
   void forward_events();
-  void forward_event(const std::string& event);
+  /// Returns false if the event shows that the attempt's stream is not what its engine made.
+  bool forward_event(const std::string& event);
   void on_first_byte();
   void calibrate(const moment& now);
   void count_usage(const moment& when);
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -116,7 +116,8 @@
     forward_events();
   }
   // Checked last: the end of the attempt may end the request.
-  if (!done_ && attempt_ && attempt_->call != nullptr && holds_too_much()) {
+  if (!done_ && attempt_ && attempt_->call != nullptr &&
+      (attempt_->contradicted || holds_too_much())) {
     attempt_->call->cancel();
     end_attempt(attempt_end::malformed);
   }
@@ -133,19 +134,36 @@
   for (std::string event = attempt_->events.next_event(); !event.empty();
        event = attempt_->events.next_event()) {
     attempt_->has_events = true;
-    forward_event(event);
+    if (!forward_event(event)) {
+      attempt_->contradicted = true;
+      return;
+    }
   }
   if (caller_->unsent() > max_unsent_bytes) {
     cut("the caller does not read");
   }
 }
 
-void
+bool
 request_flow::forward_event(const std::string& event) {
   const std::string id = event_splitter::id_of(event);
   const event_place place = attempt_->sequence.add(id, event_splitter::has_data(event));
-  if (place == event_place::repeated || place == event_place::misplaced) {
-    return;
+  switch (place) {
+  case event_place::repeated:
+    return true;
+  case event_place::misplaced:
+    // The caller has an event with a wrong id, after which no upstream can resume.
+    history_.resumable = false;
+    return false;
+  case event_place::ahead:
+  case event_place::unnumbered:
+    if (state_.numberings[service_name_].consecutive()) {
+      return false;
+    }
+    break;
+  case event_place::next:
+  case event_place::comment:
+    break;
   }
   attempt_->forwarded++;
   if (!history_.response_started) {
@@ -165,6 +183,7 @@
   }
   last_event_at_ = now;
   caller_->write(event);
+  return true;
 }
 
 void
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -61,6 +61,9 @@
                                                                        : engine_stage::prefill;
     state_.withhold(now, it.upstream.id, other, misdirected_period, "misdirected");
   }
+  if (is_event_stream()) {
+    state_.numberings[service_name_].on_stream(it.sequence.counts());
+  }
   if (how != attempt_end::answered) {
     client_.forget({it.upstream.address, it.upstream.port});
     log(log_event::upstream_failed,
