A stream is complete only on evidence; without it the rest is asked for elsewhere

Cause: a response that was received up to its end was whole, whatever had been seen around that end. Change: end_of_response gets what followed the end and whether the upstream has spoiled or broken off other answers in the last three seconds. More of the body behind its end is a failed attempt. An end that is only that of the connection, that anything else follows, or that a doubtful upstream gives, is unproven: where the route may be resumed and attempts, budget and time are left, the stream is resumed after its last event; events that come were missing, an empty framed run of a sound upstream is the proof. If no proof is to be had, a stream that has not broken off before is ended as its upstream ended it; one that has is cut. Tests changed: attempt_rules_test said that a close-delimited stream between two events is answered; it is unproven now, and the table checks that it is never an answer by itself.

--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -5,11 +5,16 @@
 /// "Not run" is reported only if no attempt may have run. A request that is neither repeatable nor
 /// a resumable stream is never sent again once one of its bytes may have reached an upstream,
 /// unless the upstream itself reported that it did not run it.
+///
+/// A stream of events is complete on evidence. Where that is missing, a stream that may be resumed
+/// is asked for its rest elsewhere: events that come were missing, and an empty run that is framed
+/// proves the end. Evidence against an end is a failed attempt.
 #pragma once
 
 #include <nutmegspur/clock.h>
 #include <nutmegspur/names.h>
 #include <nutmegspur/proxy_config.h>
+#include <nutmegspur/stream_evidence.h>
 
 #include <cstdint>
 #include <string_view>
@@ -19,6 +24,7 @@
 /// How an attempt ended.
 enum class attempt_end {
   answered,     ///< A complete response, other than a server error.
+  unproven,     ///< A stream that ended between two events; nothing proves that it is whole.
   server_error, ///< A complete response with a status of 500 or more.
   rejected,     ///< The upstream reported that it did not run the request.
   unreachable,  ///< No byte of the request was sent.
@@ -28,8 +34,9 @@
 };
 
 template <> struct enum_names<attempt_end> {
-  static constexpr std::array<enum_name<attempt_end>, 7> table{{
+  static constexpr std::array<enum_name<attempt_end>, 8> table{{
       {attempt_end::answered, "answered"},
+      {attempt_end::unproven, "unproven"},
       {attempt_end::server_error, "server_error"},
       {attempt_end::rejected, "rejected"},
       {attempt_end::unreachable, "unreachable"},
@@ -52,6 +59,9 @@
   bool response_started = false;
   bool has_events = false;   ///< At least one event is complete.
   bool inside_event = false; ///< The body ends inside an event.
+  response_tail tail = response_tail::nothing;
+  /// The upstream has spoiled or broken off other answers lately.
+  bool doubtful_upstream = false;
 };
 
 /// The state of a request, as input to the rules.
@@ -65,24 +75,31 @@
   bool time_left = true;         ///< Enough time is left for another attempt.
   bool budget_left = true;       ///< The shared retry budget allows a retry.
   bool upstream_left = true;     ///< Another upstream can take the request.
+  /// An attempt has ended the started response without proof, and no event has come since.
+  bool end_unproven = false;
+  /// The stream has broken off, in this response or in the one that its caller resumes: only a
+  /// proved end completes it.
+  bool broken_off = false;
 };
 
 /// What to do with the request next.
 enum class next_step {
-  pass_on, ///< Forward the upstream's response unchanged.
-  retry,   ///< Another attempt; a started stream resumes after its last event.
-  refuse,  ///< Report "not run", with a Retry-After time.
-  fail,    ///< Report an error that does not say whether the request ran.
-  cut,     ///< The response has started and cannot be completed: close the connection.
+  pass_on,  ///< Forward the upstream's response unchanged.
+  retry,    ///< Another attempt; a started stream resumes after its last event.
+  refuse,   ///< Report "not run", with a Retry-After time.
+  fail,     ///< Report an error that does not say whether the request ran.
+  cut,      ///< The response has started and cannot be completed: close the connection.
+  complete, ///< End the started response: an attempt has ended it, and no proof is to be had.
 };
 
 template <> struct enum_names<next_step> {
-  static constexpr std::array<enum_name<next_step>, 5> table{{
+  static constexpr std::array<enum_name<next_step>, 6> table{{
       {next_step::pass_on, "pass_on"},
       {next_step::retry, "retry"},
       {next_step::refuse, "refuse"},
       {next_step::fail, "fail"},
       {next_step::cut, "cut"},
+      {next_step::complete, "complete"},
   }};
 };
 
@@ -93,7 +110,9 @@
 /// How an attempt ended whose response was received up to its end. A stream is whole only if it
 /// ends between two events; one that ends with its connection also needs an event. It may have none
 /// if it is framed: nothing was left to resume. After `response_started` only an event stream is an
-/// answer; whatever else the upstream sent is a failed attempt.
+/// answer; whatever else the upstream sent is a failed attempt. More of the body behind its end
+/// shows that the end is wrong. An end is unproven if it is only that of the connection, if
+/// anything else follows it, or if the upstream is doubtful.
 attempt_end end_of_response(const ended_response& response);
 
 /// Whether the work of an attempt with this end may have run.
--- a/src/include/nutmegspur/stream_evidence.h
+++ b/src/include/nutmegspur/stream_evidence.h
@@ -3,13 +3,16 @@
 /// events, and what surrounded the end of its response.
 #pragma once
 
+#include <nutmegspur/clock.h>
 #include <nutmegspur/http_message.h>
+#include <nutmegspur/ids.h>
 #include <nutmegspur/names.h>
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace nutmegspur {
@@ -121,4 +124,21 @@
   double other_share_ = 1; ///< Moving average of the streams with other ids.
 };
 
+/// Upstreams that have spoiled or broken off answers lately.
+class spoiled_answers {
+ public:
+  /// How long an upstream is doubtful after such an answer.
+  static constexpr milliseconds doubtful_period{3'000};
+
+  void on_spoiled(const moment& now, const upstream_id& id) { last_[id] = now.boot; }
+
+  /// Forgets an upstream that is gone or has restarted.
+  void forget(const upstream_id& id) { last_.erase(id); }
+
+  [[nodiscard]] bool doubtful(const moment& now, const upstream_id& id) const;
+
+ private:
+  std::unordered_map<upstream_id, time_point> last_;
+};
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -41,10 +41,16 @@
     return attempt_end::malformed;
   }
   const bool empty = response.close_delimited && !response.has_events;
-  if (response.event_stream && (response.inside_event || empty)) {
+  if (!response.event_stream) {
+    return attempt_end::answered;
+  }
+  if (response.inside_event || empty || response.tail == response_tail::body) {
     return attempt_end::broken;
   }
-  return attempt_end::answered;
+  const bool followed =
+      response.tail != response_tail::nothing && response.tail != response_tail::closed;
+  return response.close_delimited || followed || response.doubtful_upstream ? attempt_end::unproven
+                                                                            : attempt_end::answered;
 }
 
 bool
@@ -77,7 +83,7 @@
 next_step
 after_last_attempt(const attempt_history& history) {
   if (history.response_started) {
-    return next_step::cut;
+    return history.end_unproven && !history.broken_off ? next_step::complete : next_step::cut;
   }
   return history.may_have_run ? next_step::fail : next_step::refuse;
 }
@@ -113,8 +119,11 @@
   if (can_retry && may_repeat(end, history)) {
     return next_step::retry;
   }
+  if (end == attempt_end::unproven && !history.broken_off) {
+    return next_step::pass_on;
+  }
   if (history.response_started) {
-    return next_step::cut;
+    return after_last_attempt(history);
   }
   if (end == attempt_end::server_error) {
     return next_step::pass_on;
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -21,14 +21,16 @@
   it.time_left = *rc::gen::arbitrary<bool>();
   it.budget_left = *rc::gen::arbitrary<bool>();
   it.upstream_left = *rc::gen::arbitrary<bool>();
+  it.end_unproven = it.response_started && *rc::gen::arbitrary<bool>();
+  it.broken_off = *rc::gen::arbitrary<bool>();
   return it;
 }
 
 attempt_end
 arbitrary_end() {
-  return *rc::gen::element(attempt_end::answered, attempt_end::server_error, attempt_end::rejected,
-                           attempt_end::unreachable, attempt_end::broken, attempt_end::malformed,
-                           attempt_end::timed_out);
+  return *rc::gen::element(attempt_end::answered, attempt_end::unproven, attempt_end::server_error,
+                           attempt_end::rejected, attempt_end::unreachable, attempt_end::broken,
+                           attempt_end::malformed, attempt_end::timed_out);
 }
 
 ended_response
@@ -62,10 +64,11 @@
 
 // A resumed stream of which no event was left was broken off. Only framing shows that nothing was
 // left: a connection that closes before the first event may as well have failed.
-TEST(attempt_rules, a_stream_that_ends_between_events_is_complete) {
+TEST(attempt_rules, a_stream_that_ends_between_events_is_complete_by_its_framing) {
   ended_response it = complete_stream();
-  it.close_delimited = true;
   EXPECT_EQ(end_of_response(it), attempt_end::answered);
+  it.close_delimited = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::unproven);
   it.has_events = false;
   it.response_started = true;
   EXPECT_EQ(end_of_response(it), attempt_end::broken);
@@ -127,15 +130,18 @@
     const bool whole = !it.inside_event && (it.has_events || !it.close_delimited);
     const bool wanted = it.status == 200 && it.stamped && !it.not_run && names_events && whole;
     const attempt_end end = end_of(it);
-    EXPECT_EQ(end == attempt_end::answered, wanted)
-        << it.status << ' ' << it.media_type << ' ' << to_name(end);
+    const bool whole_stream =
+        it.close_delimited ? end == attempt_end::unproven : end == attempt_end::answered;
+    EXPECT_EQ(whole_stream, wanted) << it.status << ' ' << it.media_type << ' ' << to_name(end);
+    const bool proved = wanted && !it.close_delimited;
     for (const bool resumable : {false, true}) {
       for (const std::uint32_t max_attempts : {2U, 3U}) {
         attempt_history history{route_kind::stream, resumable, max_attempts, 2};
         history.may_have_run = true;
         history.response_started = true;
         const bool again = resumable && max_attempts > 2;
-        EXPECT_EQ(after_attempt(end, history), wanted  ? next_step::pass_on
+        history.broken_off = true;
+        EXPECT_EQ(after_attempt(end, history), proved  ? next_step::pass_on
                                                : again ? next_step::retry
                                                        : next_step::cut)
             << it.status << ' ' << it.media_type << ' ' << to_name(end);
@@ -210,9 +216,88 @@
   auto history = arbitrary_history();
   history.response_started = true;
   const auto end = arbitrary_end();
-  RC_PRE(end != attempt_end::answered);
+  RC_PRE(end != attempt_end::answered && end != attempt_end::unproven);
   const auto step = after_attempt(end, history);
-  RC_ASSERT(step == next_step::retry || step == next_step::cut);
+  RC_ASSERT(
+      step == next_step::retry ||
+      step == (history.end_unproven && !history.broken_off ? next_step::complete : next_step::cut));
+}
+
+/// What an attempt may have seen at the end of a stream.
+struct stream_end_case {
+  ended_response response;
+  attempt_history history;
+};
+
+/// Calls `visit` with each combination of framing, events, tail, upstream and history.
+template <class Visitor>
+void
+for_each_stream_end(Visitor visit) {
+  constexpr int flag_sets = 1 << 10;
+  for (const auto tail : {response_tail::nothing, response_tail::closed, response_tail::reset,
+                          response_tail::response, response_tail::body, response_tail::other}) {
+    for (int flags = 0; flags < flag_sets; ++flags) {
+      const auto flag = [&](int n) { return (flags >> n & 1) != 0; };
+      stream_end_case it{complete_stream(), {route_kind::stream, flag(0), 3, flag(1) ? 3U : 1U}};
+      it.response.close_delimited = flag(2);
+      it.response.has_events = flag(3);
+      it.response.inside_event = flag(4);
+      it.response.doubtful_upstream = flag(5);
+      it.response.response_started = flag(6);
+      it.response.tail = tail;
+      it.history.response_started = flag(6);
+      it.history.end_unproven = flag(6) && flag(7);
+      it.history.budget_left = flag(8);
+      it.history.broken_off = flag(9);
+      visit(it);
+    }
+  }
+}
+
+// Regression: streams ended as complete before their last event, by the end of a connection, or
+// with more of their body behind the end.
+TEST(attempt_rules, a_stream_is_complete_only_on_evidence) {
+  for_each_stream_end([](const stream_end_case& it) {
+    const ended_response& seen = it.response;
+    const attempt_end end = end_of_response(seen);
+    const bool against = seen.inside_event || seen.tail == response_tail::body ||
+                         (seen.close_delimited && !seen.has_events);
+    EXPECT_EQ(end == attempt_end::broken, against);
+    if (end == attempt_end::answered) {
+      EXPECT_FALSE(seen.close_delimited || seen.doubtful_upstream);
+      EXPECT_TRUE(seen.tail == response_tail::nothing || seen.tail == response_tail::closed);
+    }
+    const next_step step = after_attempt(end, it.history);
+    const bool may_ask =
+        it.history.resumable && it.history.sent < it.history.max_attempts && it.history.budget_left;
+    if (end != attempt_end::answered && may_ask) {
+      EXPECT_EQ(step, next_step::retry) << to_name(end);
+    }
+    const bool excluded = against && !it.history.end_unproven;
+    if (excluded || (end != attempt_end::answered && it.history.broken_off)) {
+      EXPECT_TRUE(step == next_step::retry || step == next_step::cut || step == next_step::fail);
+    }
+  });
+}
+
+// A stream whose upstream had ended it was cut because the one that was asked for a proof failed.
+TEST(attempt_rules, a_stream_is_not_cut_for_want_of_a_proof) {
+  attempt_history history{route_kind::stream, true, 2, 2};
+  history.may_have_run = true;
+  history.response_started = true;
+  history.end_unproven = true;
+  for (const auto end : {attempt_end::server_error, attempt_end::rejected, attempt_end::unreachable,
+                         attempt_end::broken, attempt_end::malformed, attempt_end::timed_out}) {
+    EXPECT_EQ(after_attempt(end, history), next_step::complete) << to_name(end);
+  }
+  EXPECT_EQ(after_last_attempt(history), next_step::complete);
+  history.broken_off = true;
+  EXPECT_EQ(after_attempt(attempt_end::broken, history), next_step::cut);
+  EXPECT_EQ(after_last_attempt(history), next_step::cut);
+  history.broken_off = false;
+  history.end_unproven = false; // An event came since.
+  EXPECT_EQ(after_attempt(attempt_end::broken, history), next_step::cut);
+  EXPECT_EQ(after_last_attempt(history), next_step::cut);
 }
 
 // Regression: the first attempt of a stream failed midway, then the separate prefill of the second
--- a/src/libnutmegspur/stream_evidence.cpp
+++ b/src/libnutmegspur/stream_evidence.cpp
@@ -116,4 +116,10 @@
   other_share_ += newest_weight * ((other ? 1.0 : 0.0) - other_share_);
 }
 
+bool
+spoiled_answers::doubtful(const moment& now, const upstream_id& id) const {
+  const auto it = last_.find(id);
+  return it != last_.end() && now.boot - it->second < doubtful_period;
+}
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/stream_evidence_test.cpp
+++ b/src/libnutmegspur/stream_evidence_test.cpp
@@ -122,5 +122,20 @@
   EXPECT_FALSE(it.consecutive());
 }
 
+// An upstream stayed doubtful for good, or another process at its id did.
+TEST(stream_evidence, an_upstream_is_doubtful_for_a_while) {
+  spoiled_answers it;
+  const upstream_id one{"one"};
+  const auto at = [](milliseconds t) { return moment{time_point{t}, wall_time{}}; };
+  EXPECT_FALSE(it.doubtful(at(milliseconds{1}), one));
+  it.on_spoiled(at(milliseconds{1}), one);
+  EXPECT_TRUE(it.doubtful(at(spoiled_answers::doubtful_period), one));
+  EXPECT_FALSE(it.doubtful(at(milliseconds{1}), upstream_id{"two"}));
+  EXPECT_FALSE(it.doubtful(at(spoiled_answers::doubtful_period + milliseconds{1}), one));
+  it.on_spoiled(at(milliseconds{1}), one);
+  it.forget(one);
+  EXPECT_FALSE(it.doubtful(at(milliseconds{1}), one));
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -127,6 +127,7 @@
   if (how == upstream_change::restarted || how == upstream_change::removed) {
     caches.forget(id);
     health.forget(id);
+    spoiled.forget(id);
     limits.forget(id);
   }
   if (how == upstream_change::restarted) {
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -85,6 +85,7 @@
   upstream_pauses pauses;
   upstream_limits limits;
   crash_blame blame;
+  spoiled_answers spoiled;
   std::map<service_id, event_numbering> numberings; ///< Of the services' streams.
   stream_origins origins;
   load_view loads;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -168,6 +168,7 @@
   history_.kind = route_->kind;
   history_.resumable = route_->resumable;
   history_.max_attempts = route_->max_attempts;
+  history_.broken_off = resumes_earlier_request();
   last_event_id_ = request_.last_event_id;
   if (stop_if_too_late()) {
     return false;
@@ -484,6 +485,9 @@
   if (task == attempt_task::prefill) {
     return prefill_time_limit(placement_.prefill_answer_millis, rest);
   }
+  if (history_.end_unproven) {
+    return std::min(rest, route_->target_latency); // The caller has its events.
+  }
   if (route_->kind != route_kind::repeatable || history_.sent + 1 >= history_.max_attempts) {
     return rest;
   }
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -165,6 +165,11 @@
   void log_stream(std::string_view how, std::string_view next);
   void end_attempt(attempt_end how);
   void forward_response();
+  /// Ends the started response, whose end no further attempt has proved.
+  void complete();
+  /// Logs that the response is complete; `proof` tells what its end was believed on.
+  void log_answer(const upstream_id& upstream, int status, std::string_view proof,
+                  std::size_t partial_event);
   /// Ends the request as `step` says: refuse, fail or cut.
   void end_request(next_step step, std::string_view why, std::optional<milliseconds> retry_after,
                    double expected_millis);
@@ -234,6 +239,7 @@
   time_point first_event_at_{};
   time_point last_event_at_{};
   duration longest_gap_{0};    ///< Between two forwarded events.
+  upstream_id ended_by_;       ///< Upstream that ended the response without proof.
   bool usage_counted_ = false; ///< The request is in the team's usage.
   bool done_ = false;
 };
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -182,6 +182,7 @@
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
+  history_.end_unproven = false;
   caller_->write(event);
   return true;
 }
@@ -221,6 +222,8 @@
   response.response_started = history_.response_started;
   response.has_events = it.has_events;
   response.inside_event = it.events.inside_event();
+  response.tail = it.call->tail();
+  response.doubtful_upstream = state_.spoiled.doubtful(http1::event_loop::now(), it.upstream.id);
   end_attempt(end_of_response(response));
 }
 
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -26,6 +26,7 @@
 health_result(attempt_end how) {
   switch (how) {
   case attempt_end::answered:
+  case attempt_end::unproven:
     return attempt_result::answered;
   case attempt_end::server_error:
   case attempt_end::rejected:
@@ -61,10 +62,13 @@
                                                                        : engine_stage::prefill;
     state_.withhold(now, it.upstream.id, other, misdirected_period, "misdirected");
   }
+  if (how == attempt_end::malformed || (how == attempt_end::broken && it.head.status != 0)) {
+    state_.spoiled.on_spoiled(now, it.upstream.id);
+  }
   if (is_event_stream()) {
     state_.numberings[service_name_].on_stream(it.sequence.counts());
   }
-  if (how != attempt_end::answered) {
+  if (how != attempt_end::answered && how != attempt_end::unproven) {
     client_.forget({it.upstream.address, it.upstream.port});
     log(log_event::upstream_failed,
         {{"request", request_.id},
@@ -215,6 +219,9 @@
   case next_step::fail:
     fail(bad_gateway, why);
     break;
+  case next_step::complete:
+    complete();
+    break;
   default:
     refuse(why, retry_after, expected_millis);
     break;
@@ -313,6 +320,13 @@
     log(log_event::request_retried, {{"request", request_.id},
                                      {"after", std::string{to_name(how)}},
                                      {"sent", std::to_string(history_.sent)}});
+    if (how != attempt_end::unproven) {
+      history_.broken_off =
+          history_.broken_off || (history_.response_started && !history_.end_unproven);
+    } else if (history_.response_started) {
+      history_.end_unproven = true;
+      ended_by_ = it.upstream.id;
+    }
     http1::discard(state_.loop, std::move(it.call));
     attempt_.reset();
     place();
@@ -326,9 +340,21 @@
   case next_step::cut:
     cut(to_name(how));
     break;
+  case next_step::complete:
+    complete();
+    break;
   }
 }
 
+void
+request_flow::complete() {
+  constexpr int ok = 200;
+  caller_->finish();
+  origins_.on_stream_completed(stream_request());
+  log_answer(ended_by_, ok, "none", 0);
+  finish(ok);
+}
+
 void
 request_flow::forward_response() {
   upstream_attempt& it = *attempt_;
@@ -344,15 +370,21 @@
   if (streaming()) {
     origins_.on_stream_completed(stream_request());
   }
+  log_answer(it.upstream.id, status, to_name(framing_of(it.head)), partial_event);
+  finish(status);
+}
+
+void
+request_flow::log_answer(const upstream_id& upstream, int status, std::string_view proof,
+                         std::size_t partial_event) {
   log(log_event::request_answered, {{"request", request_.id},
-                                    {"upstream", it.upstream.id.value},
+                                    {"upstream", upstream.value},
                                     {"status", std::to_string(status)},
                                     {"first_event_ms", first_event_text()},
                                     {"longest_gap_ms", rounded(to_millis(longest_gap_))},
-                                    {"close_delimited", it.head.close_delimited ? "yes" : "no"},
+                                    {"proof", std::string{proof}},
                                     {"partial_event", std::to_string(partial_event)},
                                     {"elapsed_ms", elapsed_text()}});
-  finish(status);
 }
 
 std::string
@@ -439,7 +471,7 @@
     return;
   }
   if (history_.response_started) {
-    cut("deadline");
+    end_request(after_last_attempt(history_), "deadline", std::nullopt, 0);
   } else if (history_.may_have_run || (attempt_ && attempt_->task != attempt_task::prefill &&
                                        attempt_->call && attempt_->call->sent())) {
     fail(504, "deadline");
