--- /dev/null
+++ b/src/http1/head_check.cpp
@@ -0,0 +1,108 @@
+// Checks of the lines of a head.
+#include "head_check.h"
+
+#include "field_syntax.h"
+
+#include <nutmegspur/http_message.h>
+
+#include <algorithm>
+
+namespace nutmegspur::http1 {
+
+namespace {
+
+std::optional<std::string>
+find_request_line_violation(std::string_view line) {
+  const auto first = line.find(' ');
+  const auto last = line.rfind(' ');
+  if (first == std::string_view::npos || first == last || !is_token(line.substr(0, first))) {
+    return "the request line is malformed";
+  }
+  const std::string_view target = line.substr(first + 1, last - first - 1);
+  if (!target.starts_with('/') || target.find(' ') != std::string_view::npos) {
+    return "the request target is not a path";
+  }
+  const std::string_view version = line.substr(last + 1);
+  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
+    return "the HTTP version is not supported";
+  }
+  return std::nullopt;
+}
+
+/// How often a request head has the fields that frame the body, and Host.
+struct field_counts {
+  int content_lengths = 0;
+  int transfer_codings = 0;
+  int host_fields = 0;
+};
+
+std::optional<std::string>
+find_field_violation(std::string_view line, field_counts& counts) {
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) {
+    return "a header field is malformed";
+  }
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = trimmed(line.substr(colon + 1));
+  if (std::any_of(value.begin(), value.end(), [](char c) { return c == '\0' || c == '\r'; })) {
+    return "a header field contains a control character";
+  }
+  if (same_field_name(name, "Content-Length")) {
+    counts.content_lengths++;
+    if (value.empty() ||
+        !std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; })) {
+      return "Content-Length is not a number";
+    }
+  } else if (same_field_name(name, "Transfer-Encoding")) {
+    counts.transfer_codings++;
+    if (!same_field_name(value, "chunked")) {
+      return "the transfer coding is not supported";
+    }
+  } else if (same_field_name(name, "Host")) {
+    counts.host_fields++;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+find_head_end(std::string_view bytes) {
+  const auto at = bytes.find("\r\n\r\n");
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  constexpr std::size_t ending_bytes = 4;
+  return at + ending_bytes;
+}
+
+std::optional<std::string>
+find_head_violation(std::string_view head) {
+  field_counts counts;
+  bool first = true;
+  while (!head.empty()) {
+    const auto end = head.find("\r\n");
+    if (end == std::string_view::npos || head.substr(0, end).find('\n') != std::string_view::npos) {
+      return "a line does not end with CR LF";
+    }
+    const std::string_view line = head.substr(0, end);
+    head.remove_prefix(end + 2);
+    if (line.empty()) {
+      break;
+    }
+    auto violation = first ? find_request_line_violation(line) : find_field_violation(line, counts);
+    if (violation) {
+      return violation;
+    }
+    first = false;
+  }
+  if (counts.host_fields != 1) {
+    return "the request must have exactly one Host field";
+  }
+  if (counts.content_lengths + counts.transfer_codings > 1) {
+    return "the request gives the body length more than once (Content-Length, Transfer-Encoding)";
+  }
+  return std::nullopt;
+}
+
+} // namespace nutmegspur::http1
--- a/src/http1/message_reader.h
+++ b/src/http1/message_reader.h
@@ -5,25 +5,18 @@
 /// "Head" is the start line together with the header fields.
 #pragma once
 
+#include "head_check.h"
+
 #include <nutmegspur/http_message.h>
 
 #include <http_parser.h>
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace nutmegspur::http1 {
 
-/// Returns why a request head is rejected, or nothing if it is valid. Rejects what http_parser
-/// accepts although two implementations could interpret it differently: folded lines, bare line
-/// feeds, spaces before a colon, a target that is not a path, and framing given twice.
-std::optional<std::string> find_head_violation(std::string_view head);
-
-/// The offset after the empty line that ends the head of a message, if it has been received.
-std::optional<std::size_t> find_head_end(std::string_view bytes);
-
 /// Callbacks of a reader. `on_end` is called once for each complete message.
 struct reader_events {
   std::function<void()> on_head;
