http1: trailer fields of a request are no header fields

Cause: http_parser reports the fields of a trailer by the callbacks of header fields, and the reader added them to the head. A caller could so add fields behind the checks of the head (a second Host, a field that the entry sets, more bytes than max_header_bytes), which were forwarded to the upstream. RFC 9110, 6.5.1, forbids the merge.

Change: the reader drops fields that come after the head, in requests and responses.

--- a/src/http1/message_reader.cpp
+++ b/src/http1/message_reader.cpp
@@ -30,6 +30,12 @@
   fields_->all.back().first.append(text);
 }
 
+void
+message_reader::add_field_value(std::string_view text) {
+  value_seen_ = true;
+  fields_->all.back().second.append(text);
+}
+
 void
 message_reader::finish_head() {
   head_done_ = true;
@@ -70,14 +76,17 @@
       self(p).response_.reason.append(at, n);
       return 0;
     };
+    // Fields after the head are those of a trailer, which must not be merged (RFC 9110, 6.5.1).
     to.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
-      self(p).add_field_name({at, n});
+      if (!self(p).head_done_) {
+        self(p).add_field_name({at, n});
+      }
       return 0;
     };
     to.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
-      message_reader& it = self(p);
-      it.value_seen_ = true;
-      it.fields_->all.back().second.append(at, n);
+      if (!self(p).head_done_) {
+        self(p).add_field_value({at, n});
+      }
       return 0;
     };
     to.on_headers_complete = [](http_parser* p) {
--- a/src/http1/message_reader.h
+++ b/src/http1/message_reader.h
@@ -68,6 +68,7 @@
 
   void begin();
   void add_field_name(std::string_view text);
+  void add_field_value(std::string_view text);
   void finish_head();
 
   http_parser parser_{};
