http1: bytes that are not the chunked coding are never taken for its end

What callers saw: a response whose chunk size was damaged could end as complete, before its last event.

Cause: Debian's http_parser 2.9.4 is built without its strict mode. It takes any two bytes for the CR LF after the data of a chunk, any byte for the line feed of a size line and of the last line, anything after a space or a semicolon for an extension, and lines that end with a bare line feed for trailer fields: after a size that was damaged to 0, the lines of the events that follow ("id: 5\ndata: x\n\n") were a trailer, and the empty line of the first event was the end of the body. Two implementations can also find different ends in such a request, so that a caller could hide a request inside the body of another one.

Change: chunk_framing checks the bytes of a chunked body against the grammar of RFC 9112, 7.1, before http_parser gets them; only the valid ones before the first violation are parsed. The reader parses a head line by line, so that it knows where the body begins. A violation is final, and an end that either of the two does not agree with is one too. A trailer with Content-Length or Transfer-Encoding is malformed. The same check applies to the chunked bodies of requests.

--- a/src/http1/framing_test.cpp
+++ b/src/http1/framing_test.cpp
@@ -6,12 +6,140 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <vector>
 
 namespace nutmegspur::http1 {
 namespace {
 
+/// What a reader makes of the bytes of a connection that is then closed cleanly.
+struct reading {
+  bool complete = false; ///< A response with a final status is complete.
+  std::string violation;
+  std::string body; ///< Of the final response.
+  int status = 0;
+};
+
+reading
+read_response(std::string_view bytes, std::size_t piece) {
+  reading it;
+  message_reader* self = nullptr;
+  message_reader reader{message_reader::kind::response,
+                        {[&] { it.status = self->response().status; },
+                         [&](std::string_view text) { it.body.append(text); },
+                         [&] { it.complete = it.status >= 200; }}};
+  self = &reader;
+  while (!bytes.empty() && !it.complete) {
+    const auto progress = reader.feed(bytes.substr(0, piece));
+    if (!progress.violation.empty()) {
+      it.violation = progress.violation;
+      return it;
+    }
+    bytes.remove_prefix(progress.consumed);
+  }
+  if (!it.complete) {
+    reader.feed_end();
+  }
+  return it;
+}
+
+struct framing_case {
+  const char* name;
+  std::string bytes;
+  std::string body; ///< Of a response that is valid.
+};
+
 constexpr std::array<std::size_t, 4> piece_sizes{1, 2, 7, 1UL << 20};
 
+void
+expect_valid(const std::vector<framing_case>& all) {
+  for (const auto& it : all) {
+    for (const auto piece : piece_sizes) {
+      const auto read = read_response(it.bytes, piece);
+      EXPECT_TRUE(read.complete) << it.name << " in pieces of " << piece;
+      EXPECT_EQ(read.violation, "") << it.name << " in pieces of " << piece;
+      EXPECT_EQ(read.body, it.body) << it.name << " in pieces of " << piece;
+    }
+  }
+}
+
+void
+expect_malformed(const std::vector<framing_case>& all) {
+  for (const auto& it : all) {
+    for (const auto piece : piece_sizes) {
+      const auto read = read_response(it.bytes, piece);
+      EXPECT_FALSE(read.complete) << it.name << " in pieces of " << piece;
+      EXPECT_NE(read.violation, "") << it.name << " in pieces of " << piece;
+    }
+  }
+}
+
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+
+TEST(chunked_framing, all_forms_of_the_grammar_are_accepted) {
+  expect_valid({
+      {"one chunk", chunked + "2\r\nhi\r\n0\r\n\r\n", "hi"},
+      {"digits of both cases", chunked + "a\r\n0123456789\r\nB\r\n0123456789a\r\n0\r\n\r\n",
+       "01234567890123456789a"},
+      {"leading zeros", chunked + "0002\r\nhi\r\n000\r\n\r\n", "hi"},
+      {"extensions", chunked + "2;a;b=c ; d = \"e;\\\"\"\r\nhi\r\n0;last\r\n\r\n", "hi"},
+      {"empty body", chunked + "0\r\n\r\n", ""},
+      {"line ends as data", chunked + "4\r\n\r\n0\r\r\n0\r\n\r\n", "\r\n0\r"},
+      {"trailer of a plain body", chunked + "2\r\nhi\r\n0\r\nA: b\r\nC:\r\n\r\n", "hi"},
+      {"announced trailer of an event stream",
+       ok + "Trailer: Checksum, Server-Timing\r\nContent-Type: text/event-stream\r\n" +
+           "Transfer-Encoding: chunked\r\n\r\n4\r\n:hi\n\r\n0\r\nserver-timing: x\r\n\r\n",
+       ":hi\n"},
+  });
+}
+
+// Regression: any bytes were taken for the line ends, so that a stream with a damaged chunk size
+// ended as complete before its last event.
+TEST(chunked_framing, lines_that_do_not_end_with_cr_lf_are_malformed) {
+  expect_malformed({
+      {"other bytes after data", chunked + "2\r\nhiXX0\r\n\r\n", ""},
+      {"one byte after data", chunked + "2\r\nhi\r0\r\n\r\n", ""},
+      {"line feed after data", chunked + "2\r\nhi\n0\r\n\r\n", ""},
+      {"data longer than its size", chunked + "1\r\nhi\r\n0\r\n\r\n", ""},
+      {"other byte after a size", chunked + "2\rXhi\r\n0\r\n\r\n", ""},
+      {"bare line feed after a size", chunked + "2\nhi\r\n0\r\n\r\n", ""},
+      {"other byte after the last size", chunked + "2\r\nhi\r\n0\rZ\r\n", ""},
+      {"other byte at the end", chunked + "2\r\nhi\r\n0\r\n\rY", ""},
+      {"bare line feed at the end", chunked + "2\r\nhi\r\n0\r\n\n", ""},
+      {"events after a size of 0", chunked + "4\r\n:hi\n\r\n0\r\nid: 5\ndata: x\n\n\r\n0\r\n\r\n",
+       ""},
+  });
+}
+
+TEST(chunked_framing, size_lines_outside_the_grammar_are_malformed) {
+  expect_malformed({
+      {"no size", chunked + "\r\nhi\r\n0\r\n\r\n", ""},
+      {"extension without a size", chunked + ";a\r\n\r\n", ""},
+      {"prefix", chunked + "0x2\r\nhi\r\n0\r\n\r\n", ""},
+      {"sign", chunked + "+2\r\nhi\r\n0\r\n\r\n", ""},
+      {"two numbers", chunked + "0 2\r\nhi\r\n0\r\n\r\n", ""},
+      {"spaces at the end", chunked + "0 \r\n\r\n", ""},
+      {"extension without a name", chunked + "0;\r\n\r\n", ""},
+      {"value without a name", chunked + "0;=b\r\n\r\n", ""},
+      {"open quote", chunked + "0;a=\"b\r\n\r\n", ""},
+      {"control character", chunked + "0;a\001\r\n\r\n", ""},
+      {"more than 64 bits", chunked + "10000000000000002\r\nhi\r\n0\r\n\r\n", ""},
+  });
+}
+
+TEST(chunked_framing, trailers_outside_the_grammar_are_malformed) {
+  expect_malformed({
+      {"no colon", chunked + "0\r\nA\r\n\r\n", ""},
+      {"no name", chunked + "0\r\n: b\r\n\r\n", ""},
+      {"space before the colon", chunked + "0\r\nA : b\r\n\r\n", ""},
+      {"folded", chunked + "0\r\nA: b\r\n c\r\n\r\n", ""},
+      {"control character", chunked + "0\r\nA: \001\r\n\r\n", ""},
+      {"length", chunked + "0\r\nContent-Length: 5\r\n\r\n", ""},
+      {"coding", chunked + "0\r\ntransfer-encoding: chunked\r\n\r\n", ""},
+      {"head of the next response", chunked + "0\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n", ""},
+  });
+}
+
 // Regression: the trailer fields of a request became header fields, past all checks of its head.
 TEST(chunked_framing, trailer_fields_of_a_request_are_no_header_fields) {
   for (const auto piece : piece_sizes) {
@@ -30,5 +158,21 @@
   }
 }
 
+// An upstream that sends one of these without end does not fill the memory.
+TEST(chunked_framing, endless_lines_are_malformed) {
+  const std::string much(100UL * 1024, 'a');
+  std::string fields;
+  while (fields.size() < much.size()) {
+    fields += "A: b\r\n";
+  }
+  expect_malformed({
+      {"size", chunked + std::string(much.size(), '0'), ""},
+      {"extension", chunked + "2;a=" + much, ""},
+      {"trailer name", chunked + "0\r\n" + much, ""},
+      {"trailer value", chunked + "0\r\nA: " + much, ""},
+      {"trailer fields", chunked + "0\r\n" + fields, ""},
+  });
+}
+
 } // namespace
 } // namespace nutmegspur::http1
--- a/src/http1/message_reader.cpp
+++ b/src/http1/message_reader.cpp
@@ -1,6 +1,7 @@
 // The http_parser callbacks.
 #include "message_reader.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace nutmegspur::http1 {
@@ -19,6 +20,7 @@
   response_ = {};
   fields_ = kind_ == kind::request ? &request_.fields : &response_.fields;
   value_seen_ = true;
+  chunked_ = false;
 }
 
 void
@@ -55,6 +57,10 @@
     response_.close_delimited = !bodiless && !framed;
     response_.keep_alive = keep_alive && !response_.close_delimited;
   }
+  chunked_ = !no_body_ && (parser_.flags & F_CHUNKED) != 0;
+  if (chunked_) {
+    framing_ = {};
+  }
   if (events_.on_head) {
     events_.on_head();
   }
@@ -110,29 +116,59 @@
   return settings;
 }
 
-read_progress
-message_reader::feed(std::string_view bytes) {
-  read_progress progress;
+checked_bytes
+message_reader::check(std::string_view bytes) {
+  if (!in_message_ || !head_done_) {
+    // Line by line, so that the end of the head is known before bytes of the body are parsed.
+    return {std::min(bytes.find('\n'), bytes.size() - 1) + 1, {}};
+  }
+  return chunked_ ? framing_.check(bytes) : checked_bytes{bytes.size(), {}};
+}
+
+bool
+message_reader::parse(std::string_view bytes, std::size_t& consumed) {
   const bool was_in_message = in_message_;
-  progress.consumed = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  consumed += http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
   const http_errno ec = HTTP_PARSER_ERRNO(&parser_);
   if (ec == HPE_PAUSED) {
     http_parser_pause(&parser_, 0);
     // The parser pauses on the last byte of a message and counts that byte as consumed.
-    if (!in_message_ && (was_in_message || head_done_) && events_.on_end) {
+    if (chunked_ && !framing_.complete()) {
+      violation_ = "the chunked body ends early";
+    } else if (!in_message_ && (was_in_message || head_done_) && events_.on_end) {
       events_.on_end();
     }
-  } else if (ec != HPE_OK) {
-    progress.violation = http_errno_description(ec);
+    return false;
+  }
+  if (ec != HPE_OK) {
+    violation_ = http_errno_description(ec);
   } else if (parser_.upgrade != 0) {
-    progress.violation = "protocol upgrades are not supported";
+    violation_ = "protocol upgrades are not supported";
+  } else if (chunked_ && in_message_ && framing_.complete()) {
+    violation_ = "the chunked body has no end";
+  }
+  return violation_.empty();
+}
+
+read_progress
+message_reader::feed(std::string_view bytes) {
+  read_progress progress;
+  while (violation_.empty() && progress.consumed < bytes.size()) {
+    const std::string_view rest = bytes.substr(progress.consumed);
+    const checked_bytes next = check(rest);
+    // An empty piece would tell http_parser that the connection was closed.
+    if (next.valid > 0 && !parse(rest.substr(0, next.valid), progress.consumed)) {
+      break;
+    }
+    violation_ = next.violation;
   }
+  progress.violation = violation_;
   return progress;
 }
 
 bool
 message_reader::feed_end() {
-  if (!in_message_) {
+  if (!in_message_ || !violation_.empty()) {
     return false;
   }
   http_parser_execute(&parser_, &callbacks(), nullptr, 0);
--- a/src/http1/message_reader.h
+++ b/src/http1/message_reader.h
@@ -1,10 +1,12 @@
 /// \file message_reader.h
-/// Incremental parser of HTTP/1.1 messages: http_parser, behind stricter checks of request headers.
+/// Incremental parser of HTTP/1.1 messages: http_parser, behind stricter checks of heads and
+/// chunks.
 ///
 /// Requests and responses arrive in pieces of any size; the parser stops after each message.
 /// "Head" is the start line together with the header fields.
 #pragma once
 
+#include "chunk_framing.h"
 #include "head_check.h"
 
 #include <nutmegspur/http_message.h>
@@ -44,6 +46,7 @@
   /// Set for the response to a HEAD request, which has no body.
   void expect_no_body(bool none) { no_body_ = none; }
 
+  /// A violation is final: what is fed after it has the same one.
   read_progress feed(std::string_view bytes);
   /// To be called when the connection was closed cleanly. True if that completes a message, as it
   /// does for a response without a length.
@@ -71,16 +74,24 @@
   void add_field_value(std::string_view text);
   void finish_head();
 
+  /// Finds how many of `bytes` may be parsed next.
+  checked_bytes check(std::string_view bytes);
+  /// Returns whether the message goes on after `bytes`.
+  bool parse(std::string_view bytes, std::size_t& consumed);
+
   http_parser parser_{};
   reader_events events_;
   kind kind_;
   http_request_head request_;
   http_response_head response_;
   http_fields* fields_ = nullptr;
+  chunk_framing framing_; ///< Of the current body, if it is chunked.
+  std::string violation_; ///< Empty until the first violation.
   bool value_seen_ = false;
   bool in_message_ = false;
   bool head_done_ = false;
   bool no_body_ = false;
+  bool chunked_ = false; ///< The current message has a chunked body.
 };
 
 } // namespace nutmegspur::http1
