http1: the lines of an event are no trailer

What callers saw: a stream whose events end with CR LF ended as complete before its last event, where the size of a chunk was damaged to 0 (one byte): "id: 5\r\ndata: x\r\n\r\n" is a valid trailer, and its empty line the end of the body. The check of the grammar alone cannot tell the two.

Change: a response that may carry events (its media type, or none) ends with those trailer fields only that its head announces; else it is malformed, and the stream is resumed or cut.

--- a/src/http1/chunk_framing.cpp
+++ b/src/http1/chunk_framing.cpp
@@ -166,6 +166,12 @@
   if (same_field_name(name, "Content-Length") || same_field_name(name, "Transfer-Encoding")) {
     return "the trailer gives the length of the body";
   }
+  const bool announced = trailer_.any || line.empty() ||
+                         std::any_of(trailer_.names.begin(), trailer_.names.end(),
+                                     [&](const auto& it) { return same_field_name(it, name); });
+  if (!announced) {
+    return "the head does not announce a trailer field";
+  }
   last_line_empty_ = line.empty();
   line_.clear();
   part_ = part::trailer_lf;
--- a/src/http1/chunk_framing.h
+++ b/src/http1/chunk_framing.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace nutmegspur::http1 {
 
@@ -18,6 +19,12 @@
 /// What is read of all trailer fields of a message.
 constexpr std::size_t max_trailer_bytes = 16UL * 1024;
 
+/// Which trailer fields a body may end with.
+struct trailer_rule {
+  bool any = true;                ///< Fields that the head did not announce, too.
+  std::vector<std::string> names; ///< Announced by the head (`Trailer`).
+};
+
 /// The outcome of a check of bytes.
 struct checked_bytes {
   std::size_t valid = 0;      ///< Bytes before the violation or the end of the body.
@@ -27,6 +34,10 @@
 /// Checks the bytes of one body, in pieces of any size. Holds at most one line.
 class chunk_framing {
  public:
+  chunk_framing() = default;
+
+  explicit chunk_framing(trailer_rule trailer) : trailer_(std::move(trailer)) {}
+
   checked_bytes check(std::string_view bytes);
 
   /// Whether the empty line that ends the body was read.
@@ -41,6 +52,7 @@
   std::string_view end_size_line();
   std::string_view end_trailer_line();
 
+  trailer_rule trailer_;
   part part_ = part::size;
   std::string line_;              ///< The size line or trailer line so far, without its end.
   std::uint64_t remaining_ = 0;   ///< Bytes of the chunk that have not been read.
--- a/src/http1/message_reader.cpp
+++ b/src/http1/message_reader.cpp
@@ -1,6 +1,8 @@
 // The http_parser callbacks.
 #include "message_reader.h"
 
+#include "field_syntax.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -59,13 +61,34 @@
   }
   chunked_ = !no_body_ && (parser_.flags & F_CHUNKED) != 0;
   if (chunked_) {
-    framing_ = {};
+    framing_ = chunk_framing{expected_trailer()};
   }
   if (events_.on_head) {
     events_.on_head();
   }
 }
 
+trailer_rule
+message_reader::expected_trailer() const {
+  constexpr std::string_view event_stream = "text/event-stream";
+  const auto type = response_.fields.get("Content-Type").substr(0, event_stream.size());
+  // A response that names no media type may carry events, too.
+  const bool may_carry_events = type.empty() || same_field_name(type, event_stream);
+  trailer_rule rule;
+  rule.any = kind_ == kind::request || !may_carry_events;
+  for (const auto& [name, value] : response_.fields.all) {
+    if (!same_field_name(name, "Trailer")) {
+      continue;
+    }
+    for (std::string_view rest = value; !rest.empty();) {
+      const auto end = rest.find(',');
+      rule.names.emplace_back(trimmed(rest.substr(0, end)));
+      rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    }
+  }
+  return rule;
+}
+
 const http_parser_settings&
 message_reader::callbacks() {
   static const http_parser_settings settings = [] {
--- a/src/http1/message_reader.h
+++ b/src/http1/message_reader.h
@@ -73,6 +73,7 @@
   void add_field_name(std::string_view text);
   void add_field_value(std::string_view text);
   void finish_head();
+  [[nodiscard]] trailer_rule expected_trailer() const;
 
   /// Finds how many of `bytes` may be parsed next.
   checked_bytes check(std::string_view bytes);
