http1: lines and fields of a response head are checked as those of a request

What callers saw: a response whose head or body ended elsewhere than its upstream meant. http_parser takes a bare line feed for a line end, any byte for the line feed after a carriage return ("\r\n\rhi" ends a head and eats the h), an empty line before a head, a name with spaces, and folded lines: "A: b\r\n Content-Length: 2" has no length, and its body ends with the connection.

Change: response_head_check judges each line before http_parser gets its end. Requests had this check already.

--- a/src/http1/framing_test.cpp
+++ b/src/http1/framing_test.cpp
@@ -192,5 +192,68 @@
   });
 }
 
+const std::string sized = "Content-Length: 2\r\n";
+
+TEST(response_head, usual_forms_are_accepted) {
+  expect_valid({
+      {"length", ok + sized + "\r\nhi", "hi"},
+      {"no reason", "HTTP/1.1 200 \r\n" + sized + "\r\nhi", "hi"},
+      {"no reason and no space", "HTTP/1.1 200\r\n" + sized + "\r\nhi", "hi"},
+      {"other bytes in the reason", "HTTP/1.1 299 \xC3\xA9t\t\x01!\r\n" + sized + "\r\nhi", "hi"},
+      {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + sized + "\r\nhi", "hi"},
+      {"end of the connection", ok + "\r\nhi", "hi"},
+      {"spaces around a value", ok + "Content-Length: \t2 \r\nA:\r\nB:b\r\n\r\nhi", "hi"},
+      {"coding in capitals", ok + "transfer-encoding:Chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "hi"},
+      {"after interim ones",
+       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + ok + sized +
+           "\r\nhi",
+       "hi"},
+  });
+}
+
+// Regression: with these line ends the head, or a field in it, ended elsewhere for http_parser than
+// for a strict reader.
+TEST(response_head, lines_that_do_not_end_with_cr_lf_are_malformed) {
+  expect_malformed({
+      {"status line", "HTTP/1.1 200 OK\n" + sized + "\r\nhi", ""},
+      {"other byte after the status line", "HTTP/1.1 200 OK\rX" + sized + "\r\nhi", ""},
+      {"field", ok + "A: b\n" + sized + "\r\nhi", ""},
+      {"carriage return in a field", ok + "A: b\rB: c\r\n" + sized + "\r\nhi", ""},
+      {"empty line", ok + sized + "\nhi", ""},
+      {"other byte after the empty line", ok + sized + "\r\rhi", ""},
+      {"empty line before the head", "\r\n" + ok + sized + "\r\nhi", ""},
+  });
+}
+
+// Regression: a folded line was a value of its own or a part of the one before, and a name with a
+// space was none, so that the body had no length.
+TEST(response_head, malformed_fields_are_rejected) {
+  expect_malformed({
+      {"folded length", ok + "Content-Length:\r\n 2\r\n\r\nhi", ""},
+      {"folded coding", ok + "Transfer-Encoding:\r\n chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", ""},
+      {"length in a folded line", ok + "A: b\r\n " + sized + "\r\nhi", ""},
+      {"space before the colon", ok + "Content-Length : 2\r\n\r\nhi", ""},
+      {"space in a name", ok + "Content- Length: 2\r\n\r\nhi", ""},
+      {"no name", ok + ": b\r\n" + sized + "\r\nhi", ""},
+      {"no colon", ok + "Content-Length 2\r\n\r\nhi", ""},
+      {"NUL", ok + std::string("A: \0\r\n", 6) + sized + "\r\nhi", ""},
+  });
+}
+
+// An upstream that sends one of these without end does not fill the memory.
+TEST(response_head, endless_heads_are_malformed) {
+  const std::string much(100UL * 1024, 'a');
+  std::string fields;
+  while (fields.size() < much.size()) {
+    fields += "A: b\r\n";
+  }
+  expect_malformed({
+      {"reason", "HTTP/1.1 200 " + much, ""},
+      {"name", ok + much, ""},
+      {"value", ok + "A: " + much, ""},
+      {"fields", ok + fields, ""},
+  });
+}
+
 } // namespace
 } // namespace nutmegspur::http1
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-std::optional<std::string>
+std::optional<std::string_view>
 find_request_line_violation(std::string_view line) {
   const auto first = line.find(' ');
   const auto last = line.rfind(' ');
@@ -29,6 +29,16 @@
   return std::nullopt;
 }
 
+bool
+is_digit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+bool
+is_number(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_digit);
+}
+
 /// How often a request head has the fields that frame the body, and Host.
 struct field_counts {
   int content_lengths = 0;
@@ -36,21 +46,29 @@
   int host_fields = 0;
 };
 
-std::optional<std::string>
-find_field_violation(std::string_view line, field_counts& counts) {
+std::optional<std::string_view>
+find_syntax_violation(std::string_view line) {
   const auto colon = line.find(':');
   if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) {
     return "a header field is malformed";
   }
-  const std::string_view name = line.substr(0, colon);
-  const std::string_view value = trimmed(line.substr(colon + 1));
-  if (std::any_of(value.begin(), value.end(), [](char c) { return c == '\0' || c == '\r'; })) {
+  if (std::any_of(line.begin(), line.end(), [](char c) { return c == '\0' || c == '\r'; })) {
     return "a header field contains a control character";
   }
+  return std::nullopt;
+}
+
+std::optional<std::string_view>
+find_field_violation(std::string_view line, field_counts& counts) {
+  if (const auto violation = find_syntax_violation(line)) {
+    return violation;
+  }
+  const auto colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = trimmed(line.substr(colon + 1));
   if (same_field_name(name, "Content-Length")) {
     counts.content_lengths++;
-    if (value.empty() ||
-        !std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; })) {
+    if (!is_number(value)) {
       return "Content-Length is not a number";
     }
   } else if (same_field_name(name, "Transfer-Encoding")) {
@@ -90,9 +108,10 @@
     if (line.empty()) {
       break;
     }
-    auto violation = first ? find_request_line_violation(line) : find_field_violation(line, counts);
+    const auto violation =
+        first ? find_request_line_violation(line) : find_field_violation(line, counts);
     if (violation) {
-      return violation;
+      return std::string{*violation};
     }
     first = false;
   }
@@ -105,4 +124,36 @@
   return std::nullopt;
 }
 
+std::optional<std::string_view>
+response_head_check::check(std::string_view piece) {
+  const std::string_view line_end = "\r\n";
+  const std::size_t before = line_.size();
+  line_.append(piece);
+  const std::string_view read = line_;
+  const auto end = read.find_first_of(line_end, before == 0 ? 0 : before - 1);
+  if (end == std::string_view::npos || (end + 1 == read.size() && read[end] == '\r')) {
+    return std::nullopt; // More of the line is to come.
+  }
+  if (read.substr(end) != line_end) {
+    return "a line does not end with CR LF";
+  }
+  const auto violation = end_line(read.substr(0, end));
+  line_.clear();
+  return violation;
+}
+
+std::optional<std::string_view>
+response_head_check::end_line(std::string_view line) {
+  if (status_line_.empty()) {
+    status_line_ = line;
+    return line.empty() ? std::optional<std::string_view>{"an empty line precedes the status line"}
+                        : std::nullopt;
+  }
+  if (!line.empty()) {
+    return find_syntax_violation(line);
+  }
+  *this = {};
+  return std::nullopt;
+}
+
 } // namespace nutmegspur::http1
--- a/src/http1/head_check.h
+++ b/src/http1/head_check.h
@@ -17,4 +17,20 @@
 /// The offset after the empty line that ends the head of a message, if it has been received.
 std::optional<std::size_t> find_head_end(std::string_view bytes);
 
+/// Checks the head of a response as it arrives: rejects what http_parser accepts although the end
+/// of the head or the body could be interpreted differently, such as bare line feeds and folded
+/// lines.
+class response_head_check {
+ public:
+  /// Checks the next bytes, up to and with the first line feed in them. Returns why they are not
+  /// valid. After the empty line it expects the next head.
+  std::optional<std::string_view> check(std::string_view piece);
+
+ private:
+  std::optional<std::string_view> end_line(std::string_view line);
+
+  std::string line_;        ///< The current line so far.
+  std::string status_line_; ///< Empty until it was read.
+};
+
 } // namespace nutmegspur::http1
--- a/src/http1/message_reader.cpp
+++ b/src/http1/message_reader.cpp
@@ -143,7 +143,11 @@
 message_reader::check(std::string_view bytes) {
   if (!in_message_ || !head_done_) {
     // Line by line, so that the end of the head is known before bytes of the body are parsed.
-    return {std::min(bytes.find('\n'), bytes.size() - 1) + 1, {}};
+    const std::size_t n = std::min(bytes.find('\n'), bytes.size() - 1) + 1;
+    // The owner has checked the head of a request.
+    const auto violation =
+        kind_ == kind::request ? std::nullopt : head_check_.check(bytes.substr(0, n));
+    return violation ? checked_bytes{0, *violation} : checked_bytes{n, {}};
   }
   return chunked_ ? framing_.check(bytes) : checked_bytes{bytes.size(), {}};
 }
--- a/src/http1/message_reader.h
+++ b/src/http1/message_reader.h
@@ -86,6 +86,7 @@
   http_request_head request_;
   http_response_head response_;
   http_fields* fields_ = nullptr;
+  response_head_check head_check_;
   chunk_framing framing_; ///< Of the current body, if it is chunked.
   std::string violation_; ///< Empty until the first violation.
   bool value_seen_ = false;
