http1: a malformed status line is not taken for a response

Cause: http_parser takes statuses of one, two and four digits, any number of spaces and any version. A status of 20 (a digit of 200 that was cut out) counted as interim for the client, which skipped it, and as one with a body for the parser.

Change: the status line is checked against RFC 9112, 4: version 1, one space, three digits, the first of them not 0. The reason may be left out, as many servers do.

--- a/src/http1/framing_test.cpp
+++ b/src/http1/framing_test.cpp
@@ -240,6 +240,20 @@
   });
 }
 
+// Regression: a status of two digits counted as interim to one part and as final to another.
+TEST(response_head, malformed_status_lines_are_rejected) {
+  expect_malformed({
+      {"two digits", "HTTP/1.1 20 OK\r\n" + sized + "\r\nhi", ""},
+      {"four digits", "HTTP/1.1 0200 OK\r\n" + sized + "\r\nhi", ""},
+      {"below 100", "HTTP/1.1 000 OK\r\n" + sized + "\r\nhi", ""},
+      {"two spaces", "HTTP/1.1  200 OK\r\n" + sized + "\r\nhi", ""},
+      {"no space", "HTTP/1.1 200OK\r\n" + sized + "\r\nhi", ""},
+      {"other version", "HTTP/3.7 200 OK\r\n" + sized + "\r\nhi", ""},
+      {"long version", "HTTP/1.11 200 OK\r\n" + sized + "\r\nhi", ""},
+      {"NUL", std::string("HTTP/1.1 200 O\0\r\n", 18) + sized + "\r\nhi", ""},
+  });
+}
+
 // An upstream that sends one of these without end does not fill the memory.
 TEST(response_head, endless_heads_are_malformed) {
   const std::string much(100UL * 1024, 'a');
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -39,6 +39,29 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), is_digit);
 }
 
+std::optional<std::string_view>
+find_status_line_violation(std::string_view line) {
+  constexpr std::string_view major = "HTTP/1.";
+  if (!line.starts_with(major)) {
+    return "the response does not begin with a status line of HTTP/1";
+  }
+  line.remove_prefix(major.size());
+  // The minor version, a space and three digits; the reason, and the space before it, may be left
+  // out.
+  constexpr std::size_t status_at = 2;
+  constexpr std::size_t status_digits = 3;
+  constexpr std::size_t reason_at = status_at + status_digits;
+  if (line.size() < reason_at || !is_digit(line[0]) || line[1] != ' ' || line[status_at] == '0' ||
+      !is_number(line.substr(status_at, status_digits)) ||
+      (line.size() > reason_at && line[reason_at] != ' ')) {
+    return "the status line is malformed";
+  }
+  if (line.find('\0') != std::string_view::npos) {
+    return "the status line contains a control character";
+  }
+  return std::nullopt;
+}
+
 /// How often a request head has the fields that frame the body, and Host.
 struct field_counts {
   int content_lengths = 0;
@@ -146,8 +169,7 @@
 response_head_check::end_line(std::string_view line) {
   if (status_line_.empty()) {
     status_line_ = line;
-    return line.empty() ? std::optional<std::string_view>{"an empty line precedes the status line"}
-                        : std::nullopt;
+    return find_status_line_violation(line);
   }
   if (!line.empty()) {
     return find_syntax_violation(line);
