http1: a response whose framing is ambiguous is malformed

What callers saw: the framing of chunks as part of the body. With "Transfer-Encoding: chunked, gzip" (or "identity", an empty value, two fields, or one byte of "chunked" damaged) http_parser takes the end of the connection for the end of the body, so that a body that breaks off counts as whole, with the chunk sizes in it. With "gzip, chunked" it passes the compressed bytes on as if they were the text, while Transfer-Encoding is not forwarded. A message of HTTP/1.0 with a coding has to be treated as faulty (RFC 9112, 6.1), requests too.

Change: a response gives its length by one Content-Length, by `chunked` alone, or by the end of its connection.

--- a/src/http1/framing_test.cpp
+++ b/src/http1/framing_test.cpp
@@ -254,6 +254,32 @@
   });
 }
 
+// Regression: with a coding that is not known, the framing of the chunks was passed on as the body,
+// or the body of another coding as if it had none.
+TEST(response_head, framing_that_is_ambiguous_is_malformed) {
+  const std::string chunks = "\r\n2\r\nhi\r\n0\r\n\r\n";
+  expect_malformed({
+      {"identity", ok + "Transfer-Encoding: identity\r\n\r\nhi", ""},
+      {"empty coding", ok + "Transfer-Encoding:\r\n\r\nhi", ""},
+      {"coding before chunks", ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks, ""},
+      {"coding after chunks", ok + "Transfer-Encoding: chunked, gzip\r\n" + chunks, ""},
+      {"chunks twice", ok + "Transfer-Encoding: chunked, chunked\r\n" + chunks, ""},
+      {"chunks in two fields",
+       ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks, ""},
+      {"two codings", ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n" + chunks,
+       ""},
+      {"damaged coding", ok + "Transfer-Encoding: dhunked\r\n" + chunks, ""},
+      {"parameter", ok + "Transfer-Encoding: chunked;q=1\r\n" + chunks, ""},
+      {"HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, ""},
+      {"length and chunks", ok + sized + "Transfer-Encoding: chunked\r\n" + chunks, ""},
+      {"chunks and length", ok + "Transfer-Encoding: chunked\r\n" + sized + chunks, ""},
+      {"two lengths", ok + "Content-Length: 1\r\n" + sized + "\r\nhi", ""},
+      {"list of lengths", ok + "Content-Length: 2, 2\r\n\r\nhi", ""},
+      {"empty length", ok + "Content-Length:\r\n\r\nhi", ""},
+      {"sign", ok + "Content-Length: +2\r\n\r\nhi", ""},
+  });
+}
+
 // An upstream that sends one of these without end does not fill the memory.
 TEST(response_head, endless_heads_are_malformed) {
   const std::string much(100UL * 1024, 'a');
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -62,13 +62,6 @@
   return std::nullopt;
 }
 
-/// How often a request head has the fields that frame the body, and Host.
-struct field_counts {
-  int content_lengths = 0;
-  int transfer_codings = 0;
-  int host_fields = 0;
-};
-
 std::optional<std::string_view>
 find_syntax_violation(std::string_view line) {
   const auto colon = line.find(':');
@@ -121,6 +114,7 @@
 find_head_violation(std::string_view head) {
   field_counts counts;
   bool first = true;
+  bool old_version = false;
   while (!head.empty()) {
     const auto end = head.find("\r\n");
     if (end == std::string_view::npos || head.substr(0, end).find('\n') != std::string_view::npos) {
@@ -131,6 +125,7 @@
     if (line.empty()) {
       break;
     }
+    old_version = old_version || (first && line.ends_with("HTTP/1.0"));
     const auto violation =
         first ? find_request_line_violation(line) : find_field_violation(line, counts);
     if (violation) {
@@ -138,6 +133,9 @@
     }
     first = false;
   }
+  if (old_version && counts.transfer_codings > 0) {
+    return "a request of HTTP/1.0 has a transfer coding";
+  }
   if (counts.host_fields != 1) {
     return "the request must have exactly one Host field";
   }
@@ -172,9 +170,21 @@
     return find_status_line_violation(line);
   }
   if (!line.empty()) {
-    return find_syntax_violation(line);
+    return find_field_violation(line, counts_);
   }
+  const auto violation = end_head();
   *this = {};
+  return violation;
+}
+
+std::optional<std::string_view>
+response_head_check::end_head() const {
+  if (counts_.transfer_codings > 0 && status_line_.starts_with("HTTP/1.0")) {
+    return "a response of HTTP/1.0 has a transfer coding";
+  }
+  if (counts_.content_lengths + counts_.transfer_codings > 1) {
+    return "the response gives the body length more than once";
+  }
   return std::nullopt;
 }
 
--- a/src/http1/head_check.h
+++ b/src/http1/head_check.h
@@ -17,9 +17,16 @@
 /// The offset after the empty line that ends the head of a message, if it has been received.
 std::optional<std::size_t> find_head_end(std::string_view bytes);
 
+/// What a head says about Host and the length of the body.
+struct field_counts {
+  int content_lengths = 0;
+  int transfer_codings = 0;
+  int host_fields = 0;
+};
+
 /// Checks the head of a response as it arrives: rejects what http_parser accepts although the end
-/// of the head or the body could be interpreted differently, such as bare line feeds and folded
-/// lines.
+/// of the head or the body could be interpreted differently, such as bare line feeds, folded lines
+/// and other transfer codings than chunked.
 class response_head_check {
  public:
   /// Checks the next bytes, up to and with the first line feed in them. Returns why they are not
@@ -28,9 +35,11 @@
 
  private:
   std::optional<std::string_view> end_line(std::string_view line);
+  [[nodiscard]] std::optional<std::string_view> end_head() const;
 
   std::string line_;        ///< The current line so far.
   std::string status_line_; ///< Empty until it was read.
+  field_counts counts_;
 };
 
 } // namespace nutmegspur::http1
