http1: a response that has no body by its status ends with its head

What callers saw: a conditional request that its upstream answered with 304 and a Content-Length, as it may, was answered with 504 at its deadline: http_parser waits for a body that never comes. A 1xx with a length or chunks took the head of the final response for its body.

Change: a 1xx, 204 or 304 ends with its head (RFC 9112, 6.3). A 1xx or 204 must not give a length; one that does, other than 0, is malformed, since the bytes after it may be a body or the next head.

--- a/src/http1/framing_test.cpp
+++ b/src/http1/framing_test.cpp
@@ -280,6 +280,29 @@
   });
 }
 
+// Regression: the reader waited for the body of a response that has none, until the deadline.
+TEST(response_head, responses_that_have_no_body_end_with_their_head) {
+  expect_valid({
+      {"304 with a length", "HTTP/1.1 304 Not Modified\r\nContent-Length: 500\r\n\r\n", ""},
+      {"304 with chunks", "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
+      {"204", "HTTP/1.1 204 No Content\r\n\r\n", ""},
+      {"204 with the length 0", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", ""},
+  });
+}
+
+// Regression: the head of the final response was read as the body of an interim one.
+TEST(response_head, body_of_a_status_that_has_none_is_malformed) {
+  const std::string final_response = ok + sized + "\r\nhi";
+  const std::string chunks = "\r\n2\r\nhi\r\n0\r\n\r\n";
+  expect_malformed({
+      {"interim with a length", "HTTP/1.1 100 Continue\r\n" + sized + "\r\n" + final_response, ""},
+      {"interim with chunks",
+       "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n" + chunks + final_response, ""},
+      {"204 with a length", "HTTP/1.1 204 No Content\r\n" + sized + "\r\nhi", ""},
+      {"204 with chunks", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n" + chunks, ""},
+  });
+}
+
 // An upstream that sends one of these without end does not fill the memory.
 TEST(response_head, endless_heads_are_malformed) {
   const std::string much(100UL * 1024, 'a');
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -84,6 +84,7 @@
   const std::string_view value = trimmed(line.substr(colon + 1));
   if (same_field_name(name, "Content-Length")) {
     counts.content_lengths++;
+    counts.nonzero_length = value.find_first_not_of('0') != std::string_view::npos;
     if (!is_number(value)) {
       return "Content-Length is not a number";
     }
@@ -185,6 +186,12 @@
   if (counts_.content_lengths + counts_.transfer_codings > 1) {
     return "the response gives the body length more than once";
   }
+  constexpr std::size_t status_at = std::string_view{"HTTP/1.1 "}.size();
+  const std::string_view status = std::string_view{status_line_}.substr(status_at);
+  const bool bodiless = status.starts_with('1') || status.starts_with("204");
+  if (bodiless && (counts_.transfer_codings > 0 || counts_.nonzero_length)) {
+    return "a response that has no body gives the body length";
+  }
   return std::nullopt;
 }
 
--- a/src/http1/head_check.h
+++ b/src/http1/head_check.h
@@ -22,11 +22,12 @@
   int content_lengths = 0;
   int transfer_codings = 0;
   int host_fields = 0;
+  bool nonzero_length = false; ///< A Content-Length other than 0.
 };
 
 /// Checks the head of a response as it arrives: rejects what http_parser accepts although the end
-/// of the head or the body could be interpreted differently, such as bare line feeds, folded lines
-/// and other transfer codings than chunked.
+/// of the head or the body could be interpreted differently, such as bare line feeds, folded lines,
+/// other transfer codings than chunked, and a body where the status has none.
 class response_head_check {
  public:
   /// Checks the next bytes, up to and with the first line feed in them. Returns why they are not
--- a/src/http1/message_reader.cpp
+++ b/src/http1/message_reader.cpp
@@ -52,14 +52,14 @@
     constexpr int no_content = 204;
     constexpr int not_modified = 304;
     constexpr int first_final_status = 200;
-    const bool bodiless = no_body_ || response_.status < first_final_status ||
-                          response_.status == no_content || response_.status == not_modified;
+    skip_body_ = no_body_ || response_.status < first_final_status ||
+                 response_.status == no_content || response_.status == not_modified;
     const bool framed = (parser_.flags & F_CHUNKED) != 0 ||
                         parser_.content_length != std::numeric_limits<std::uint64_t>::max();
-    response_.close_delimited = !bodiless && !framed;
+    response_.close_delimited = !skip_body_ && !framed;
     response_.keep_alive = keep_alive && !response_.close_delimited;
   }
-  chunked_ = !no_body_ && (parser_.flags & F_CHUNKED) != 0;
+  chunked_ = !skip_body_ && (parser_.flags & F_CHUNKED) != 0;
   if (chunked_) {
     framing_ = chunk_framing{expected_trailer()};
   }
@@ -120,7 +120,7 @@
     };
     to.on_headers_complete = [](http_parser* p) {
       self(p).finish_head();
-      return self(p).no_body_ ? 1 : 0;
+      return self(p).skip_body_ ? 1 : 0;
     };
     to.on_body = [](http_parser* p, const char* at, std::size_t n) {
       if (self(p).events_.on_body) {
--- a/src/http1/message_reader.h
+++ b/src/http1/message_reader.h
@@ -93,7 +93,8 @@
   bool in_message_ = false;
   bool head_done_ = false;
   bool no_body_ = false;
-  bool chunked_ = false; ///< The current message has a chunked body.
+  bool skip_body_ = false; ///< The current response has no body, whatever its fields say.
+  bool chunked_ = false;   ///< The current message has a chunked body.
 };
 
 } // namespace nutmegspur::http1
