--- a/src/libnutmegspur/fleet_planner_test.cpp
+++ b/src/libnutmegspur/fleet_planner_test.cpp
@@ -1,6 +1,7 @@
 /// \file fleet_planner_test.cpp
 /// Planning of roles and upstreams. Guards against roles that oscillate, changes that cost more
 /// than they gain, and changes without authority.
+// labels: P12
 
 #include <nutmegspur/fleet_planner.h>
 
--- a/src/libnutmegspur/origin_record_test.cpp
+++ b/src/libnutmegspur/origin_record_test.cpp
@@ -1,6 +1,7 @@
 // Tests of what the store keeps of the origins of streams. They guard against an origin that is
 // taken for the only one while streams of another may still be resumed, and against entries of
-// others that cannot be read. labels: P09 P11
+// others that cannot be read.
+// labels: P09 P11
 #include <nutmegspur/origin_record.h>
 
 #include <gtest/gtest.h>
--- a/src/libnutmegspur/rotating_lease_test.cpp
+++ b/src/libnutmegspur/rotating_lease_test.cpp
@@ -1,5 +1,6 @@
 // The rotating lease, alone and in the claim manager. Guards against records that expire before
-// their minimum lifetime, or never. labels: P11
+// their minimum lifetime, or never.
+// labels: P11
 #include "testing/fake_store.h"
 
 #include <nutmegspur/claims.h>
