Requests whose callers have left are not passed on by an instance that was held up

Cause: the close of a caller's connection waits in the kernel behind the bytes of its request. An instance that was held up reads the request, places it and writes it to an upstream in one iteration of its loop, and reads the close in the next one: the upstream works for nobody, seconds after the caller left.

Change: before an attempt is sent, the first one or a later one, request_flow looks whether the end of the caller's connection has arrived (exchange::end_if_closed, a peek that reads nothing). If so, the connection ends now as it would an iteration later, by the same function: E507, status 499. An attempt that waits for its connection to the upstream looks once more right before it is written. What a caller's FIN means stays as it was: a caller that closes only its sending side reads what is answered at once (a refusal, a metrics page), and is taken for gone where an upstream would have to answer. Bytes of a pipelined request that were not read yet are no end.

With end_if_closed() returning false, three of the five new tests of http1_test fail; the other two hold what must not change (pipelining, a half-closed connection).

--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -242,6 +242,17 @@
   EXPECT_FALSE(call->sent());
 }
 
+int
+connect_to(const endpoint& at) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(at.port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+  return fd;
+}
+
 /// Sends `bytes` to an http_server; returns all that it sends back and the number of requests that
 /// reached the handler.
 std::pair<std::string, int>
@@ -266,12 +277,7 @@
                         [limits] { return limits; }, [](int, const std::string&) {}}};
     EXPECT_TRUE(server.listen(at));
     std::thread caller{[&] {
-      const int fd = socket(AF_INET, SOCK_STREAM, 0);
-      sockaddr_in address{};
-      address.sin_family = AF_INET;
-      address.sin_port = htons(at.port);
-      address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+      const int fd = connect_to(at);
       send_text(fd, bytes);
       // This text never occurs, so the read ends when the server closes the connection.
       response = read_until(fd, "\x01 until closed");
@@ -304,6 +310,152 @@
   EXPECT_NE(response.find("/a|hi"), std::string::npos);
 }
 
+/// A server whose loop is held up: what a caller does before `run` has all arrived when the loop
+/// reads the first of it.
+class late_server {
+ public:
+  using handler = std::function<void(const exchange_ptr&)>;
+
+  explicit late_server(handler on_request)
+      : server_(loop_, {std::move(on_request), [] { return caller_limits{}; },
+                        [](int, const std::string&) {}}) {
+    const raw_listener free_port;
+    at_ = free_port.at();
+  }
+
+  /// Returns a connection to the server.
+  int connect_caller() {
+    if (!listening_) {
+      listening_ = true;
+      EXPECT_TRUE(server_.listen(at_));
+    }
+    return connect_to(at_);
+  }
+
+  void run() {
+    loop_.once(test_timeout, [this](const moment&) { loop_.stop(); });
+    loop_.run();
+  }
+
+  event_loop& loop() { return loop_; }
+
+ private:
+  event_loop loop_;
+  endpoint at_;
+  bool listening_ = false;
+  http_server server_;
+};
+
+const std::string plain_request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// What a handler sees of a request whose caller does `leave` right after it.
+void
+expect_ended_before_it_is_passed_on(void (*leave)(int fd)) {
+  int seen = 0;
+  int told = 0;
+  std::vector<exchange_ptr> held;
+  late_server server{[&](const exchange_ptr& it) {
+    ++seen;
+    held.push_back(it);
+    it->set_on_disconnect([&] { ++told; });
+    EXPECT_TRUE(it->end_if_closed());
+    EXPECT_TRUE(it->disconnected());
+    EXPECT_FALSE(it->end_if_closed());
+    server.loop().stop();
+  }};
+  const int fd = server.connect_caller();
+  send_text(fd, plain_request);
+  leave(fd);
+  server.run();
+  EXPECT_EQ(seen, 1);
+  EXPECT_EQ(told, 1);
+}
+
+// Regression: a loop that was held up for seconds passed on requests whose callers had left.
+TEST(http_server, request_ends_before_it_is_passed_on_if_its_caller_has_closed) {
+  expect_ended_before_it_is_passed_on([](int fd) { close(fd); });
+}
+
+TEST(http_server, request_ends_before_it_is_passed_on_if_its_caller_has_reset) {
+  expect_ended_before_it_is_passed_on(close_with_reset);
+}
+
+// Bytes of the next request that the loop has not read are no end of the connection.
+TEST(http_server, pipelined_request_that_is_not_read_yet_is_no_closed_connection) {
+  constexpr std::size_t read_bytes = 64UL * 1024; // Of one read.
+  const std::string line = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+  const std::size_t body_bytes = read_bytes - line.size() - std::string{"65000\r\n\r\n"}.size();
+  const std::string first =
+      line + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x');
+  ASSERT_EQ(first.size(), read_bytes);
+  std::vector<std::string> seen;
+  late_server server{[&](const exchange_ptr& it) {
+    seen.push_back(it->head().method);
+    EXPECT_FALSE(it->end_if_closed());
+    it->reply(200, "", {}, "");
+    if (seen.size() == 2) {
+      server.loop().stop();
+    }
+  }};
+  const int fd = server.connect_caller();
+  send_text(fd, first + plain_request);
+  server.run();
+  EXPECT_EQ(seen, (std::vector<std::string>{"POST", "GET"}));
+  close(fd);
+}
+
+// A caller that closes its sending side after its request still gets what is answered at once.
+TEST(http_server, caller_that_has_closed_its_sending_side_reads_an_immediate_response) {
+  late_server server{[&](const exchange_ptr& it) {
+    it->reply(200, "", {}, "hello");
+    server.loop().once(duration{0}, [&](const moment&) { server.loop().stop(); });
+  }};
+  const int fd = server.connect_caller();
+  send_text(fd, plain_request);
+  shutdown(fd, SHUT_WR);
+  server.run();
+  EXPECT_NE(read_until(fd, "hello").find("200 OK"), std::string::npos);
+  close(fd);
+}
+
+// The caller leaves while the connection to the upstream is being made.
+TEST(http_server, call_that_is_cancelled_right_before_it_is_written_writes_nothing) {
+  raw_listener upstream;
+  std::string received = "nothing read";
+  std::thread reader{[&] {
+    const int fd = upstream.accept_one();
+    received = read_until(fd, "\r\n\r\n");
+    close(fd);
+  }};
+  {
+    int caller = -1;
+    std::unique_ptr<open_call> call;
+    exchange_ptr held;
+    std::unique_ptr<http_client> client;
+    late_server server{[&](const exchange_ptr& it) {
+      held = it;
+      it->set_on_disconnect([&] {
+        discard(server.loop(), std::move(call));
+        server.loop().once(duration{0}, [&](const moment&) { server.loop().stop(); });
+      });
+      EXPECT_FALSE(it->end_if_closed());
+      call_events events;
+      events.on_sent = [&] {
+        close(caller);
+        EXPECT_TRUE(held->end_if_closed());
+      };
+      call = client->start(upstream.at(), plain_request, std::move(events), {});
+    }};
+    client = std::make_unique<http_client>(server.loop(), client_limits{});
+    caller = server.connect_caller();
+    send_text(caller, plain_request);
+    server.run();
+    client.reset();
+  }
+  reader.join();
+  EXPECT_EQ(received, "");
+}
+
 struct rejected_case {
   const char* name;
   std::string bytes;
--- a/src/http1/http_server.cpp
+++ b/src/http1/http_server.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+bool
+exchange::end_if_closed() {
+  return connection_ != nullptr && connection_->end_if_closed();
+}
+
 void
 exchange::reply(int status, std::string_view reason, const http_fields& fields,
                 std::string_view body) {
--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -46,6 +46,11 @@
   /// most once.
   void set_on_disconnect(std::function<void()> run) { on_disconnect_ = std::move(run); }
 
+  /// Looks whether the end of the caller's connection has arrived, which the loop may be late to
+  /// read. If so, the exchange ends now as it would then: the callback of `set_on_disconnect` is
+  /// called before this returns true. A caller that closed only its sending side is not told apart.
+  bool end_if_closed();
+
   /// Sends a complete response.
   void reply(int status, std::string_view reason, const http_fields& fields, std::string_view body);
   /// Sends the head of a chunked response; the body follows with `write` and ends with `finish`.
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -75,6 +75,16 @@
   close();
 }
 
+bool
+server_connection::end_if_closed() {
+  const response_tail next = stream_->peek();
+  const bool closed = next == response_tail::closed || next == response_tail::reset;
+  if (closed) {
+    on_end();
+  }
+  return closed;
+}
+
 void
 server_connection::process_input() {
   if (phase_ == phase::idle && !unread_.empty()) {
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -26,6 +26,9 @@
   void finish_response(bool keep_alive);
   void abort_response();
 
+  /// Ends the connection if its end has arrived but was not read yet. Returns whether it did.
+  bool end_if_closed();
+
   [[nodiscard]] bool closing() const { return close_after_response_ || server_.closing_; }
 
   [[nodiscard]] std::size_t unsent() const { return stream_->unsent(); }
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -72,7 +72,8 @@
     {log_event::request_retried, "request_retried", severity::info,
      "An attempt ended without a response; the request is retried."},
     {log_event::caller_left, "caller_left", severity::info,
-     "The caller closed its connection; its attempt was cancelled."},
+     "The caller closed its connection; its attempt was cancelled, or not sent if this was known "
+     "before."},
     {log_event::part_quarantined, "part_quarantined", severity::warning,
      "Upstreams crashed on prompt parts, a session or a request; requests with all of them are "
      "refused for a while."},
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -456,7 +456,7 @@
 
 void
 request_flow::start_placement() {
-  if (stop_if_too_late()) {
+  if (stop_before_attempt()) {
     return;
   }
   const bool separate_prefill = !placement_.prefill_upstream.empty();
@@ -551,14 +551,22 @@
   start_call(it);
 }
 
+void
+request_flow::on_sending() {
+  // An attempt that is not sent from start_call() has waited for its connection.
+  if (attempt_->call != nullptr && caller_->end_if_closed()) {
+    return;
+  }
+  history_.sent += attempt_->task == attempt_task::prefill ? 0 : 1;
+}
+
 void
 request_flow::start_call(upstream_attempt& it) {
   const bool no_body = caller_->head().method == "HEAD";
-  http1::call_events events{
-      [this] { history_.sent += attempt_->task == attempt_task::prefill ? 0 : 1; },
-      [this](const http_response_head& head) { on_head(head); },
-      [this](std::string_view bytes) { on_body(bytes); },
-      [this](http1::call_end how) { on_call_end(how); }};
+  http1::call_events events{[this] { on_sending(); },
+                            [this](const http_response_head& head) { on_head(head); },
+                            [this](std::string_view bytes) { on_body(bytes); },
+                            [this](http1::call_end how) { on_call_end(how); }};
   if (paths_.needs_peer(it.upstream.id) && forwards_.has_peers()) {
     forward_request request;
     request.limit = attempt_limit(it.task);
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -110,6 +110,8 @@
   [[nodiscard]] std::string version_of(const upstream_id& id) const;
   /// Starts the attempt's call, over this instance's own path or by way of a peer.
   void start_call(upstream_attempt& it);
+  /// The attempt is about to be written, or a peer has written it.
+  void on_sending();
   /// Whether the permit that `it` may need is held, or may be got now.
   [[nodiscard]] bool permit_in_reach(const moment& now, const listed_upstream& it) const;
 
@@ -130,6 +132,10 @@
   /// Refuses the request if this instance ends before an attempt would; not if it may have run
   /// already. Returns whether it did.
   bool stop_if_too_late();
+
+  /// Before an attempt is sent: ends the request if it is too late or its caller has left.
+  bool stop_before_attempt() { return stop_if_too_late() || caller_->end_if_closed(); }
+
   /// Ends the request if upstreams crash on it or on a part of its prompt. Returns whether it did.
   bool stop_if_quarantined();
   /// Time until the first upstream that asked for a pause, or states a rate, may be used again.
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -230,7 +230,7 @@
 
 void
 request_flow::start_decode() {
-  if (stop_if_too_late() || stop_if_quarantined()) {
+  if (stop_before_attempt() || stop_if_quarantined()) {
     return;
   }
   const moment now = http1::event_loop::now();
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -506,6 +506,8 @@
         if request.headers.get("x-serving-stage") == "prefill":
             while fault == "mute_reading" and not writer.transport.is_closing():
                 await asyncio.sleep(0.01)
+            if fault == "slow_reading":
+                await asyncio.sleep(0.3)
             if self.handle_body is not None:
                 return make_response(200, self.handle_body)
             self.kv_handles.add("h" + request_id)
