HTTP client: a skipped response is cut after 64 KB, its bytes do not count as the call's

Cause: a response that does not belong to the call is skipped, and only the number of skipped messages was limited. A call now ends as malformed once 64 KB of skipped bodies have come: late answers are refusals and short texts, and the caller gets its refusal or its next attempt at once. Beside it, the bytes of a skipped response counted against the limit of the call's own body.

Before the fix long_response_to_another_request_is_malformed_at_once read all 16 MB that the server sends and ended as broken, and a_skipped_response_does_not_count_against_the_limit_of_the_body ended as malformed. Both pass now.

--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -179,6 +179,61 @@
   EXPECT_EQ(it.body, "new");
 }
 
+/// Sends until the peer closes, or `bytes` are sent. Returns how many were.
+std::size_t
+send_many(int fd, std::size_t bytes) {
+  const std::string piece(64UL * 1024, 'x');
+  std::size_t sent = 0;
+  while (sent < bytes) {
+    const ssize_t n = send(fd, piece.data(), piece.size(), MSG_NOSIGNAL);
+    if (n <= 0) {
+      break;
+    }
+    sent += static_cast<std::size_t>(n);
+  }
+  return sent;
+}
+
+// Guards against a response to another request that has no end: it was read until the call's time
+// was up, although it can bring no answer any more.
+TEST(http_client, long_response_to_another_request_is_malformed_at_once) {
+  call_options options;
+  options.accepts_response = [](const http_response_head& head, bool /*reused*/) {
+    return head.fields.get("Id") == "mine";
+  };
+  for (const char* framing : {"", "Content-Length: 99999999999\r\n"}) {
+    constexpr std::size_t many = 16UL * 1024 * 1024;
+    std::size_t sent = 0;
+    const auto it = run_call(
+        [&](int fd) {
+          send_text(fd, "HTTP/1.1 200 OK\r\nId: late\r\n" + std::string{framing} + "\r\n");
+          sent = send_many(fd, many);
+          close(fd);
+        },
+        options);
+    EXPECT_EQ(it.end, call_end::malformed) << framing;
+    EXPECT_LT(sent, many) << framing;
+  }
+}
+
+// Guards against a call that is counted as too long for what an earlier call's response brought.
+TEST(http_client, a_skipped_response_does_not_count_against_the_limit_of_the_body) {
+  call_options options;
+  options.max_body_bytes = 4;
+  options.accepts_response = [](const http_response_head& head, bool /*reused*/) {
+    return head.fields.get("Id") == "mine";
+  };
+  const auto it = run_call(
+      [](int fd) {
+        send_text(fd, "HTTP/1.1 200 OK\r\nId: late\r\nContent-Length: 3\r\n\r\nold"
+                      "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 3\r\n\r\nnew");
+        close(fd);
+      },
+      options);
+  EXPECT_EQ(it.end, call_end::completed);
+  EXPECT_EQ(it.body, "new");
+}
+
 // Regression: the holder of duties was paused after it had checked its lease, and its report was
 // written when it resumed, while another holder was active.
 TEST(http_client, request_is_not_written_after_its_latest_time) {
--- a/src/http1/http_client.cpp
+++ b/src/http1/http_client.cpp
@@ -11,6 +11,8 @@
 /// Maximum number of responses on a connection that are skipped before that of a call: interim ones
 /// and late ones to earlier requests.
 constexpr int max_skipped = 16;
+/// Body bytes of these; more than any of them has.
+constexpr std::size_t max_skipped_bytes = 64UL * 1024;
 
 } // namespace
 
@@ -48,6 +50,7 @@
     complete_ = false;
     accepted_ = true;
     skipped_ = 0;
+    skipped_bytes_ = 0;
     body_bytes_ = 0;
     reader_.expect_no_body(call.no_body_);
     if (connected_) {
@@ -116,7 +119,7 @@
   }
 
   void on_body(std::string_view bytes) {
-    body_bytes_ += bytes.size();
+    (accepted_ ? body_bytes_ : skipped_bytes_) += bytes.size();
     if (call_ != nullptr && accepted_ && call_->events_.on_body && !too_long()) {
       call_->events_.on_body(bytes);
     }
@@ -124,7 +127,7 @@
 
   /// Whether the server has sent more than any response to the call has.
   [[nodiscard]] bool too_long() const {
-    return skipped_ > max_skipped ||
+    return skipped_ > max_skipped || skipped_bytes_ > max_skipped_bytes ||
            (call_ != nullptr && body_bytes_ > call_->options_.max_body_bytes);
   }
 
@@ -225,8 +228,9 @@
   bool complete_ = false;
   bool accepted_ = true;
   bool closed_ = false;
-  int skipped_ = 0;            ///< Responses skipped since the call was assigned.
-  std::size_t body_bytes_ = 0; ///< Of all responses since then.
+  int skipped_ = 0;               ///< Responses skipped since the call was assigned.
+  std::size_t skipped_bytes_ = 0; ///< Of their bodies.
+  std::size_t body_bytes_ = 0;    ///< Of the response to the call.
 };
 
 client_call::client_call(event_loop& loop, call_events events, call_options options,
