One budget for the bytes of responses that are held until they are complete

Cause: each attempt was bounded, 8 MB of a body and 1 MB of an event, and nothing bounded their sum, which grows with the callers.

Attempts that end so are malformed (E614, nutmegspur_upstream_overflows_total{why}); one whose time ran out while it waited says nothing of its upstream. A body whose stated length is over the limit is refused at its head.

--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -234,6 +234,64 @@
   EXPECT_EQ(it.body, "new");
 }
 
+// Guards against a connection that stays unread after a call that had stopped reading, and against
+// bytes that are read meanwhile.
+TEST(http_client, a_call_stops_reading_and_reads_on) {
+  raw_listener listener;
+  constexpr std::size_t many = 32UL * 1024 * 1024;
+  std::thread server{[&] {
+    const int fd = listener.accept_one();
+    read_until(fd, "\r\n\r\n");
+    send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(many) + "\r\n\r\n");
+    EXPECT_EQ(send_many(fd, many), many);
+    read_until(fd, "\r\n\r\n");
+    send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    close(fd);
+  }};
+  event_loop loop;
+  http_client client{loop, {}};
+  http_fields fields;
+  fields.add("Host", "a");
+  const std::string request = format_request("GET", "/", fields, "");
+  std::size_t received = 0;
+  std::size_t received_while_stopped = 0;
+  std::string second_body;
+  std::unique_ptr<client_call> first;
+  std::unique_ptr<client_call> second;
+  const auto start_second = [&](call_end how) {
+    EXPECT_EQ(how, call_end::completed);
+    second = client.start(listener.at(), request,
+                          {{},
+                           {},
+                           [&](std::string_view bytes) { second_body.append(bytes); },
+                           [&](call_end) { loop.stop(); }},
+                          {});
+  };
+  bool stopped = false;
+  const auto on_body = [&](std::string_view bytes) {
+    received += bytes.size();
+    if (!std::exchange(stopped, true)) {
+      first->set_reading(false);
+      const std::size_t before = received;
+      loop.once(milliseconds{100}, [&, before](const moment&) {
+        received_while_stopped = received - before;
+        first->set_reading(true);
+      });
+    }
+    if (received == many) {
+      first->set_reading(false); // The end has been received: the connection is used again.
+    }
+  };
+  first = client.start(listener.at(), request, {{}, {}, on_body, start_second}, {});
+  loop.once(test_timeout, [&](const moment&) { loop.stop(); });
+  loop.run();
+  server.join();
+  EXPECT_EQ(received, many);
+  EXPECT_LE(received_while_stopped, 64UL * 1024);
+  EXPECT_EQ(second_body, "ok");
+  EXPECT_EQ(client.opened(), 1U);
+}
+
 // Regression: the holder of duties was paused after it had checked its lease, and its report was
 // written when it resumed, while another holder was active.
 TEST(http_client, request_is_not_written_after_its_latest_time) {
--- a/src/http1/http_client.cpp
+++ b/src/http1/http_client.cpp
@@ -66,6 +66,20 @@
     client_.remove(this);
   }
 
+  /// Reads as its call says; without one it reads, so that it notices when the server closes.
+  void update_reading() {
+    const bool reads = call_ == nullptr || call_->reads_;
+    if (closed_ || reads == reading_) {
+      return;
+    }
+    reading_ = reads;
+    if (reads) {
+      stream_.start_reading();
+    } else {
+      stream_.stop_reading();
+    }
+  }
+
   [[nodiscard]] bool idle() const { return call_ == nullptr && connected_ && !closed_; }
 
   [[nodiscard]] bool usable(time_point now) const { return idle() && now < idle_until_; }
@@ -170,6 +184,7 @@
         }
       }
     }
+    update_reading();
   }
 
   /// `rest` are the bytes that were read behind the message.
@@ -228,6 +243,7 @@
   bool complete_ = false;
   bool accepted_ = true;
   bool closed_ = false;
+  bool reading_ = true;
   int skipped_ = 0;               ///< Responses skipped since the call was assigned.
   std::size_t skipped_bytes_ = 0; ///< Of their bodies.
   std::size_t body_bytes_ = 0;    ///< Of the response to the call.
@@ -259,6 +275,14 @@
   }
 }
 
+void
+client_call::set_reading(bool reads) {
+  reads_ = reads;
+  if (connection_ != nullptr) {
+    connection_->update_reading();
+  }
+}
+
 void
 discard(event_loop& loop, std::unique_ptr<open_call> call) {
   if (call == nullptr) {
--- a/src/http1/http_client.h
+++ b/src/http1/http_client.h
@@ -84,6 +84,8 @@
   [[nodiscard]] virtual response_tail tail() const = 0;
   /// Ends the call without calling `on_end`.
   virtual void cancel() = 0;
+  /// Stops reading the response, or reads on. What has been received is still passed on.
+  virtual void set_reading(bool reads) = 0;
 };
 
 /// A call over a connection of this process. Destroying it closes the connection, too.
@@ -104,6 +106,7 @@
 
   /// Ends the call without calling `on_end`, and closes its connection.
   void cancel() override;
+  void set_reading(bool reads) override;
 
  private:
   friend class client_connection;
@@ -120,6 +123,7 @@
   bool sent_ = false;
   bool ended_ = false;
   response_tail tail_ = response_tail::nothing;
+  bool reads_ = true;
   timer_id timer_;
   client_connection* connection_ = nullptr;
 };
--- a/src/libnutmegspur/event_log.cpp
+++ b/src/libnutmegspur/event_log.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<log_event_info, 59> catalogue{{
+constexpr std::array<log_event_info, 60> catalogue{{
     {log_event::process_started, "process_started", severity::info,
      "The process has started; shows its identity and addresses."},
     {log_event::process_ready, "process_ready", severity::info,
@@ -117,6 +117,10 @@
      "This instance reaches upstreams again whose paths were cut."},
     {log_event::service_unserved, "service_unserved", severity::warning,
      "A service that had usable upstreams has none in this instance's list any more."},
+    {log_event::upstream_overflow, "upstream_overflow", severity::warning,
+     "An upstream sent more bytes than a response may have, or than there was room for; its "
+     "attempt was "
+     "ended."},
     {log_event::peer_connected, "peer_connected", severity::info,
      "A peer connection was established."},
     {log_event::peer_lost, "peer_lost", severity::warning, "A peer connection ended."},
--- a/src/proxy/forward_client.cpp
+++ b/src/proxy/forward_client.cpp
@@ -47,6 +47,13 @@
   http1::discard(owner_.state_.loop, std::move(call_));
 }
 
+void
+forwarded_call::set_reading(bool reads) {
+  if (call_ != nullptr) {
+    call_->set_reading(reads);
+  }
+}
+
 void
 forwarded_call::ask_next() {
   http1::discard(owner_.state_.loop, std::move(call_));
--- a/src/proxy/forward_client.h
+++ b/src/proxy/forward_client.h
@@ -41,6 +41,7 @@
   [[nodiscard]] response_tail tail() const override { return tail_; }
 
   void cancel() override;
+  void set_reading(bool reads) override;
 
   /// No peer was able to forward the request.
   [[nodiscard]] bool no_peer() const { return no_peer_; }
--- a/src/proxy/metrics_page.cpp
+++ b/src/proxy/metrics_page.cpp
@@ -72,6 +72,7 @@
       .set(static_cast<std::int64_t>(state.limits.size()));
   set_permit_gauges(metrics, permits);
   metrics.get_gauge("nutmegspur_live_peers").set(static_cast<std::int64_t>(state.live_peers));
+  metrics.get_gauge("nutmegspur_held_bytes").set(static_cast<std::int64_t>(state.held.total()));
   metrics.get_gauge("nutmegspur_is_relay").set(peers.is_relay() ? 1 : 0);
   metrics.get_gauge("nutmegspur_notice_period_ms").set(peers.period().count());
   metrics.get_gauge("nutmegspur_holds_duties").set(duties.holds(now) ? 1 : 0);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -3,6 +3,7 @@
 /// the views of upstreams, load and prompt caches. Used only on the event loop's thread.
 #pragma once
 
+#include "byte_budget.h"
 #include "event_loop.h"
 
 #include <nutmegspur/crash_blame.h>
@@ -70,7 +71,8 @@
   proxy_state(http1::event_loop& running_loop, const wire_binding& binding,
               proxy_settings initial_settings, proxy_options chosen_options)
       : loop(running_loop), wire(binding), settings(std::move(initial_settings)),
-        options(chosen_options), usage(settings.instance, settings.usage_window) {}
+        options(chosen_options), usage(settings.instance, settings.usage_window),
+        held(running_loop) {}
 
   http1::event_loop& loop;
   const wire_binding& wire;
@@ -95,6 +97,7 @@
   usage_windows usage;
   wall_clock_vote clock; ///< Time that usage windows are based on.
   metric_registry metrics;
+  http1::byte_budget held; ///< Of the bytes that are held for callers and upstreams.
   /// Recently placed parts, oldest first.
   std::deque<placed_part> placed;
   /// Time for which a placed part is sent to peers.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -563,6 +563,16 @@
 void
 request_flow::start_call(upstream_attempt& it) {
   const bool no_body = caller_->head().method == "HEAD";
+  it.held.start(state_.held, it.upstream.id.value,
+                {[this](bool reads) {
+                   attempt_->held_back = !reads;
+                   update_reading();
+                 },
+                 [this] {
+                   if (!done_ && attempt_ && attempt_->call != nullptr) {
+                     end_overflowing("budget");
+                   }
+                 }});
   http1::call_events events{[this] { on_sending(); },
                             [this](const http_response_head& head) { on_head(head); },
                             [this](std::string_view bytes) { on_body(bytes); },
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -59,6 +59,8 @@
   bool has_events = false;     ///< A complete event was received.
   bool stream_logged = false;  ///< Its end is in the log.
   bool contradicted = false;   ///< An id shows that events are missing or wrong.
+  http1::byte_hold held;       ///< `body`, and the part of an event in `events`.
+  bool held_back = false;      ///< The budget of held bytes says to wait.
 };
 
 class request_flow {
@@ -155,6 +157,14 @@
   [[nodiscard]] bool is_event_stream() const;
   /// Whether the upstream sent more than a response that is held here may have.
   [[nodiscard]] bool holds_too_much() const;
+  /// Whether the body that `head` states is longer than one that may be held.
+  [[nodiscard]] bool states_too_much(const http_response_head& head) const;
+  /// Counts what the attempt holds.
+  void update_held();
+  /// The upstream has sent, or announced, more than a response has: ends the attempt as malformed.
+  void end_overflowing(std::string_view why);
+  /// Reads the response as the budget allows.
+  void update_reading();
   void forward_events();
   /// Returns false if the event shows that the attempt's stream is not what its engine made.
   bool forward_event(const std::string& event);
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -3,6 +3,8 @@
 #include "millis_text.h"
 #include "request_flow.h"
 
+#include <charconv>
+
 namespace nutmegspur::proxy {
 
 namespace {
@@ -20,6 +22,10 @@
 constexpr std::size_t max_held_body_bytes = 8UL * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024UL * 1024;
 
+/// Error responses of more than this are at fault when the budget of held bytes is used up: there
+/// is no use in them.
+constexpr std::size_t max_error_bytes = 64UL * 1024;
+
 } // namespace
 
 void
@@ -54,6 +60,9 @@
   if (!streaming() && !attempt_->marks.not_run) {
     count_usage(attempt_->sent_at);
   }
+  if (states_too_much(head)) {
+    end_overflowing("length");
+  }
 }
 
 void
@@ -116,10 +125,15 @@
     forward_events();
   }
   // Checked last: the end of the attempt may end the request.
-  if (!done_ && attempt_ && attempt_->call != nullptr &&
-      (attempt_->contradicted || holds_too_much())) {
-    attempt_->call->cancel();
-    end_attempt(attempt_end::malformed);
+  if (!done_ && attempt_ && attempt_->call != nullptr) {
+    if (attempt_->contradicted) {
+      attempt_->call->cancel();
+      end_attempt(attempt_end::malformed);
+    } else if (holds_too_much()) {
+      end_overflowing("size");
+    } else {
+      update_held();
+    }
   }
 }
 
@@ -129,6 +143,49 @@
          attempt_->events.held_bytes() > max_event_bytes;
 }
 
+bool
+request_flow::states_too_much(const http_response_head& head) const {
+  if (is_event_stream() || caller_->head().method == "HEAD") {
+    return false;
+  }
+  const std::string_view text = head.fields.get("Content-Length");
+  std::size_t stated = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), stated);
+  return read.ec == std::errc::result_out_of_range ||
+         (read.ec == std::errc{} && stated > max_held_body_bytes);
+}
+
+void
+request_flow::update_held() {
+  upstream_attempt& it = *attempt_;
+  constexpr int first_error = 400;
+  const bool useless = it.head.status >= first_error && it.body.size() > max_error_bytes;
+  it.held.update(std::max(it.body.capacity(), it.body.size()) + it.events.held_bytes(), useless);
+}
+
+void
+request_flow::end_overflowing(std::string_view why) {
+  upstream_attempt& it = *attempt_;
+  count("nutmegspur_upstream_overflows_total", "why", why);
+  log(log_event::upstream_overflow,
+      {{"request", request_.id},
+       {"upstream", it.upstream.id.value},
+       {"why", std::string{why}},
+       {"status", std::to_string(it.head.status)},
+       {"held", std::to_string(it.body.size() + it.events.held_bytes())},
+       {"held_in_all", std::to_string(state_.held.total())}});
+  it.held.blame();
+  it.call->cancel();
+  end_attempt(attempt_end::malformed);
+}
+
+void
+request_flow::update_reading() {
+  if (attempt_ && attempt_->call != nullptr) {
+    attempt_->call->set_reading(!attempt_->held_back);
+  }
+}
+
 void
 request_flow::forward_events() {
   for (std::string event = attempt_->events.next_event(); !event.empty();
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -120,6 +120,11 @@
   if (!result) {
     return;
   }
+  if (how == attempt_end::timed_out && it.held.waited()) {
+    // This instance did not read its response.
+    state_.health.on_abandoned(it.upstream.id);
+    return;
+  }
   // If the prompt cannot be fetched, the engine that should have kept it is at fault.
   const bool lost_handle = it.task == attempt_task::decode && how == attempt_end::rejected;
   const auto record = [this_state = &state_, id = lost_handle ? prefill_upstream_ : it.upstream.id,
@@ -497,6 +502,7 @@
     }
     state_.loads.on_ended(now, attempt_->load_id);
     paths_.on_ended(attempt_->path_attempt);
+    attempt_->held.release();
     http1::discard(state_.loop, std::move(attempt_->call));
   }
   free_handle();
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -368,6 +368,7 @@
         self.heartbeats = 0
         self.server = None
         self.closed_by_caller = []  # Endless faults that the caller ended.
+        self.endless_pause_s = 0  # Between two pieces of an endless fault.
         self.says_leaving = False  # In the head of each response, whatever its registration says.
         self.limit = None  # Requests a second, stated in the head of each response.
         self.arrivals = []  # Times of all requests.
@@ -430,23 +431,45 @@
             [("Server-Limit", self.limit)] if self.limit is not None else [])
 
     async def send_endlessly(self, fault, writer, headers):
-        """Sends bytes that are no response until the caller closes the connection."""
-        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in headers.items()]
-        head = "\r\n".join(lines).encode() + b"\r\n"
+        """Sends bytes that are no response, or never the end of one, until the caller closes the connection."""
+        def start(status="200 OK", own_headers=headers, **fields):
+            lines = [f"HTTP/1.1 {status}"] + [f"{name}: {value}" for name, value in own_headers.items()]
+            lines += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+            return "\r\n".join(lines).encode() + b"\r\n"
+
+        head = start()
+        events = start(Content_Type="text/event-stream") + b"\r\n"
+        chunked = start(Transfer_Encoding="chunked") + b"\r\n"
+        chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+        other = {**headers, "X-Request-Id": "f" * 16}
         first, repeated = {
-            "endless_head": (b"HTTP/1.1 200 OK\r\nX-Noise: ", b"x" * 1000),
-            "endless_fields": (head, b"X-Noise: " + b"x" * 500 + b"\r\n"),
-            "endless_interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 20),
-            "endless_body": (head + b"\r\n", b"x" * 65536),
-            "endless_event": (head + b"Content-Type: text/event-stream\r\n\r\ndata: ", b"x" * 65536),
-            "endless_chunk_size": (head + b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 1000),
-        }[fault]
+            "endless_status_line": lambda: (b"HTTP/1.1 200 ", b"x" * 1000),
+            "endless_raw": lambda: (b"", b"\x00\xff" * 500),
+            "endless_head": lambda: (b"HTTP/1.1 200 OK\r\nX-Noise: ", b"x" * 1000),
+            "endless_fields": lambda: (head, b"X-Noise: " + b"x" * 500 + b"\r\n"),
+            "endless_interim": lambda: (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 20),
+            "endless_body": lambda: (head + b"\r\n", b"x" * 65536),
+            "endless_404": lambda: (start("404 Status") + b"\r\n", b"x" * 65536),
+            "endless_421": lambda: (start("421 Status") + b"\r\n", b"x" * 65536),
+            "endless_500": lambda: (start("500 Status") + b"\r\n", b"x" * 65536),
+            "endless_503": lambda: (start("503 Status", X_Not_Executed="1") + b"\r\n", b"x" * 65536),
+            "endless_length": lambda: (start(Content_Length="99999999999") + b"\r\n", b"x" * 65536),
+            "endless_other_id": lambda: (start(own_headers=other) + b"\r\n", b"x" * 65536),
+            "endless_no_id": lambda: (start(own_headers={}) + b"\r\n", b"x" * 65536),
+            "endless_event": lambda: (head + b"Content-Type: text/event-stream\r\n\r\ndata: ", b"x" * 65536),
+            "endless_comment": lambda: (events, b":" + b"x" * 1000 + b"\n"),
+            "endless_comments": lambda: (events, b":\n\n" * 300),
+            "endless_chunks": lambda: (chunked, chunk),
+            "endless_chunk_size": lambda: (chunked, b"0" * 1000),
+            "endless_chunk_extension": lambda: (chunked + b"5;", b"x" * 1000),
+            "endless_trailer": lambda: (chunked + b"0\r\n", b"X-Noise: " + b"x" * 500 + b"\r\n"),
+        }[fault]()
         try:
             writer.write(first)
             while not writer.transport.is_closing():
                 writer.write(repeated)
                 await writer.drain()
-                await asyncio.sleep(0)
+                await asyncio.sleep(self.endless_pause_s)
         finally:
             self.closed_by_caller.append(fault)
 
