Ids of events: the first one may be wrong, and one that its attempt has used names another event

What callers got: event 1 with the id 97, complete after it, since events 2 to 10 counted as repeated; events 1 to 9, complete, of a stream whose event 10 had the id 9; where event 4 had no blank line, event 5 twice; of a stream that broke off after 4 and whose resumed run began anew and ended at 2, events 1 to 4 as complete. Cause: an id that is not higher than the last one counted as repeated unless it lay in a gap, whoever had sent it. Change: an event is repeated only while a resumed run begins anew, or if it is the last one once more with the same text. Any other id that does not come after the last one ends the attempt; the stream goes on after the last event only if none of the ids before is wrong (can_go_on). The ids below the first one of a stream were passed over. A run that begins anew and ends before the caller's last event is broken off. Of several ids in one event the last one counts (WHATWG HTML, 9.2.6).

--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -59,6 +59,7 @@
   bool response_started = false;
   bool has_events = false;   ///< At least one event is complete.
   bool inside_event = false; ///< The body ends inside an event.
+  bool behind = false;       ///< The run began anew and ends before the caller's last event.
   response_tail tail = response_tail::nothing;
   /// The upstream has spoiled or broken off other answers lately.
   bool doubtful_upstream = false;
--- a/src/include/nutmegspur/stream_evidence.h
+++ b/src/include/nutmegspur/stream_evidence.h
@@ -61,9 +61,9 @@
 /// The place of an event among those that its caller has.
 enum class event_place {
   next,       ///< The event after the last one, or the first one.
-  repeated,   ///< The caller has it.
+  repeated,   ///< The caller has it from an earlier attempt, or it is the last one once more.
   ahead,      ///< Ids between the last event and this one are missing.
-  misplaced,  ///< Its id is lower than the last one, and the caller does not have it.
+  misplaced,  ///< Its id does not come after the last one, and it is not a repeated one.
   unnumbered, ///< It has no id, or one that is not a number.
   comment,    ///< It has neither an id nor data.
 };
@@ -90,11 +90,20 @@
   /// `after`: the id of the last event that the caller has from earlier attempts; empty if none.
   explicit event_sequence(std::string_view after);
 
-  /// Takes the next event that the upstream sent.
-  event_place add(std::string_view id, bool has_data);
+  /// Takes the next event that the upstream sent. `digest` is a hash of its text; 0 if not known.
+  event_place add(std::string_view id, bool has_data, std::size_t digest = 0);
 
   [[nodiscard]] const event_counts& counts() const { return counts_; }
 
+  /// Whether a stream may go on after the last event that the caller has: none of its ids is wrong.
+  [[nodiscard]] bool can_go_on() const { return !missing_found_ && counts_.ahead == 0; }
+
+  /// Whether the run began anew and has not come to where the caller is.
+  [[nodiscard]] bool behind() const { return counts_.repeated > 0 && highest_ < after_; }
+
+  /// Whether there are events that the caller had not got from earlier attempts.
+  [[nodiscard]] bool has_new_events() const { return counts_.events > counts_.repeated; }
+
  private:
   /// Ids that were passed over, both ends excluded.
   struct gap {
@@ -103,8 +112,14 @@
   };
 
   [[nodiscard]] bool inside_gap(std::int64_t n) const;
-
-  std::optional<std::int64_t> last_; ///< The highest id that the caller has.
+  /// The place of an id that is not higher than the last one.
+  event_place place_again(std::int64_t n, std::size_t digest);
+
+  std::optional<std::int64_t> after_;   ///< The last id of earlier attempts.
+  std::optional<std::int64_t> last_;    ///< The highest id that the caller has.
+  std::optional<std::int64_t> highest_; ///< The highest id of this attempt.
+  std::size_t last_digest_ = 0;         ///< Of this attempt's last event.
+  bool missing_found_ = false;          ///< An event came whose id had been passed over.
   std::vector<gap> gaps_; ///< In order of their ids; cover all ids that were passed over.
   event_counts counts_;
 };
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -44,7 +44,8 @@
   if (!response.event_stream) {
     return attempt_end::answered;
   }
-  if (response.inside_event || empty || response.tail == response_tail::body) {
+  if (response.inside_event || empty || response.behind ||
+      response.tail == response_tail::body) {
     return attempt_end::broken;
   }
   const bool followed =
--- a/src/libnutmegspur/stream_evidence.cpp
+++ b/src/libnutmegspur/stream_evidence.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace nutmegspur {
 
@@ -62,7 +63,7 @@
   return response_tail::other;
 }
 
-event_sequence::event_sequence(std::string_view after) : last_(read_id(after)) {}
+event_sequence::event_sequence(std::string_view after) : after_(read_id(after)), last_(after_) {}
 
 bool
 event_sequence::inside_gap(std::int64_t n) const {
@@ -71,7 +72,20 @@
 }
 
 event_place
-event_sequence::add(std::string_view id, bool has_data) {
+event_sequence::place_again(std::int64_t n, std::size_t digest) {
+  const bool begins_anew = after_ && last_ == after_;
+  const bool same_event = n == highest_ && digest != 0 && digest == last_digest_;
+  if (begins_anew || same_event) {
+    counts_.repeated++;
+    return event_place::repeated;
+  }
+  counts_.misplaced++;
+  missing_found_ = missing_found_ || inside_gap(n);
+  return event_place::misplaced;
+}
+
+event_place
+event_sequence::add(std::string_view id, bool has_data, std::size_t digest) {
   if (id.empty() && !has_data) {
     return event_place::comment;
   }
@@ -87,21 +101,24 @@
     counts_.unnumbered++;
     return event_place::unnumbered;
   }
-  if (last_ && *n <= *last_) {
-    const bool misplaced = inside_gap(*n);
-    (misplaced ? counts_.misplaced : counts_.repeated)++;
-    return misplaced ? event_place::misplaced : event_place::repeated;
+  const bool again = last_ && *n <= *last_;
+  const event_place place = again ? place_again(*n, digest) : event_place::next;
+  highest_ = std::max(highest_.value_or(*n), *n);
+  last_digest_ = digest;
+  if (again) {
+    return place;
   }
-  const bool ahead =
-      last_ && static_cast<std::uint64_t>(*n) - static_cast<std::uint64_t>(*last_) > 1;
-  if (ahead) {
-    counts_.ahead++;
+  // Ids below the first one of a stream are passed over, too.
+  const std::int64_t base = last_.value_or(std::numeric_limits<std::int64_t>::min());
+  const bool ahead = last_ && static_cast<std::uint64_t>(*n) - static_cast<std::uint64_t>(base) > 1;
+  if (ahead || !last_) {
     if (gaps_.size() == max_gaps) {
       gaps_[1].from = gaps_[0].from;
       gaps_.erase(gaps_.begin());
     }
-    gaps_.push_back({*last_, *n});
+    gaps_.push_back({base, *n});
   }
+  counts_.ahead += ahead ? 1 : 0;
   last_ = n;
   return ahead ? event_place::ahead : event_place::next;
 }
--- a/src/libnutmegspur/stream_evidence_test.cpp
+++ b/src/libnutmegspur/stream_evidence_test.cpp
@@ -31,8 +31,42 @@
 
 // A resumed run that began again at the first event was forwarded twice.
 TEST(stream_evidence, events_that_the_caller_has_are_repeated) {
-  EXPECT_EQ(places("2", {"1", "2", "3", "3", "4"}),
-            (std::vector{repeated, repeated, next, repeated, next}));
+  EXPECT_EQ(places("2", {"1", "2", "3", "4"}), (std::vector{repeated, repeated, next, next}));
+  event_sequence it{"4"};
+  EXPECT_FALSE(it.behind());
+  it.add("1", true);
+  it.add("2", true);
+  EXPECT_TRUE(it.behind());
+  EXPECT_FALSE(it.has_new_events());
+  it.add("3", true);
+  it.add("4", true);
+  EXPECT_FALSE(it.behind());
+}
+
+// Events 2 and 3 were taken for repeated ones, although no attempt had sent them.
+TEST(stream_evidence, an_event_below_a_wrong_first_id_is_not_a_repeated_one) {
+  EXPECT_EQ(places("", {"97", "2", "3"}), (std::vector{next, misplaced, misplaced}));
+  event_sequence it;
+  it.add("97", true);
+  EXPECT_TRUE(it.can_go_on());
+  it.add("2", true);
+  EXPECT_FALSE(it.can_go_on());
+}
+
+// The last event of a stream was dropped because it had the id of the one before.
+TEST(stream_evidence, an_id_that_the_same_attempt_has_used_is_not_a_repeated_event) {
+  constexpr std::size_t one = 1;
+  constexpr std::size_t other = 2;
+  for (const char* after : {"", "8"}) {
+    event_sequence it{after};
+    it.add("9", true, one);
+    EXPECT_EQ(it.add("9", true, one), repeated) << after; // Its text is the same.
+    EXPECT_EQ(it.add("9", true, other), misplaced) << after;
+    EXPECT_TRUE(it.can_go_on());
+    it.add("12", true);
+    EXPECT_EQ(it.add("9", true), misplaced);
+    EXPECT_FALSE(it.can_go_on());
+  }
 }
 
 // A resumed run that did not begin right after the last event looked continuous.
@@ -62,14 +96,11 @@
   const auto ids = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40));
   event_sequence it;
   std::set<int> forwarded;
-  int lowest = 0;
   for (const int id : ids) {
     const event_place place = it.add(std::to_string(id), true);
-    if (forwarded.empty()) {
-      lowest = id;
-    }
-    if (place == repeated) {
-      RC_ASSERT(forwarded.contains(id) || id < lowest);
+    RC_ASSERT(place != repeated); // There was no earlier attempt.
+    if (place == misplaced) {
+      RC_ASSERT(forwarded.contains(id) || !it.can_go_on());
     }
     if (place == next || place == ahead) {
       RC_ASSERT(forwarded.insert(id).second);
--- a/src/proxy/event_splitter.cpp
+++ b/src/proxy/event_splitter.cpp
@@ -51,7 +51,7 @@
       line.remove_prefix(1);
     }
     id = line;
-    return false;
+    return true;
   });
   return id;
 }
--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -29,7 +29,7 @@
   /// Removes and returns the bytes after the last complete event.
   std::string take_remainder() { return std::exchange(buffer_, {}); }
 
-  /// Returns the `id:` of an event; empty if it has none.
+  /// Returns the `id:` of an event, the last one if it has several; empty if it has none.
   static std::string id_of(std::string_view event);
   /// Whether the event has data rather than only a comment.
   static bool has_data(std::string_view event);
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -190,7 +190,6 @@
 request_flow::forward_events() {
   for (std::string event = attempt_->events.next_event(); !event.empty();
        event = attempt_->events.next_event()) {
-    attempt_->has_events = true;
     if (!forward_event(event)) {
       attempt_->contradicted = true;
       return;
@@ -204,13 +203,15 @@
 bool
 request_flow::forward_event(const std::string& event) {
   const std::string id = event_splitter::id_of(event);
-  const event_place place = attempt_->sequence.add(id, event_splitter::has_data(event));
+  const event_place place =
+      attempt_->sequence.add(id, event_splitter::has_data(event), std::hash<std::string>{}(event));
+  attempt_->has_events = true;
   switch (place) {
   case event_place::repeated:
     return true;
   case event_place::misplaced:
-    // The caller has an event with a wrong id, after which no upstream can resume.
-    history_.resumable = false;
+    // After a wrong id that the caller has, no upstream can resume.
+    history_.resumable = history_.resumable && attempt_->sequence.can_go_on();
     return false;
   case event_place::ahead:
   case event_place::unnumbered:
@@ -279,6 +280,7 @@
   response.response_started = history_.response_started;
   response.has_events = it.has_events;
   response.inside_event = it.events.inside_event();
+  response.behind = it.sequence.behind();
   response.tail = it.call->tail();
   response.doubtful_upstream = state_.spoiled.doubtful(http1::event_loop::now(), it.upstream.id);
   end_attempt(end_of_response(response));
