A plain response whose body goes on behind its last chunk is broken off

Cause: what followed the end was looked at for streams only. The same cause, the same fix: the client examines the tail of each response, and more of the body behind its last chunk makes any response a failed attempt. Anything else behind it belongs to no request.

--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -111,8 +111,8 @@
 /// How an attempt ended whose response was received up to its end. A stream is whole only if it
 /// ends between two events; one that ends with its connection also needs an event. It may have none
 /// if it is framed: nothing was left to resume. After `response_started` only an event stream is an
-/// answer; whatever else the upstream sent is a failed attempt. More of the body behind its end
-/// shows that the end is wrong. An end is unproven if it is only that of the connection, if
+/// answer; whatever else the upstream sent is a failed attempt. More of a body behind its last chunk
+/// shows that the end is wrong, that of a plain response too. An end is unproven if it is only that of the connection, if
 /// anything else follows it, or if the upstream is doubtful.
 attempt_end end_of_response(const ended_response& response);
 
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -40,12 +40,14 @@
   if (response.response_started && !response.event_stream) {
     return attempt_end::malformed;
   }
+  if (response.tail == response_tail::body) {
+    return attempt_end::broken;
+  }
   const bool empty = response.close_delimited && !response.has_events;
   if (!response.event_stream) {
     return attempt_end::answered;
   }
-  if (response.inside_event || empty || response.behind ||
-      response.tail == response_tail::body) {
+  if (response.inside_event || empty || response.behind) {
     return attempt_end::broken;
   }
   const bool followed =
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -168,6 +168,22 @@
   });
 }
 
+// Regression: half of a plain body was passed on as complete, its other chunks behind the last one.
+TEST(attempt_rules, a_response_whose_body_goes_on_behind_its_end_is_broken) {
+  for (const int status : {200, 204, 302, 404}) {
+    ended_response it;
+    it.status = status;
+    it.authentic = true;
+    for (const auto tail : {response_tail::nothing, response_tail::closed, response_tail::reset,
+                            response_tail::response, response_tail::other}) {
+      it.tail = tail; // Belongs to no request.
+      EXPECT_EQ(end_of_response(it), attempt_end::answered) << status << ' ' << to_name(tail);
+    }
+    it.tail = response_tail::body;
+    EXPECT_EQ(end_of_response(it), attempt_end::broken) << status;
+  }
+}
+
 // A success without the upstream's mark was passed on, or an upstream's own failure was not.
 TEST(attempt_rules, a_complete_response_is_classified_by_its_status_and_marks) {
   ended_response it;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -593,7 +593,7 @@
   http1::call_options options;
   options.timeout = attempt_limit(it.task);
   options.connect_timeout = upstream_connect_limit;
-  options.examine_tail = streaming() && it.task != attempt_task::prefill;
+  options.examine_tail = it.task != attempt_task::prefill;
   options.accepts_response = [this](const http_response_head& head, bool reused) {
     return is_response_to(state_.wire.parse_response_head(head), request_.id, reused);
   };
