The end of an event is searched for where the last search stopped

Found by the review (a trial of the splitter alone, on a busy machine): an event of 512 KB that came in chunks of one byte kept the loop for 17.8 s, since the part that was held was searched from its start after each chunk; no other caller was served meanwhile. The search goes on where it stopped. The cases of streams pass on it; no test measures the time.

--- a/src/proxy/event_splitter.cpp
+++ b/src/proxy/event_splitter.cpp
@@ -26,11 +26,16 @@
 
 std::string
 event_splitter::next_event() {
-  const auto lf_end = buffer_.find("\n\n");
-  const auto crlf_end = buffer_.find("\r\n\r\n");
+  // The end of an event may lie across what was searched before.
+  constexpr std::size_t longest_end = 4;
+  const std::size_t from = searched_ < longest_end ? 0 : searched_ - longest_end;
+  const auto lf_end = buffer_.find("\n\n", from);
+  const auto crlf_end = buffer_.find("\r\n\r\n", from);
   if (lf_end == std::string::npos && crlf_end == std::string::npos) {
+    searched_ = buffer_.size();
     return {};
   }
+  searched_ = 0;
   constexpr std::size_t lf_bytes = 2;
   constexpr std::size_t crlf_bytes = 4;
   const std::size_t end = lf_end < crlf_end ? lf_end + lf_bytes : crlf_end + crlf_bytes;
--- a/src/proxy/event_splitter.h
+++ b/src/proxy/event_splitter.h
@@ -23,11 +23,20 @@
     return buffer_.find_first_not_of("\r\n") != std::string::npos;
   }
 
+  /// Whether these are other than a comment's.
+  [[nodiscard]] bool inside_data() const {
+    const auto at = buffer_.find_first_not_of("\r\n");
+    return at != std::string::npos && buffer_[at] != ':';
+  }
+
   /// Length of the event that is not complete yet.
   [[nodiscard]] std::size_t held_bytes() const { return buffer_.size(); }
 
   /// Removes and returns the bytes after the last complete event.
-  std::string take_remainder() { return std::exchange(buffer_, {}); }
+  std::string take_remainder() {
+    searched_ = 0;
+    return std::exchange(buffer_, {});
+  }
 
   /// Returns the `id:` of an event, the last one if it has several; empty if it has none.
   static std::string id_of(std::string_view event);
@@ -36,6 +45,7 @@
 
  private:
   std::string buffer_;
+  std::size_t searched_ = 0; ///< Length of the part of `buffer_` that has no end of an event.
 };
 
 } // namespace nutmegspur::proxy
