A peer tells what followed a response only if it is asked by an instance that reads it

Found by the review: an instance of an earlier build got a message with five elements from a newer peer, took it for malformed (E702) and cut a stream that was whole. The question names that its sender reads the tail; without that, replies are as before. forward_frame_test passes, system_proxied_short_streams by way of a peer too. Mixed builds were not run again.

--- a/src/proxy/forward_client.cpp
+++ b/src/proxy/forward_client.cpp
@@ -75,6 +75,7 @@
   request_.not_after = owner_.state_.clock.agreed(now).wall + forward_slack;
   http_fields fields;
   fields.add("Host", to_text(peer.at));
+  fields.add(std::string{reads_tail_field}, "1");
   http1::call_options options;
   options.connect_timeout = connect_limit;
   options.timeout = request_.limit;
--- a/src/proxy/forward_client.h
+++ b/src/proxy/forward_client.h
@@ -20,6 +20,9 @@
 /// Path of the peers' interface for forwarded requests.
 inline constexpr std::string_view forward_path = "/forward";
 
+/// Field of such a request: its sender reads messages with a tail. Earlier builds do not.
+inline constexpr std::string_view reads_tail_field = "Reads-Tail";
+
 class forward_client;
 
 /// A call by way of a peer. At most one peer gets the request as a whole and may send it; others
--- a/src/proxy/forward_server.cpp
+++ b/src/proxy/forward_server.cpp
@@ -1,6 +1,8 @@
 // Requests of peers, sent over this instance's paths.
 #include "forward_server.h"
 
+#include "forward_client.h"
+
 namespace nutmegspur::proxy {
 
 namespace {
@@ -110,9 +112,9 @@
                                                                : attempt_result::unreachable);
     });
   }
-  forward_event end{forward_step::end, {}, std::string{to_name(how)}, known, it.call->tail()};
-  if (end.tail == response_tail::closed) {
-    end.tail = response_tail::nothing; // Instances of earlier builds read no other message.
+  forward_event end{forward_step::end, {}, std::string{to_name(how)}, known};
+  if (it.peer->head().fields.has(reads_tail_field)) {
+    end.tail = it.call->tail();
   }
   it.peer->write(pack_forward_event(end));
   it.peer->finish();
