HTTP client: a connection is not used again if anything followed the response

A connection whose end had already arrived behind a complete response went back to the pool for one iteration of the loop, and the look at it may have taken its error. http1_test passes.

--- a/src/http1/http_client.cpp
+++ b/src/http1/http_client.cpp
@@ -194,10 +194,11 @@
       return;
     }
     // Unsent bytes of this request would be read by the server as part of the next one.
-    const bool clean = reusable_ && rest.empty() && stream_.unsent() == 0;
     if (call_->options_.examine_tail) {
       call_->tail_ = rest.empty() ? stream_.peek() : classify_tail(rest);
     }
+    const bool clean = reusable_ && rest.empty() && stream_.unsent() == 0 &&
+                       call_->tail_ == response_tail::nothing;
     client_call* call = std::exchange(call_, nullptr);
     call->connection_ = nullptr;
     if (clean) {
