What an end proves is judged by the habits of its service and version; a question for the rest shows what it finds

Events that are new, or bytes inside one, disprove the end now; comments count for nothing. - the rest came slowly, and was cut at the route's target latency. That time holds for the first event only. - a run that began at event 2 was complete. The first id of a service's streams is learned as their numbering is. And without a row: a service that frames no stream was asked for the rest of each, its sound engines were blamed for the empty runs without framing (100 streams one after another: 12 E603, 8 breakers opened), and a stream that had broken off there was always cut. stream_habits learns from the streams of one version of a service whether it frames them, how they begin and whether ids are consecutive; an end without framing is doubted only where that is unusual, an empty run without framing is no proof but no fault, and ids that are only unusual count against no upstream, since a habit may have changed; one is unlearned after seven such streams (14 before).

--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -57,12 +57,14 @@
   /// The caller has got a head and events of an earlier attempt: only the rest of that stream may
   /// follow.
   bool response_started = false;
-  bool has_events = false;   ///< At least one event is complete.
+  bool has_events = false;   ///< At least one event is complete; comments are none.
   bool inside_event = false; ///< The body ends inside an event.
   bool behind = false;       ///< The run began anew and ends before the caller's last event.
   response_tail tail = response_tail::nothing;
   /// The upstream has spoiled or broken off other answers lately.
   bool doubtful_upstream = false;
+  bool asked_for_proof = false; ///< An earlier attempt has ended the stream without proof.
+  bool service_frames = true;   ///< The service's streams usually have a length or chunks.
 };
 
 /// The state of a request, as input to the rules.
@@ -111,9 +113,10 @@
 /// How an attempt ended whose response was received up to its end. A stream is whole only if it
 /// ends between two events; one that ends with its connection also needs an event. It may have none
 /// if it is framed: nothing was left to resume. After `response_started` only an event stream is an
-/// answer; whatever else the upstream sent is a failed attempt. More of a body behind its last chunk
-/// shows that the end is wrong, that of a plain response too. An end is unproven if it is only that of the connection, if
-/// anything else follows it, or if the upstream is doubtful.
+/// answer; whatever else the upstream sent is a failed attempt. More of a body behind its last
+/// chunk shows that the end is wrong, that of a plain response too. An end is unproven if it is
+/// only that of the connection though the service frames its streams, if anything else follows it,
+/// or if the upstream is doubtful.
 attempt_end end_of_response(const ended_response& response);
 
 /// Whether the work of an attempt with this end may have run.
--- a/src/include/nutmegspur/stream_evidence.h
+++ b/src/include/nutmegspur/stream_evidence.h
@@ -124,19 +124,32 @@
   event_counts counts_;
 };
 
-/// Whether the upstreams of a service number the events of a stream consecutively, learned from the
-/// streams that they have sent.
-class event_numbering {
+/// How the upstreams of one version of a service send their streams, learned from these.
+class stream_habits {
  public:
-  void on_stream(const event_counts& seen);
+  /// A stream has ended, in whichever way. `resumed`: it did not begin with its first event.
+  void on_stream(const event_counts& seen, bool resumed, body_framing framing);
 
   /// Whether an event that skips an id, or has none, shows that events are missing.
-  [[nodiscard]] bool consecutive() const { return other_share_ < max_other_share; }
+  [[nodiscard]] bool consecutive() const { return other_share_ < majority; }
 
- private:
-  static constexpr double max_other_share = 0.5;
+  /// Whether a stream that begins with event `id` lacks its first events.
+  [[nodiscard]] bool begins_late(std::string_view id) const {
+    return consecutive() && first_share_ > clear_majority && id != first_id_;
+  }
+
+  /// Whether the end of a connection alone is unusual as the end of a stream.
+  [[nodiscard]] bool frames() const { return unframed_share_ < majority; }
 
-  double other_share_ = 1; ///< Moving average of the streams with other ids.
+ private:
+  static constexpr double majority = 0.5;
+  static constexpr double clear_majority = 0.6;
+
+  // Moving averages of the streams.
+  double other_share_ = 1;    ///< With other ids than consecutive ones.
+  double unframed_share_ = 0; ///< That ended with their connection.
+  double first_share_ = 0;    ///< That began with `first_id_`.
+  std::string first_id_;
 };
 
 /// Upstreams that have spoiled or broken off answers lately.
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -43,7 +43,7 @@
   if (response.tail == response_tail::body) {
     return attempt_end::broken;
   }
-  const bool empty = response.close_delimited && !response.has_events;
+  const bool empty = response.close_delimited && !response.has_events && !response.asked_for_proof;
   if (!response.event_stream) {
     return attempt_end::answered;
   }
@@ -52,8 +52,10 @@
   }
   const bool followed =
       response.tail != response_tail::nothing && response.tail != response_tail::closed;
-  return response.close_delimited || followed || response.doubtful_upstream ? attempt_end::unproven
-                                                                            : attempt_end::answered;
+  const bool unframed =
+      response.close_delimited && (response.service_frames || !response.has_events);
+  return unframed || followed || response.doubtful_upstream ? attempt_end::unproven
+                                                            : attempt_end::answered;
 }
 
 bool
--- a/src/libnutmegspur/stream_evidence.cpp
+++ b/src/libnutmegspur/stream_evidence.cpp
@@ -123,14 +123,34 @@
   return ahead ? event_place::ahead : event_place::next;
 }
 
+namespace {
+
+/// Weight of the newest stream in the moving averages; one that departs from the habit weighs more.
+constexpr double usual_weight = 0.05;
+constexpr double unusual_weight = 0.1;
+
 void
-event_numbering::on_stream(const event_counts& seen) {
-  const bool other = seen.ahead > 0 || seen.unnumbered > 0 || seen.misplaced > 0;
-  if (!other && seen.events < 2) {
-    return; // Tells nothing.
+observe(double& share, bool yes, double weight) {
+  share += weight * ((yes ? 1.0 : 0.0) - share);
+}
+
+} // namespace
+
+void
+stream_habits::on_stream(const event_counts& seen, bool resumed, body_framing framing) {
+  if (seen.events > 0) {
+    observe(unframed_share_, framing == body_framing::connection, usual_weight);
+  }
+  if (!resumed && !seen.first_id.empty()) {
+    if (first_share_ <= usual_weight) {
+      first_id_ = seen.first_id;
+    }
+    observe(first_share_, seen.first_id == first_id_, unusual_weight);
+  }
+  const bool other = seen.ahead > 0 || seen.unnumbered > 0;
+  if (other || seen.events > 1) {
+    observe(other_share_, other, other ? unusual_weight : usual_weight);
   }
-  constexpr double newest_weight = 0.05;
-  other_share_ += newest_weight * ((other ? 1.0 : 0.0) - other_share_);
 }
 
 bool
--- a/src/libnutmegspur/stream_evidence_test.cpp
+++ b/src/libnutmegspur/stream_evidence_test.cpp
@@ -130,29 +130,65 @@
   return it;
 }
 
+void
+observe(stream_habits& to, const event_counts& seen, body_framing framing = body_framing::chunks) {
+  to.on_stream(seen, false, framing);
+}
+
 // Sound streams were cut at a service that numbers its events in steps.
 TEST(stream_evidence, consecutive_numbering_is_learned_and_unlearned) {
-  event_numbering it;
+  stream_habits it;
   EXPECT_FALSE(it.consecutive());
   constexpr int enough = 20;
   for (int n = 0; n < enough; ++n) {
-    it.on_stream(stream(1, 0)); // Tells nothing.
+    observe(it, stream(1, 0)); // Tells nothing.
   }
   EXPECT_FALSE(it.consecutive());
   for (int n = 0; n < enough; ++n) {
-    it.on_stream(stream(3, 0));
+    observe(it, stream(3, 0));
   }
   EXPECT_TRUE(it.consecutive());
   for (int n = 0; n < enough; ++n) {
-    it.on_stream(n % 4 == 0 ? stream(3, 1) : stream(3, 0)); // Some are spoiled.
+    observe(it, n % 4 == 0 ? stream(3, 1) : stream(3, 0)); // Some are spoiled.
   }
   EXPECT_TRUE(it.consecutive());
-  for (int n = 0; n < enough; ++n) {
-    it.on_stream(stream(3, 1));
+  for (int n = 0; n < enough / 2; ++n) {
+    observe(it, stream(3, 1));
   }
   EXPECT_FALSE(it.consecutive());
 }
 
+// A stream without its first event was complete; a service that counts from another id was cut.
+TEST(stream_evidence, the_first_id_is_learned) {
+  constexpr int enough = 20;
+  stream_habits it;
+  event_counts seen = stream(3, 0);
+  for (const char* first : {"1", "0"}) {
+    seen.first_id = first;
+    EXPECT_FALSE(stream_habits{}.begins_late(first));
+    for (int n = 0; n < 3 * enough; ++n) {
+      observe(it, seen);
+    }
+    EXPECT_FALSE(it.begins_late(first));
+    EXPECT_TRUE(it.begins_late("2"));
+  }
+}
+
+// Sound streams of a service that frames none were asked for twice, each of them.
+TEST(stream_evidence, missing_framing_is_learned) {
+  constexpr int enough = 20;
+  stream_habits it;
+  EXPECT_TRUE(it.frames());
+  for (int n = 0; n < enough; ++n) {
+    observe(it, stream(3, 0), body_framing::connection);
+  }
+  EXPECT_FALSE(it.frames());
+  for (int n = 0; n < enough; ++n) {
+    observe(it, stream(3, 0), body_framing::length);
+  }
+  EXPECT_TRUE(it.frames());
+}
+
 // An upstream stayed doubtful for good, or another process at its id did.
 TEST(stream_evidence, an_upstream_is_doubtful_for_a_while) {
   spoiled_answers it;
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -88,7 +88,8 @@
   upstream_limits limits;
   crash_blame blame;
   spoiled_answers spoiled;
-  std::map<service_id, event_numbering> numberings; ///< Of the services' streams.
+  /// Of the services' software versions.
+  std::map<std::pair<service_id, std::string>, stream_habits> habits;
   stream_origins origins;
   load_view loads;
   prompt_cache_view caches;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -65,7 +65,7 @@
 
 request_flow::~request_flow() {
   state_.loop.cancel(deadline_timer_);
-  state_.loop.cancel(silence_timer_);
+  state_.loop.cancel(proof_timer_);
 }
 
 duration
@@ -168,7 +168,7 @@
   history_.kind = route_->kind;
   history_.resumable = route_->resumable;
   history_.max_attempts = route_->max_attempts;
-  history_.broken_off = resumes_earlier_request();
+  history_.broken_off = route_->resumable && resumes_earlier_request();
   last_event_id_ = request_.last_event_id;
   if (stop_if_too_late()) {
     return false;
@@ -485,9 +485,6 @@
   if (task == attempt_task::prefill) {
     return prefill_time_limit(placement_.prefill_answer_millis, rest);
   }
-  if (history_.end_unproven) {
-    return std::min(rest, route_->target_latency); // The caller has its events.
-  }
   if (route_->kind != route_kind::repeatable || history_.sent + 1 >= history_.max_attempts) {
     return rest;
   }
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -59,6 +59,7 @@
   bool has_events = false;     ///< A complete event was received.
   bool stream_logged = false;  ///< Its end is in the log.
   bool contradicted = false;   ///< An id shows that events are missing or wrong.
+  bool unusual_ids = false;    ///< That is so only by the habits of its service.
   http1::byte_hold held;       ///< `body`, and the part of an event in `events`.
   bool held_back = false;      ///< The budget of held bytes says to wait.
 };
@@ -155,6 +156,12 @@
   void record_evidence(attempt_end how);
   /// Whether the response of the attempt is a stream of events that is forwarded as it arrives.
   [[nodiscard]] bool is_event_stream() const;
+
+  /// How upstreams of the attempt's service and version send their streams.
+  [[nodiscard]] stream_habits& habits() const {
+    return state_.habits[{service_name_, attempt_->upstream.software_version}];
+  }
+
   /// Whether the upstream sent more than a response that is held here may have.
   [[nodiscard]] bool holds_too_much() const;
   /// Whether the body that `head` states is longer than one that may be held.
@@ -181,6 +188,8 @@
   void log_stream(std::string_view how, std::string_view next);
   void end_attempt(attempt_end how);
   void forward_response();
+  /// No upstream has begun to answer the question for the rest of the stream.
+  void on_proof_timeout();
   /// Ends the started response, whose end no further attempt has proved.
   void complete();
   /// Logs that the response is complete; `proof` tells what its end was believed on.
@@ -233,7 +242,7 @@
   crash_suspects suspects_;       ///< What upstreams may crash on.
   time_point deadline_{};
   timer_id deadline_timer_;
-  timer_id silence_timer_;
+  timer_id proof_timer_; ///< Ends the wait for the proof of an end.
 
   placement placement_;
   std::optional<upstream_attempt> attempt_;
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -205,7 +205,7 @@
   const std::string id = event_splitter::id_of(event);
   const event_place place =
       attempt_->sequence.add(id, event_splitter::has_data(event), std::hash<std::string>{}(event));
-  attempt_->has_events = true;
+  attempt_->has_events = attempt_->has_events || place != event_place::comment;
   switch (place) {
   case event_place::repeated:
     return true;
@@ -215,11 +215,17 @@
     return false;
   case event_place::ahead:
   case event_place::unnumbered:
-    if (state_.numberings[service_name_].consecutive()) {
+    if (habits().consecutive()) {
+      attempt_->unusual_ids = true;
       return false;
     }
     break;
   case event_place::next:
+    if (attempt_->forwarded == 0 && attempt_->resumed_after.empty() && habits().begins_late(id)) {
+      attempt_->unusual_ids = true;
+      return false;
+    }
+    break;
   case event_place::comment:
     break;
   }
@@ -240,7 +246,10 @@
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
-  history_.end_unproven = false;
+  if (place != event_place::comment) {
+    history_.end_unproven = false;
+    state_.loop.cancel(proof_timer_);
+  }
   caller_->write(event);
   return true;
 }
@@ -282,6 +291,8 @@
   response.inside_event = it.events.inside_event();
   response.behind = it.sequence.behind();
   response.tail = it.call->tail();
+  response.asked_for_proof = history_.end_unproven;
+  response.service_frames = habits().frames();
   response.doubtful_upstream = state_.spoiled.doubtful(http1::event_loop::now(), it.upstream.id);
   end_attempt(end_of_response(response));
 }
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -62,11 +62,13 @@
                                                                        : engine_stage::prefill;
     state_.withhold(now, it.upstream.id, other, misdirected_period, "misdirected");
   }
-  if (how == attempt_end::malformed || (how == attempt_end::broken && it.head.status != 0)) {
+  const bool path_known = it.by_peer == nullptr || it.by_peer->path_known();
+  if ((how == attempt_end::malformed && !it.unusual_ids) ||
+      (how == attempt_end::broken && it.head.status != 0 && path_known)) {
     state_.spoiled.on_spoiled(now, it.upstream.id);
   }
   if (is_event_stream()) {
-    state_.numberings[service_name_].on_stream(it.sequence.counts());
+    habits().on_stream(it.sequence.counts(), !it.resumed_after.empty(), framing_of(it.head));
   }
   if (how != attempt_end::answered && how != attempt_end::unproven) {
     client_.forget({it.upstream.address, it.upstream.port});
@@ -117,8 +119,8 @@
 request_flow::record_evidence(attempt_end how) {
   const upstream_attempt& it = *attempt_;
   const auto result = health_result(how);
-  if (!result) {
-    return;
+  if (!result || it.unusual_ids) {
+    return; // A habit may have changed, at a sound upstream.
   }
   if (how == attempt_end::timed_out && it.held.waited()) {
     // This instance did not read its response.
@@ -288,6 +290,16 @@
   prompt_handle_.reset();
 }
 
+namespace {
+
+/// Whether an attempt that was to prove an end has shown that events were missing.
+bool
+shows_more_events(const upstream_attempt& it) {
+  return it.sequence.has_new_events() || it.events.inside_data();
+}
+
+} // namespace
+
 void
 request_flow::end_attempt(attempt_end how) {
   if (attempt_->task == attempt_task::prefill) {
@@ -302,6 +314,11 @@
   history_.time_left = remaining_time() > min_attempt_time;
   history_.upstream_left = !eligible_upstreams().empty();
   history_.budget_left = true;
+  if (history_.end_unproven && how != attempt_end::answered && how != attempt_end::unproven &&
+      shows_more_events(it)) {
+    history_.end_unproven = false;
+    history_.broken_off = true;
+  }
   next_step step = after_attempt(how, history_);
   if (step == next_step::retry && history_.sent > 0 &&
       !state_.retry_budget_of(service_name_).take(now)) {
@@ -331,6 +348,10 @@
     } else if (history_.response_started) {
       history_.end_unproven = true;
       ended_by_ = it.upstream.id;
+      // The caller has its events, and waits for nothing but the end.
+      state_.loop.cancel(proof_timer_);
+      proof_timer_ =
+          state_.loop.once(route_->target_latency, [this](const moment&) { on_proof_timeout(); });
     }
     http1::discard(state_.loop, std::move(it.call));
     attempt_.reset();
@@ -351,6 +372,20 @@
   }
 }
 
+void
+request_flow::on_proof_timeout() {
+  if (done_ || !history_.end_unproven) {
+    return;
+  }
+  if (attempt_ && attempt_->call != nullptr) {
+    attempt_->call->cancel();
+    history_.max_attempts = history_.sent; // There is no time for another one.
+    end_attempt(attempt_end::timed_out);
+    return;
+  }
+  end_request(after_last_attempt(history_), "no proof", std::nullopt, 0);
+}
+
 void
 request_flow::complete() {
   constexpr int ok = 200;
@@ -492,7 +527,7 @@
   }
   done_ = true;
   state_.loop.cancel(deadline_timer_);
-  state_.loop.cancel(silence_timer_);
+  state_.loop.cancel(proof_timer_);
   permit_wait_.reset();
   origin_wait_.reset();
   const moment now = http1::event_loop::now();
--- a/testsuite/lib/spoiled_streams.py
+++ b/testsuite/lib/spoiled_streams.py
@@ -15,8 +15,10 @@
 LAST_EVENT = 10
 PAUSE_S = 0.01  # Between writes, so that each is read by itself.
 LATER_S = 0.03
+SLOW_S = 0.8
 LONGEST_HOLD_S = 20.0
 CLOSE, RESET, HOLD = "close", "reset", "hold"  # How a stream ends; otherwise its connection is kept.
+COMMENT = b": ok\n\n"
 LAST_CHUNK = b"0\r\n\r\n"
 GARBAGE = b"\x00\x17\xff id: 5\n\nzz\r\n"
 OTHER_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
@@ -46,10 +48,32 @@
         self.all = chunks(first, LAST_EVENT)
         self.skipped = chunks(at + 3, LAST_EVENT)
         self.unframed = [event(n, version) for n in range(first, at + 1)]
+        self.first = first
 
     def with_id(self, event_id):
         return [*self.before, chunk(event(self.at, self.version, event_id)), *self.rest, LAST_CHUNK]
 
+    def first_with_id(self, event_id):
+        """The first event of the run has another id."""
+        return [chunk(event(self.first, self.version, event_id)), *self.all[1:], LAST_CHUNK]
+
+    def last_with_id(self, event_id):
+        return [*self.all[:-1], chunk(event(LAST_EVENT, self.version, event_id)), LAST_CHUNK]
+
+    def joined(self):
+        """No blank line between the spoiled event and the next."""
+        return [*self.before, chunk(event(self.at, self.version)[:-1]), *self.rest, LAST_CHUNK]
+
+    def half_event(self):
+        return [chunk(event(self.first, self.version)[:-4]), RESET]
+
+    def from_one(self):
+        """A run that does not go on after the last event, but begins anew, and ends early."""
+        return [chunk(event(n, self.version)) for n in (1, 2)] + [LAST_CHUNK]
+
+    def slow(self):
+        return [step for it in self.all for step in (it, SLOW_S)] + [LAST_CHUNK]
+
     def zero_size(self):
         spoiled = b"0\r\n" + event(self.at + 1, self.version) + b"\r\n"
         return [*self.up_to, spoiled, *self.rest[1:], LAST_CHUNK]
@@ -84,6 +108,18 @@
     "whole and a response": lambda it: [*it.all, LAST_CHUNK + OTHER_RESPONSE],
     "empty": lambda it: [LAST_CHUNK],
     "cut": lambda it: [*it.up_to, RESET],
+    "first id 97": lambda it: it.first_with_id(97),
+    "first event missing": lambda it: [*it.all[1:], LAST_CHUNK],
+    "last id 9": lambda it: it.last_with_id(9),
+    "next id": lambda it: it.with_id(it.at + 1),
+    "earlier id": lambda it: it.with_id(it.at - 1),
+    "blank line missing": Parts.joined,
+    "half event": Parts.half_event,
+    "from one": Parts.from_one,
+    "slow": Parts.slow,
+    "unframed comment": lambda it: [COMMENT, CLOSE],
+    "comment and reset": lambda it: [chunk(COMMENT), RESET],
+    "unframed whole": lambda it: [*(event(n, it.version) for n in range(it.first, LAST_EVENT + 1)), CLOSE],
 }
 
 
