http1: a field whose name begins like Transfer-Encoding does not undo the coding

What callers could see: the framing of chunks as text, and a stream that breaks off as complete. http_parser clears its mark of chunks as soon as it has read the letters of Transfer-Encoding in a later field, so that the body of a response with "Transfer-Encoding: chunked" and, after it, a field "Transfer-Encodings" ended with its connection. reader_fuzz_test found it, with a name that was damaged.

Change: where http_parser and the check of the head differ about the coding, the response is malformed. Requests of this kind got a 400 already.

Test: the new case was complete before, in reads of any size.

--- a/src/http1/framing_test.cpp
+++ b/src/http1/framing_test.cpp
@@ -268,6 +268,8 @@
        ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks, ""},
       {"two codings", ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n" + chunks,
        ""},
+      {"name that begins like the coding",
+       ok + "Transfer-Encoding: chunked\r\nTransfer-Encodings: none\r\n" + chunks, ""},
       {"damaged coding", ok + "Transfer-Encoding: dhunked\r\n" + chunks, ""},
       {"parameter", ok + "Transfer-Encoding: chunked;q=1\r\n" + chunks, ""},
       {"HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, ""},
--- a/src/http1/head_check.cpp
+++ b/src/http1/head_check.cpp
@@ -174,7 +174,9 @@
     return find_field_violation(line, counts_);
   }
   const auto violation = end_head();
+  const bool chunked = counts_.transfer_codings > 0;
   *this = {};
+  chunked_ = chunked;
   return violation;
 }
 
--- a/src/http1/head_check.h
+++ b/src/http1/head_check.h
@@ -34,6 +34,9 @@
   /// valid. After the empty line it expects the next head.
   std::optional<std::string_view> check(std::string_view piece);
 
+  /// Whether the last head has a chunked body, unless its status has none.
+  [[nodiscard]] bool chunked() const { return chunked_; }
+
  private:
   std::optional<std::string_view> end_line(std::string_view line);
   [[nodiscard]] std::optional<std::string_view> end_head() const;
@@ -41,6 +44,7 @@
   std::string line_;        ///< The current line so far.
   std::string status_line_; ///< Empty until it was read.
   field_counts counts_;
+  bool chunked_ = false;
 };
 
 } // namespace nutmegspur::http1
--- a/src/http1/message_reader.cpp
+++ b/src/http1/message_reader.cpp
@@ -40,9 +40,15 @@
   fields_->all.back().second.append(text);
 }
 
-void
+bool
 message_reader::finish_head() {
   head_done_ = true;
+  chunked_ = (parser_.flags & F_CHUNKED) != 0;
+  // http_parser forgets the coding at a later field whose name only begins like Transfer-Encoding.
+  if (kind_ == kind::response && chunked_ != head_check_.chunked()) {
+    violation_ = "a field name can be taken for Transfer-Encoding";
+    return false;
+  }
   const bool keep_alive = http_should_keep_alive(&parser_) != 0;
   if (kind_ == kind::request) {
     request_.method = http_method_str(static_cast<http_method>(parser_.method));
@@ -54,18 +60,19 @@
     constexpr int first_final_status = 200;
     skip_body_ = no_body_ || response_.status < first_final_status ||
                  response_.status == no_content || response_.status == not_modified;
-    const bool framed = (parser_.flags & F_CHUNKED) != 0 ||
-                        parser_.content_length != std::numeric_limits<std::uint64_t>::max();
+    const bool framed =
+        chunked_ || parser_.content_length != std::numeric_limits<std::uint64_t>::max();
     response_.close_delimited = !skip_body_ && !framed;
     response_.keep_alive = keep_alive && !response_.close_delimited;
   }
-  chunked_ = !skip_body_ && (parser_.flags & F_CHUNKED) != 0;
+  chunked_ = chunked_ && !skip_body_;
   if (chunked_) {
     framing_ = chunk_framing{expected_trailer()};
   }
   if (events_.on_head) {
     events_.on_head();
   }
+  return true;
 }
 
 trailer_rule
@@ -119,7 +126,10 @@
       return 0;
     };
     to.on_headers_complete = [](http_parser* p) {
-      self(p).finish_head();
+      constexpr int failed = -1;
+      if (!self(p).finish_head()) {
+        return failed;
+      }
       return self(p).skip_body_ ? 1 : 0;
     };
     to.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -167,6 +177,9 @@
     }
     return false;
   }
+  if (ec == HPE_CB_headers_complete) {
+    return false; // The violation is set.
+  }
   if (ec != HPE_OK) {
     violation_ = http_errno_description(ec);
   } else if (parser_.upgrade != 0) {
--- a/src/http1/message_reader.h
+++ b/src/http1/message_reader.h
@@ -72,7 +72,8 @@
   void begin();
   void add_field_name(std::string_view text);
   void add_field_value(std::string_view text);
-  void finish_head();
+  /// Returns false if the head is not valid.
+  bool finish_head();
   [[nodiscard]] trailer_rule expected_trailer() const;
 
   /// Finds how many of `bytes` may be parsed next.
