--- a/src/http1/testing/response_generator.cpp
+++ b/src/http1/testing/response_generator.cpp
@@ -105,28 +105,6 @@
                     parts.end());
 }
 
-std::string
-escaped(std::string_view bytes) {
-  std::string text;
-  for (const char c : bytes) {
-    constexpr unsigned char first_printable = 0x20;
-    constexpr unsigned char last_printable = 0x7E;
-    const auto it = static_cast<unsigned char>(c);
-    if (c == '\r') {
-      text += "\\r";
-    } else if (c == '\n') {
-      text += "\\n";
-    } else if (it >= first_printable && it <= last_printable) {
-      text.push_back(c);
-    } else {
-      std::array<char, 5> hex{};
-      std::snprintf(hex.data(), hex.size(), "\\x%02x", it);
-      text += hex.data();
-    }
-  }
-  return text;
-}
-
 rc::Gen<std::vector<std::size_t>>
 sizes() {
   constexpr std::size_t most = 60;
@@ -275,6 +253,28 @@
                    rc::gen::oneOf(rc::gen::just(std::vector<std::size_t>{}), sizes())));
 }
 
+std::string
+escaped(std::string_view bytes) {
+  std::string text;
+  for (const char c : bytes) {
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char last_printable = 0x7E;
+    const auto it = static_cast<unsigned char>(c);
+    if (c == '\r') {
+      text += "\\r";
+    } else if (c == '\n') {
+      text += "\\n";
+    } else if (it >= first_printable && it <= last_printable) {
+      text.push_back(c);
+    } else {
+      std::array<char, 5> hex{};
+      std::snprintf(hex.data(), hex.size(), "\\x%02x", it);
+      text += hex.data();
+    }
+  }
+  return text;
+}
+
 std::string
 to_text(const response_case& it) {
   std::string text{to_name(it.shape.framing)};
--- a/src/http1/testing/response_generator.h
+++ b/src/http1/testing/response_generator.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace nutmegspur::http1 {
@@ -116,6 +117,9 @@
 /// Cases with `least` to `most` damages.
 rc::Gen<response_case> response_cases(std::size_t least, std::size_t most);
 
+/// Bytes as text, for messages of failed tests.
+std::string escaped(std::string_view bytes);
+
 /// For messages of failed tests: the shape, the damages and the bytes.
 std::string to_text(const response_case& it);
 
