--- a/src/include/nutmegspur/mechanisms.h
+++ b/src/include/nutmegspur/mechanisms.h
@@ -25,10 +25,12 @@
   leaving_takes_no_work,   ///< No request is routed to a leaving upstream (P12).
   shutdown_waits,          ///< A shutdown waits for work in progress (P13).
   revision_only_grows,     ///< An older configuration is refused (P14).
+  stop_window_check,       ///< A stopping instance starts only what it can answer (P13).
+  replica_revision_check,  ///< The replica takes no older change, nor one after a gap (P14).
 };
 
 template <> struct enum_names<mechanism> {
-  static constexpr std::array<enum_name<mechanism>, 13> table{{
+  static constexpr std::array<enum_name<mechanism>, 15> table{{
       {mechanism::one_open_intent, "one_open_intent"},
       {mechanism::drain_before_change, "drain_before_change"},
       {mechanism::lease_deadline_check, "lease_deadline_check"},
@@ -42,6 +44,8 @@
       {mechanism::leaving_takes_no_work, "leaving_takes_no_work"},
       {mechanism::shutdown_waits, "shutdown_waits"},
       {mechanism::revision_only_grows, "revision_only_grows"},
+      {mechanism::stop_window_check, "stop_window_check"},
+      {mechanism::replica_revision_check, "replica_revision_check"},
   }};
 };
 
--- a/src/libnutmegspur/stop_window.cpp
+++ b/src/libnutmegspur/stop_window.cpp
@@ -1,4 +1,5 @@
 // The times of a stop, and the requests that fit into it.
+#include <nutmegspur/mechanisms.h>
 #include <nutmegspur/stop_window.h>
 
 namespace nutmegspur {
@@ -10,7 +11,7 @@
 
 bool
 may_start(const stop_window& stop, const moment& now, const unstarted_request& request) {
-  if (request.deadline + response_allowance <= stop.end) {
+  if (!enabled(mechanism::stop_window_check) || request.deadline + response_allowance <= stop.end) {
     return true;
   }
   const bool unnoticed = request.first_byte_at <= stop.begun + balancer_notice + transfer_allowance;
--- a/src/libnutmegspur/store_replica.cpp
+++ b/src/libnutmegspur/store_replica.cpp
@@ -1,5 +1,6 @@
 // Applies changes, reads and peers' updates to the replica of the store, and cuts updates from it.
 #include <nutmegspur/hashing.h>
+#include <nutmegspur/mechanisms.h>
 #include <nutmegspur/store_replica.h>
 
 #include <algorithm>
@@ -31,7 +32,8 @@
   const revision held = revision_of(key);
   // A removal before `history_from_` may be forgotten, and newer than `modified`.
   const bool newer = modified > held && modified > history_from_;
-  if (!newer && known_at < std::max(held, position_)) {
+  const bool stale = !newer && known_at < std::max(held, position_);
+  if (stale && enabled(mechanism::replica_revision_check)) {
     return;
   }
   const auto it = values_.find(key);
@@ -81,7 +83,7 @@
   for (const auto& it : changes) {
     observe(it.key, it.value, it.modified, it.modified);
   }
-  if (after <= position_) {
+  if (after <= position_ || !enabled(mechanism::replica_revision_check)) {
     advance(through);
   }
 }
@@ -122,7 +124,8 @@
 
 bool
 store_replica::apply_update(const replica_update& update) {
-  if (update.store < position_ || update.base > position_) {
+  const bool fits = update.store >= position_ && update.base <= position_;
+  if (!fits && enabled(mechanism::replica_revision_check)) {
     return false;
   }
   for (const auto& [key, it] : update.written) {
