Worker threads: an action is not left in the ring on machines that reorder reads before writes

Cause: drain() cleared drain_posted_ with a store and then read the ring's count, which the ring's library reads relaxed. Then the action waits until the next one is pushed to this worker, as the keep-alive of a lease or an order might.

Change: the flag is cleared by exchange. Of two read-modify-writes of one flag the later one sees the earlier: either the push reads false and posts a call, or drain() synchronizes with the push and sees its action.

No test can show it on x86-64, and no arm64 machine was at hand: not seen to happen. `nutmegspur entry` only; `nutmegspur proxy` has one thread.

--- a/src/libnutmegspur/worker_thread.cpp
+++ b/src/libnutmegspur/worker_thread.cpp
@@ -71,7 +71,9 @@
 void
 worker_thread::drain() {
   // Cleared before the loop: a later push posts a new call, so no action stays in the ring buffer.
-  drain_posted_.store(false);
+  // Read as well as written, so that the actions of earlier pushes are seen: on arm64 the loop's
+  // first read could otherwise come before the write.
+  drain_posted_.exchange(false);
   action what;
   while (actions_.try_pop(what)) {
     if (worker_) {
