A request refused for want of upstreams is told when the first of them takes requests again

Cause: `no_upstream` told every caller half a second, except where all upstreams were paused or limited. While engines changed their stage by an order, which takes seconds that are known, callers came back and were refused again and again. The first end of a pause was told also if something else kept requests from that upstream for longer, or if another upstream could be used at once.

Change: first_availability (new, pure, a table test) returns the least over the upstreams of the longest of what keeps requests from each: an order's expected end (withheld_upstreams::expected_return, without the time that the list takes to show it), a pause, a permit. An engine that will only prefill and a process that leaves do not count; what is not known counts as half a second, as before. upstream_pauses::first_end, now without users, became time_left; its test asks the same times, and the choice among several is in the table.

Tried and left out: the open time of circuit breakers as a known time. The list shows the return long before the breaker admits a request.

--- a/src/include/nutmegspur/upstream_pauses.h
+++ b/src/include/nutmegspur/upstream_pauses.h
@@ -7,8 +7,6 @@
 #include <nutmegspur/ids.h>
 
 #include <map>
-#include <optional>
-#include <vector>
 
 namespace nutmegspur {
 
@@ -27,9 +25,8 @@
   void forget(const upstream_id& id) { pauses_.erase(id); }
 
   [[nodiscard]] bool paused(const moment& now, const upstream_id& id) const;
-  /// Time until the first of `ids` may get requests again; empty if none of them is paused.
-  [[nodiscard]] std::optional<milliseconds> first_end(const moment& now,
-                                                      const std::vector<upstream_id>& ids) const;
+  /// Time until the pause of `id` ends; zero if it is not paused.
+  [[nodiscard]] milliseconds time_left(const moment& now, const upstream_id& id) const;
   /// Removes the pauses that have ended.
   void expire(const moment& now);
 
--- a/src/include/nutmegspur/withheld_upstreams.h
+++ b/src/include/nutmegspur/withheld_upstreams.h
@@ -33,6 +33,16 @@
   bool operator==(const withheld_notice&) const = default;
 };
 
+/// What is known of the return of an upstream that is withheld, or may be used now.
+struct upstream_return {
+  engine_stage stage = engine_stage::none; ///< Which it has then.
+  /// Time until then, zero if it may be used now. Empty if it is not known: the time of a notice
+  /// without a stage is only that until which the list will show what becomes of the upstream.
+  std::optional<milliseconds> time_left;
+
+  bool operator==(const upstream_return&) const = default;
+};
+
 /// The notices in force, at most one per upstream.
 class withheld_upstreams {
  public:
@@ -43,6 +53,10 @@
   /// Until then the lists of all instances show that an upstream is leaving.
   static constexpr milliseconds listed_leaving_period{5'000};
 
+  /// Time from an engine's stage change until all instances see it in the list: a heartbeat of
+  /// about a second, and the pause between two watch calls. Notices that await a stage include it.
+  static constexpr milliseconds listing_lag{3'000};
+
   /// Adds a local notice or a peer's. If an upstream already has a notice, the one that ends later
   /// applies. Returns whether `notice` was stored.
   bool add(const withheld_notice& notice);
@@ -64,6 +78,9 @@
   [[nodiscard]] bool withheld(wall_time now, const listed_upstream& it) const;
   /// Whether the process behind `it` is leaving, by its own word.
   [[nodiscard]] bool leaving(wall_time now, const listed_upstream& it) const;
+  /// When `it` is expected to take new requests again; empty if its process is leaving.
+  [[nodiscard]] std::optional<upstream_return> expected_return(wall_time now,
+                                                               const listed_upstream& it) const;
   /// Returns the notices in force that peers may not have yet, and removes the expired ones.
   std::vector<withheld_notice> current(wall_time now);
 
--- a/src/libnutmegspur/upstream_pauses.cpp
+++ b/src/libnutmegspur/upstream_pauses.cpp
@@ -23,16 +23,10 @@
   return it != pauses_.end() && now.boot < it->second;
 }
 
-std::optional<milliseconds>
-upstream_pauses::first_end(const moment& now, const std::vector<upstream_id>& ids) const {
-  std::optional<milliseconds> first;
-  for (const auto& id : ids) {
-    if (paused(now, id)) {
-      const auto left = std::chrono::ceil<milliseconds>(pauses_.at(id) - now.boot);
-      first = std::min(first.value_or(left), left);
-    }
-  }
-  return first;
+milliseconds
+upstream_pauses::time_left(const moment& now, const upstream_id& id) const {
+  return paused(now, id) ? std::chrono::ceil<milliseconds>(pauses_.at(id) - now.boot)
+                         : milliseconds{0};
 }
 
 void
--- a/src/libnutmegspur/upstream_pauses_test.cpp
+++ b/src/libnutmegspur/upstream_pauses_test.cpp
@@ -46,17 +46,18 @@
   EXPECT_FALSE(pauses.paused(clock.now(), a));
 }
 
-// Load pattern: all upstreams of a service ask for a pause at once.
-TEST(upstream_pauses, callers_are_told_when_the_first_of_several_pauses_ends) {
+// Callers are told when the first of several pauses ends; upstream_availability_test has the rest.
+TEST(upstream_pauses, each_tells_how_long_its_pause_lasts) {
   manual_clock clock;
   upstream_pauses pauses;
-  EXPECT_EQ(pauses.first_end(clock.now(), {a, b}), std::nullopt);
+  EXPECT_EQ(pauses.time_left(clock.now(), a), milliseconds{0});
   pauses.add(clock.now(), a, milliseconds{3'000});
   pauses.add(clock.now(), b, milliseconds{1'000});
-  EXPECT_EQ(pauses.first_end(clock.now(), {a, b}), milliseconds{1'000});
-  EXPECT_EQ(pauses.first_end(clock.now(), {a}), milliseconds{3'000});
+  EXPECT_EQ(pauses.time_left(clock.now(), a), milliseconds{3'000});
+  EXPECT_EQ(pauses.time_left(clock.now(), b), milliseconds{1'000});
   clock.advance(milliseconds{1'000});
-  EXPECT_EQ(pauses.first_end(clock.now(), {a, b}), milliseconds{2'000});
+  EXPECT_EQ(pauses.time_left(clock.now(), a), milliseconds{2'000});
+  EXPECT_EQ(pauses.time_left(clock.now(), b), milliseconds{0});
 }
 
 TEST(upstream_pauses, another_process_is_not_paused) {
--- a/src/libnutmegspur/withheld_upstreams.cpp
+++ b/src/libnutmegspur/withheld_upstreams.cpp
@@ -55,6 +55,23 @@
   return awaited_stage == engine_stage::none || awaited_stage != it.stage;
 }
 
+std::optional<upstream_return>
+withheld_upstreams::expected_return(wall_time now, const listed_upstream& it) const {
+  if (!withheld(now, it)) {
+    return upstream_return{it.stage, milliseconds{0}};
+  }
+  const withheld_notice& notice = notices_.at(it.id);
+  if (notice.leaving_process) {
+    return std::nullopt;
+  }
+  if (notice.until_stage == engine_stage::none) {
+    return upstream_return{it.stage, std::nullopt};
+  }
+  const auto left = std::chrono::ceil<milliseconds>(notice.until - listing_lag - now);
+  const bool overdue = left <= milliseconds{0};
+  return upstream_return{notice.until_stage, overdue ? std::nullopt : std::optional{left}};
+}
+
 std::vector<withheld_notice>
 withheld_upstreams::current(wall_time now) {
   std::vector<withheld_notice> active;
--- a/src/libnutmegspur/withheld_upstreams_test.cpp
+++ b/src/libnutmegspur/withheld_upstreams_test.cpp
@@ -38,6 +38,41 @@
   EXPECT_TRUE(all.current(at(10)).empty());
 }
 
+// Callers were told the same half a second whatever the upstream waited for.
+TEST(withheld_upstreams, each_tells_what_is_known_of_its_return) {
+  withheld_upstreams all;
+  const auto decoding = listed(engine_stage::decode);
+  const auto prefilling = listed(engine_stage::prefill);
+  EXPECT_EQ(all.expected_return(at(0), prefilling),
+            (upstream_return{engine_stage::prefill, milliseconds{0}}));
+  // An order takes 5 s, and then up to `listing_lag` until all instances see it.
+  all.add({engine, engine_stage::decode, at(5) + withheld_upstreams::listing_lag});
+  EXPECT_EQ(all.expected_return(at(0), prefilling),
+            (upstream_return{engine_stage::decode, milliseconds{5'000}}));
+  EXPECT_EQ(all.expected_return(at(4), prefilling),
+            (upstream_return{engine_stage::decode, milliseconds{1'000}}));
+  EXPECT_EQ(all.expected_return(at(5), prefilling),
+            (upstream_return{engine_stage::decode, std::nullopt}));
+  EXPECT_EQ(all.expected_return(at(5), decoding),
+            (upstream_return{engine_stage::decode, milliseconds{0}}));
+  EXPECT_EQ(all.expected_return(at(8), prefilling),
+            (upstream_return{engine_stage::prefill, milliseconds{0}}));
+}
+
+TEST(withheld_upstreams,
+     a_notice_without_a_stage_tells_no_time_and_a_leaving_process_never_returns) {
+  withheld_upstreams all;
+  auto it = listed(engine_stage::decode);
+  all.add({engine, engine_stage::none, at(4)});
+  EXPECT_EQ(all.expected_return(at(1), it), (upstream_return{engine_stage::decode, std::nullopt}));
+  it.started_ms = 7;
+  all.add_leaving(at(1), it);
+  EXPECT_EQ(all.expected_return(at(2), it), std::nullopt);
+  it.started_ms = 8;
+  EXPECT_EQ(all.expected_return(at(2), it),
+            (upstream_return{engine_stage::decode, milliseconds{0}}));
+}
+
 TEST(withheld_upstreams, forwarding_a_notice_back_and_forth_does_not_extend_it) {
   withheld_upstreams one;
   withheld_upstreams other;
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -22,9 +22,6 @@
 /// Delay after a window's end until the counts of all instances are expected to have arrived.
 constexpr milliseconds usage_settle_delay{2'500};
 constexpr milliseconds report_retry_delay{700};
-/// Time from an engine's stage change until all instances see it in the list: a heartbeat of about
-/// a second, and the pause between two watch calls.
-constexpr milliseconds listing_lag{3'000};
 
 std::string
 to_record(const usage_window& window) {
@@ -334,8 +331,8 @@
   // The engine rejects its queued requests and all that arrive before the list shows the change, so
   // the order is sent once all instances have stopped sending requests there.
   const milliseconds lead_time = peers_.spread_time(now);
-  state_.withhold(now, change.upstream, change.target, lead_time + role_change_time + listing_lag,
-                  "order");
+  state_.withhold(now, change.upstream, change.target,
+                  lead_time + role_change_time + withheld_upstreams::listing_lag, "order");
   state_.loop.once(lead_time, [this, change](const moment& later) {
     if (const auto granted = authority_for_call(later); granted && !state_.stopping) {
       order_stage(change, *granted);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -6,6 +6,7 @@
 
 #include <nutmegspur/member_ring.h>
 #include <nutmegspur/request_fingerprint.h>
+#include <nutmegspur/upstream_availability.h>
 
 #include <algorithm>
 
@@ -336,7 +337,7 @@
     return;
   }
   end_request(after_last_attempt(history_), to_name(refusal.why),
-              none_left ? first_availability().value_or(refusal.retry_after) : refusal.retry_after,
+              none_left ? retry_time(refusal.retry_after) : refusal.retry_after,
               refusal.expected_millis);
 }
 
@@ -430,22 +431,18 @@
          (chosen.prefill_upstream.empty() || available(chosen.prefill_upstream));
 }
 
-std::optional<milliseconds>
-request_flow::first_availability() const {
+milliseconds
+request_flow::retry_time(milliseconds unknown) const {
   const moment now = http1::event_loop::now();
-  std::vector<upstream_id> ids;
-  std::optional<milliseconds> first;
+  std::vector<upstream_wait> waits;
   for (const auto* it : eligible_upstreams()) {
-    ids.push_back(it->id);
-    const milliseconds left = permits_.time_left(now, *it);
-    if (left > milliseconds{0} && !state_.pauses.paused(now, it->id)) {
-      first = std::min(first.value_or(left), left);
+    const auto back = state_.withheld.expected_return(state_.clock.agreed(now).wall, *it);
+    if (back && back->stage != engine_stage::prefill) {
+      waits.push_back({!state_.health.allows(now, it->id), back->time_left,
+                       state_.pauses.time_left(now, it->id), permits_.time_left(now, *it)});
     }
   }
-  if (const auto pause = state_.pauses.first_end(now, ids)) {
-    first = std::min(first.value_or(*pause), *pause);
-  }
-  return first;
+  return first_availability(waits, unknown);
 }
 
 std::string
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -141,8 +141,8 @@
 
   /// Ends the request if upstreams crash on it or on a part of its prompt. Returns whether it did.
   bool stop_if_quarantined();
-  /// Time until the first upstream that asked for a pause, or states a rate, may be used again.
-  [[nodiscard]] std::optional<milliseconds> first_availability() const;
+  /// Time until the first upstream may be used again, as far as that is known.
+  [[nodiscard]] milliseconds retry_time(milliseconds unknown) const;
   [[nodiscard]] std::string request_bytes(const upstream_attempt& to) const;
   [[nodiscard]] milliseconds attempt_limit(attempt_task task) const;
 
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -358,6 +358,8 @@
         self.orders = []
         self.delays_order = False  # The next order gets no response; it may be carried out later.
         self.delayed_order = None
+        self.change_s = 0.0  # How long an order takes.
+        self.changed_at = None  # When the last one was done.
         self.kv_handles = set()
         self.repeats_refusals = None  # How it writes refusals once more, see `handle`.
         self.last_refusal = None
@@ -497,9 +499,16 @@
         if order.get("expected", len(self.orders)) != len(self.orders):
             return False
         self.orders.append(order)
-        self.stage = order["stage"]
+        if self.change_s:
+            asyncio.get_running_loop().call_later(self.change_s, self.change_stage, order["stage"])
+        else:
+            self.change_stage(order["stage"])
         return True
 
+    def change_stage(self, stage):
+        self.stage = stage
+        self.changed_at = time.monotonic()
+
     async def respond(self, request, writer):
         if request.path == "/report":
             return make_response(200, {"stage": self.stage, "sequence": len(self.orders)})
