A caller of HTTP/1.0 gets no chunks, and a reset where its response broke off

Callers of HTTP/1.0 got the framing of the chunked coding as part of a stream's body, and a stream that was cut ended its connection as a whole one does. Cause: each response whose length is not known when it begins had the chunked coding, whatever the version of its request.

The request's minor version is kept. Below 1.1 such a response has no coding and says Connection: close; its connection ends cleanly once it is complete, and is reset in any other case: aborted, left by a server that ends, or ended since its caller closed its sending side. What is decided is the end of the connection, so that no way to it can be forgotten. Callers of HTTP/1.1 get the same bytes as before.

--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <thread>
 
 namespace nutmegspur::http1 {
@@ -569,6 +570,81 @@
   EXPECT_EQ(received, "");
 }
 
+/// A response to a caller, and how its connection ended.
+struct received_response {
+  std::string bytes;
+  bool was_reset = false;
+};
+
+/// What a caller gets of a response whose length is not known when it begins, once `go_on` has been
+/// called with it and the server has ended. `on_begun` gets the caller's descriptor.
+received_response
+receive_response(const std::string& version, const std::function<void(exchange&)>& go_on,
+                 void (*on_begun)(int fd) = nullptr) {
+  int fd = -1;
+  {
+    exchange_ptr held;
+    late_server server{[&](const exchange_ptr& it) {
+      held = it;
+      it->begin(200, "", {});
+      it->write("hello");
+      if (on_begun == nullptr) {
+        go_on(*it);
+        server.loop().once(duration{0}, [&](const moment&) { server.loop().stop(); });
+        return;
+      }
+      it->set_on_disconnect([&] { server.loop().stop(); });
+      on_begun(fd);
+    }};
+    fd = server.connect_caller();
+    send_text(fd, "GET /a HTTP/" + version + "\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+    server.run();
+  }
+  received_response response;
+  std::array<char, 4096> buf{};
+  ssize_t n = 0;
+  while ((n = read(fd, buf.data(), buf.size())) > 0) {
+    response.bytes.append(buf.data(), static_cast<std::size_t>(n));
+  }
+  response.was_reset = n < 0 && errno == ECONNRESET;
+  close(fd);
+  return response;
+}
+
+// A caller of HTTP/1.0, which knows no chunked coding, got the framing as part of the body.
+TEST(http_server, response_to_an_old_caller_has_no_chunks) {
+  const auto it = receive_response("1.0", [](exchange& response) {
+    response.write(" again");
+    response.finish();
+  });
+  EXPECT_EQ(it.bytes, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello again");
+  EXPECT_FALSE(it.was_reset);
+}
+
+// A response that broke off ended its connection as a complete one does.
+TEST(http_server, aborted_response_to_an_old_caller_ends_with_a_reset) {
+  EXPECT_TRUE(receive_response("1.0", [](exchange& response) { response.abort(); }).was_reset);
+}
+
+// A response that its server left unfinished at its end looked complete.
+TEST(http_server, response_to_an_old_caller_that_the_server_leaves_ends_with_a_reset) {
+  EXPECT_TRUE(receive_response("1.0", [](exchange&) {}).was_reset);
+}
+
+// A response that ends since its caller has closed its sending side looked complete.
+TEST(http_server, response_to_an_old_caller_that_sends_no_more_ends_with_a_reset) {
+  const auto it = receive_response("1.0", {}, [](int fd) { shutdown(fd, SHUT_WR); });
+  EXPECT_TRUE(it.was_reset);
+}
+
+// A caller that knows chunks sees by the missing last one that a response broke off: a reset could
+// cost it what it has not read.
+TEST(http_server, aborted_response_in_chunks_ends_without_its_last_chunk) {
+  const auto it = receive_response("1.1", [](exchange& response) { response.abort(); });
+  EXPECT_EQ(it.bytes, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+  EXPECT_FALSE(it.was_reset);
+}
+
 struct rejected_case {
   const char* name;
   std::string bytes;
--- a/src/http1/http_server.cpp
+++ b/src/http1/http_server.cpp
@@ -60,9 +60,13 @@
     return;
   }
   started_ = true;
-  chunked_ = true;
+  chunked_ = head_.minor_version > 0;
   std::string text = format_head(status, reason, fields);
-  text += "Transfer-Encoding: chunked\r\n";
+  if (chunked_) {
+    text += "Transfer-Encoding: chunked\r\n";
+  } else {
+    connection_->begin_response_without_framing();
+  }
   text += connection_->closing() ? "Connection: close\r\n\r\n" : "\r\n";
   connection_->send(text);
 }
@@ -72,6 +76,10 @@
   if (connection_ == nullptr || piece.empty()) {
     return;
   }
+  if (!chunked_) {
+    connection_->send(piece);
+    return;
+  }
   constexpr std::size_t size_digits = 20;
   std::array<char, size_digits> size{};
   const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
@@ -86,7 +94,9 @@
     return;
   }
   server_connection* connection = std::exchange(connection_, nullptr);
-  connection->send("0\r\n\r\n");
+  if (chunked_) {
+    connection->send("0\r\n\r\n");
+  }
   connection->finish_response(!connection->closing());
 }
 
--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -1,6 +1,6 @@
 /// \file http_server.h
 /// HTTP/1.1 server: passes complete requests to a handler and sends its responses, either whole or
-/// in chunks.
+/// in pieces: in chunks, or to a caller of HTTP/1.0 up to the end of the connection.
 #pragma once
 
 #include "message_reader.h"
@@ -53,11 +53,13 @@
 
   /// Sends a complete response.
   void reply(int status, std::string_view reason, const http_fields& fields, std::string_view body);
-  /// Sends the head of a chunked response; the body follows with `write` and ends with `finish`.
+  /// Sends the head of a response whose length is not known; the body follows with `write` and ends
+  /// with `finish`.
   void begin(int status, std::string_view reason, const http_fields& fields);
   void write(std::string_view piece);
   void finish();
-  /// Closes the connection without the last chunk, so that the caller sees an incomplete response.
+  /// Ends the connection so that the caller sees an incomplete response: without the last chunk, or
+  /// with a reset where the response has no chunks.
   void abort();
   /// Bytes of the response that the kernel has not accepted yet.
   [[nodiscard]] std::size_t unsent() const;
@@ -72,7 +74,7 @@
   server_connection* connection_; ///< Null once the connection or the exchange has ended.
   std::function<void()> on_disconnect_;
   bool started_ = false;
-  bool chunked_ = false;
+  bool chunked_ = false; ///< The response that has begun has the chunked coding.
 };
 
 using exchange_ptr = std::shared_ptr<exchange>;
--- a/src/http1/message_reader.cpp
+++ b/src/http1/message_reader.cpp
@@ -53,6 +53,7 @@
   if (kind_ == kind::request) {
     request_.method = http_method_str(static_cast<http_method>(parser_.method));
     request_.keep_alive = keep_alive;
+    request_.minor_version = parser_.http_minor;
   } else {
     response_.status = static_cast<int>(parser_.status_code);
     constexpr int no_content = 204;
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -30,6 +30,9 @@
   if (current_exchange_ != nullptr) {
     current_exchange_->connection_ = nullptr;
   }
+  if (reset_at_end_) {
+    stream_->abort();
+  }
 }
 
 void
@@ -172,9 +175,16 @@
   close();
 }
 
+void
+server_connection::begin_response_without_framing() {
+  close_after_response_ = true;
+  reset_at_end_ = true;
+}
+
 void
 server_connection::finish_response(bool keep_alive) {
   current_exchange_.reset();
+  reset_at_end_ = false;
   if (!keep_alive || closing()) {
     close();
     return;
@@ -195,8 +205,8 @@
 void
 server_connection::abort_response() {
   current_exchange_.reset();
-  // A plain close: the missing last chunk already shows that the response is incomplete, and a
-  // reset would discard what the caller has not read yet.
+  // A plain close of a chunked response: the missing last chunk already shows that the response is
+  // incomplete, and a reset would discard what the caller has not read yet.
   close();
 }
 
@@ -213,6 +223,9 @@
     return;
   }
   phase_ = phase::closed;
+  if (std::exchange(reset_at_end_, false)) {
+    stream_->abort();
+  }
   stream_->stop_reading();
   server_.loop_.cancel(timer_);
   server_.loop_.once(duration{0},
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -22,6 +22,9 @@
   // Called by the exchange.
   void send(std::string_view bytes) { stream_->write(bytes); }
 
+  /// The response that begins ends with the connection, which is reset unless the response is
+  /// complete: a clean end would tell the caller that it is.
+  void begin_response_without_framing();
   /// The last byte of a response was written.
   void finish_response(bool keep_alive);
   void abort_response();
@@ -57,6 +60,7 @@
   phase phase_ = phase::idle;
   bool complete_ = false; ///< The parser has reached the end of the request.
   bool close_after_response_ = false;
+  bool reset_at_end_ = false; ///< A response without framing has begun and is not complete.
   bool receiving_ = true;
   timer_id timer_;
   exchange_ptr current_exchange_;
--- a/src/include/nutmegspur/http_message.h
+++ b/src/include/nutmegspur/http_message.h
@@ -36,6 +36,7 @@
   std::string target; ///< Path and query.
   http_fields fields;
   bool keep_alive = true;
+  int minor_version = 1; ///< Of HTTP/1. Callers of HTTP/1.0 know no chunked coding.
 
   /// The target without its query.
   [[nodiscard]] std::string_view path() const {
