One-shot calls take no response for complete that broke off

The end of a response was taken for its completeness in two ways, with one cause: the response was read by hand. What had no Content-Length was complete at any end of the connection, also one in the middle of a chunked body, whose framing was then the body, and an interim response was a final one. And Qt tells of a reset as it tells of a clean close (its socket reads ECONNRESET as end of file and has closed the descriptor when it says so).

Responses are now parsed by message_reader, as those of proxied traffic. One that ends with its connection is complete only if the kernel's state of the connection is CLOSE_WAIT, which a second descriptor still shows; it is closed before the socket is, so that the reset that ends a failed call is not put off. An error in the format is `unavailable`, its outcome as before.

--- a/src/one_shot_http/one_shot_call.cpp
+++ b/src/one_shot_http/one_shot_call.cpp
@@ -1,14 +1,18 @@
 // One-shot HTTP call over a TCP socket.
 #include "one_shot_call.h"
 
+#include "message_reader.h"
+
 #include <nutmegspur/mechanisms.h>
 
 #include <QtNetwork/QHostAddress>
 #include <QtNetwork/QNetworkProxy>
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace nutmegspur {
 
@@ -27,33 +31,38 @@
          ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof no_delay) == 0;
 }
 
-/// The value of a header field in a response head converted to lower case; empty if absent.
-QByteArray
-header_value(const QByteArray& head, const QByteArray& name) {
-  const auto at = head.indexOf("\r\n" + name + ":");
-  if (at < 0) {
-    return {};
-  }
-  const auto from = at + 2 + name.size() + 1;
-  return head.mid(from, head.indexOf("\r\n", from) - from).trimmed();
-}
-
 } // namespace
 
 one_shot_call::one_shot_call(one_shot_request request, step at, callback on_done)
-    : request_(std::move(request)), at_(at), on_done_(std::move(on_done)) {}
+    : request_(std::move(request)), at_(at), on_done_(std::move(on_done)),
+      reader_(std::make_unique<http1::message_reader>(
+          http1::message_reader::kind::response,
+          http1::reader_events{{},
+                               [this](std::string_view bytes) {
+                                 response_.body.append(bytes.data(),
+                                                       static_cast<qsizetype>(bytes.size()));
+                               },
+                               [this] { on_response_end(); }})) {}
 
 one_shot_call::~one_shot_call() {
   finished_ = true;
   socket_.disconnect();
+  drop_connection();
+}
+
+void
+one_shot_call::drop_connection() {
+  if (descriptor_ >= 0) {
+    ::close(std::exchange(descriptor_, -1));
+  }
   socket_.abort();
 }
 
 void
 one_shot_call::start() {
   QObject::connect(&socket_, &QTcpSocket::connected, &socket_, [this] { on_connected(); });
-  QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { on_ready_read(); });
-  QObject::connect(&socket_, &QTcpSocket::errorOccurred, &socket_, [this] { on_disconnected(); });
+  QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { read(false); });
+  QObject::connect(&socket_, &QTcpSocket::errorOccurred, &socket_, [this] { read(true); });
   QObject::connect(&timer_, &QTimer::timeout, &socket_, [this] {
     finish_with_error(error_code::deadline_exceeded, "no complete response in time");
   });
@@ -80,6 +89,7 @@
     finish_with_error(error_code::internal, "cannot set the socket options that bound delivery");
     return;
   }
+  descriptor_ = ::fcntl(static_cast<int>(socket_.socketDescriptor()), F_DUPFD_CLOEXEC, 0);
   const QByteArray bytes = bytes_to_send();
   timer_.start(request_.timeout);
   // Nothing may delay the write after this check.
@@ -93,25 +103,47 @@
 }
 
 void
-one_shot_call::on_ready_read() {
-  received_ += socket_.readAll();
-  if (received_.size() > max_response_bytes) {
+one_shot_call::read(bool ended) {
+  const QByteArray bytes = socket_.readAll();
+  received_bytes_ += bytes.size();
+  if (received_bytes_ > max_response_bytes) {
     finish_with_error(error_code::too_large, "the response exceeds the size limit");
     return;
   }
-  if (auto response = parse(false)) {
-    finish(std::move(response));
+  std::string_view rest{bytes.constData(), static_cast<std::size_t>(bytes.size())};
+  while (!rest.empty() && !complete_) {
+    const auto progress = reader_->feed(rest);
+    if (!progress.violation.empty()) {
+      finish_with_error(error_code::unavailable, "not a valid response: " + progress.violation);
+      return;
+    }
+    rest.remove_prefix(progress.consumed);
+  }
+  if (!complete_ && ended && closed_cleanly()) {
+    reader_->feed_end();
+  }
+  if (complete_) {
+    finish(std::move(response_));
+  } else if (ended) {
+    finish_with_error(error_code::unavailable, socket_.errorString().toStdString());
   }
 }
 
 void
-one_shot_call::on_disconnected() {
-  received_ += socket_.readAll();
-  auto response = parse(true);
-  if (!response) {
-    response.error().message = socket_.errorString().toStdString();
-  }
-  finish(std::move(response));
+one_shot_call::on_response_end() {
+  constexpr int first_final_status = 200;
+  response_.status = reader_->response().status;
+  complete_ = response_.status >= first_final_status;
+}
+
+bool
+one_shot_call::closed_cleanly() const {
+  // Qt tells of a reset as of a clean close. The state of the connection tells them apart, as this
+  // side has not closed yet.
+  tcp_info info{};
+  socklen_t n = sizeof info;
+  return ::getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &n) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
 void
@@ -127,30 +159,8 @@
   }
   finished_ = true;
   timer_.stop();
-  socket_.abort();
+  drop_connection();
   on_done_(std::move(response));
 }
 
-result<one_shot_response>
-one_shot_call::parse(bool ended) const {
-  const outcome ran = written_ ? outcome::unknown : outcome::not_run;
-  const auto incomplete =
-      fail({error_code::unavailable, at_, request_.address, "the response is incomplete", ran});
-  const auto head_end = received_.indexOf("\r\n\r\n");
-  if (!received_.startsWith("HTTP/1.1 ") || head_end < 0) {
-    return incomplete;
-  }
-  constexpr qsizetype status_at = 9;
-  constexpr qsizetype status_digits = 3;
-  one_shot_response response;
-  response.status = received_.mid(status_at, status_digits).toInt();
-  response.body = received_.mid(head_end + 4);
-  const QByteArray length = header_value(received_.left(head_end + 2).toLower(), "content-length");
-  const bool complete = length.isEmpty() ? ended : response.body.size() >= length.toLongLong();
-  if (!complete || response.status == 0) {
-    return incomplete;
-  }
-  return response;
-}
-
 } // namespace nutmegspur
--- a/src/one_shot_http/one_shot_call.h
+++ b/src/one_shot_http/one_shot_call.h
@@ -6,6 +6,9 @@
 /// `timeout`, and a failed call resets its connection, so that no buffered byte is delivered after
 /// a network partition has healed. QNetworkAccessManager is not used because it resends a POST on
 /// its own and closes without a reset.
+///
+/// A response counts only if all of it has come, by its length, its last chunk, or else a clean end
+/// of the connection.
 #pragma once
 
 #include <nutmegspur/clock.h>
@@ -22,6 +25,10 @@
 
 namespace nutmegspur {
 
+namespace http1 {
+class message_reader;
+}
+
 /// A request, its destination and its time limits.
 struct one_shot_request {
   std::string address; ///< IP address.
@@ -61,11 +68,16 @@
 
  private:
   void on_connected();
-  void on_ready_read();
-  void on_disconnected();
+  /// Reads what has come, the last of it if the connection has `ended`, and finishes the call if it
+  /// is complete or has failed with that.
+  void read(bool ended);
+  void on_response_end();
+  /// Whether the peer has ended the connection after all that it sent.
+  [[nodiscard]] bool closed_cleanly() const;
+  /// Closes the socket; the connection ends with a reset.
+  void drop_connection();
   void finish(result<one_shot_response> response);
   void finish_with_error(error_code code, const std::string& why);
-  [[nodiscard]] result<one_shot_response> parse(bool ended) const;
   [[nodiscard]] QByteArray bytes_to_send() const;
 
   one_shot_request request_;
@@ -74,8 +86,13 @@
   // Both belong to the thread that makes the call.
   QTcpSocket socket_;
   QTimer timer_;
-  QByteArray received_;
-  bool written_ = false; ///< Once set, the outcome of a failed call is unknown.
+  /// A second descriptor of the connection, or -1: Qt has closed its own when it tells of the end.
+  int descriptor_ = -1;
+  std::unique_ptr<http1::message_reader> reader_;
+  one_shot_response response_;
+  qsizetype received_bytes_ = 0;
+  bool complete_ = false; ///< `response_` is.
+  bool written_ = false;  ///< Once set, the outcome of a failed call is unknown.
   bool finished_ = false;
 };
 
--- a/src/one_shot_http/one_shot_call_test.cpp
+++ b/src/one_shot_http/one_shot_call_test.cpp
@@ -8,6 +8,7 @@
 #include <QtNetwork/QTcpServer>
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 #include <optional>
 
@@ -23,6 +24,7 @@
   QByteArray received;
   QByteArray response; ///< Empty: nothing is sent.
   bool hang_up = false;
+  bool reset = false; ///< The connection is reset once the response was received.
 
   peer_server() {
     application();
@@ -38,6 +40,13 @@
         if (hang_up) {
           socket->close();
         }
+        if (reset) {
+          socket->flush();
+          const linger drop{1, 0};
+          ::setsockopt(static_cast<int>(socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &drop,
+                       sizeof drop);
+          socket->abort();
+        }
       });
     });
   }
@@ -116,6 +125,53 @@
   EXPECT_EQ(response.error().ran, outcome::not_run);
 }
 
+// A reset was taken for the end of a body that ends with its connection.
+TEST(one_shot_call, a_reset_ends_no_response) {
+  peer_server peer;
+  peer.response = "HTTP/1.1 200 OK\r\n\r\n{\"sequence\":1";
+  peer.reset = true;
+  const auto response = run_call(peer.request());
+  ASSERT_FALSE(response.has_value()) << response->body.toStdString();
+}
+
+// A chunked body that broke off was taken for a complete one, its framing for the body.
+TEST(one_shot_call, a_chunked_response_without_its_last_chunk_is_incomplete) {
+  peer_server peer;
+  peer.response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n";
+  peer.hang_up = true;
+  const auto response = run_call(peer.request());
+  ASSERT_FALSE(response.has_value()) << response->body.toStdString();
+}
+
+// Responses that are complete must not be lost with those that are not.
+TEST(one_shot_call, a_response_without_a_length_is_complete_at_a_clean_close) {
+  peer_server peer;
+  peer.response = "HTTP/1.1 200 OK\r\n\r\n{\"sequence\":1}";
+  peer.hang_up = true;
+  const auto response = run_call(peer.request());
+  ASSERT_TRUE(response.has_value()) << response.error().message;
+  EXPECT_EQ(response->body, "{\"sequence\":1}");
+}
+
+// The framing of the chunked coding was part of the body.
+TEST(one_shot_call, a_chunked_response_is_decoded) {
+  peer_server peer;
+  peer.response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n\r\n";
+  peer.hang_up = true;
+  const auto response = run_call(peer.request());
+  ASSERT_TRUE(response.has_value()) << response.error().message;
+  EXPECT_EQ(response->body, "12");
+}
+
+// An interim response was taken for the end of one that broke off.
+TEST(one_shot_call, an_interim_response_is_no_response) {
+  peer_server peer;
+  peer.response = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  peer.hang_up = true;
+  const auto response = run_call(peer.request());
+  ASSERT_FALSE(response.has_value()) << response->status;
+}
+
 TEST(one_shot_call, an_incomplete_response_is_an_error) {
   peer_server peer;
   peer.response = "HTTP/1.1 202 Accepted\r\nContent-Length: 10\r\n\r\n{}";
