A stream to a caller of HTTP/1.0 ends with a reset where its instance is killed

Callers of HTTP/1.0 saw a stream as whole whose instance was killed in the middle of it. Cause: the kernel ends the connections of a process that ends as a close does, cleanly, and a response without framing has no other end.

While such a response is not complete, its connection has SO_LINGER with no time, with which the kernel resets it at a close, also at that of a process that is killed; the option is taken back before the clean close of a complete response. The end of a connection by the instance itself stays an explicit reset, as it must drop what is still queued.

--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -179,12 +179,15 @@
 server_connection::begin_response_without_framing() {
   close_after_response_ = true;
   reset_at_end_ = true;
+  stream_->set_reset_at_exit(true);
 }
 
 void
 server_connection::finish_response(bool keep_alive) {
   current_exchange_.reset();
-  reset_at_end_ = false;
+  if (std::exchange(reset_at_end_, false)) {
+    stream_->set_reset_at_exit(false);
+  }
   if (!keep_alive || closing()) {
     close();
     return;
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -234,6 +234,17 @@
   handle_ = nullptr;
 }
 
+void
+tcp_stream::set_reset_at_exit(bool reset) {
+  int fd = -1;
+  if (handle_ == nullptr || uv_fileno(as_handle(&handle_->tcp), &fd) != 0) {
+    return;
+  }
+  // The kernel closes what a process leaves open as the process would, with this option.
+  const linger how{reset ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &how, sizeof how);
+}
+
 response_tail
 tcp_stream::peek() const {
   int fd = -1;
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -54,6 +54,8 @@
   /// Closes with a reset, so that the peer does not mistake what it received for a complete
   /// message.
   void abort();
+  /// Whether the connection ends with a reset if this process ends before it closes the connection.
+  void set_reset_at_exit(bool reset);
 
   /// What has arrived and is not read yet, or how the connection has ended. Reads nothing.
   [[nodiscard]] response_tail peek() const;
