Callers that do not read: their responses are not read either; room for responses that have just begun

A caller that took nothing of its stream made the instance hold up to 4 MB for it; the same for a peer that has a request forwarded. Nothing bounded the sum. The upstream's response is now not read while more than 64 KB wait for the caller or peer; an upstream that sends on is stopped by TCP.

Found beside it, with 400 sound responses of 4 MB at once: the first pieces of responses that had just begun, 64 KB each, used up what was left of the budget, so that up to 41 sound ones ended (E614), and an upstream was blamed for want of room. While the budget is pressed connections are now read in pieces of 4 KB; the sums up to which all read (14 MB) and the oldest response of each upstream does (21 MB) leave 35 MB for those that begin; one that ends without fault counts as timed out while it waited, not as malformed. A holder that is complete needs no turn and ends last.

--- a/src/http1/byte_budget.cpp
+++ b/src/http1/byte_budget.cpp
@@ -52,15 +52,16 @@
 
 void
 byte_budget::apply_changes() {
-  for (const auto& [id, order] : held_.take_changes()) {
+  loop_.set_small_reads(held_.pressed());
+  for (const auto& [id, order, at_fault] : held_.take_changes()) {
     byte_hold& owner = *owners_.at(id);
     const bool reads = order == hold_order::read;
     owner.waited_ = owner.waited_ || !reads;
     owner.events_.set_reading(reads);
     if (order == hold_order::end) {
-      loop_.once(duration{0}, [this, id = id](const moment&) {
+      loop_.once(duration{0}, [this, id = id, at_fault = at_fault](const moment&) {
         if (const auto it = owners_.find(id); it != owners_.end()) {
-          it->second->events_.end();
+          it->second->events_.end(at_fault);
         }
       });
     }
--- a/src/http1/byte_budget.h
+++ b/src/http1/byte_budget.h
@@ -19,7 +19,7 @@
 struct hold_events {
   std::function<void(bool)> set_reading; ///< May be called within `byte_hold::update`.
   /// The holder must release everything. Called in a later iteration of the loop.
-  std::function<void()> end;
+  std::function<void(bool at_fault)> end;
 };
 
 /// The bytes that one owner holds; released when it is destroyed.
@@ -61,7 +61,8 @@
   /// Bytes of all holders together.
   [[nodiscard]] std::size_t total() const { return held_.total(); }
 
-  [[nodiscard]] std::size_t holders() const { return held_.holders(); }
+  /// A holder of no more is not counted.
+  [[nodiscard]] std::size_t unheeded() const { return held_.limits().unheeded; }
 
  private:
   friend class byte_hold;
--- a/src/http1/event_loop.h
+++ b/src/http1/event_loop.h
@@ -41,6 +41,15 @@
   /// Read buffer shared by all sockets; its content is valid only until the next read.
   [[nodiscard]] uv_buf_t read_buffer() { return uv_buf_init(buffer_.data(), buffer_.size()); }
 
+  /// The part of it that connections read at once.
+  [[nodiscard]] uv_buf_t stream_read_buffer() {
+    return uv_buf_init(buffer_.data(), small_reads_ ? small_read_bytes : buffer_.size());
+  }
+
+  /// From now on connections are read in small pieces, so that many of them together bring little
+  /// before they can be told to stop.
+  void set_small_reads(bool small) { small_reads_ = small; }
+
  private:
   struct signal_handler;
 
@@ -52,7 +61,9 @@
   timer_service timers_;
   std::vector<signal_handler*> signals_;
   bool running_due_ = false;
+  bool small_reads_ = false;
   static constexpr std::size_t buffer_bytes = 64UL * 1024;
+  static constexpr std::size_t small_read_bytes = 4UL * 1024;
   std::array<char, buffer_bytes> buffer_{};
 };
 
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -151,7 +151,8 @@
       reinterpret_cast<uv_stream_t*>(&handle_->tcp),
       [](uv_handle_t* it, std::size_t, uv_buf_t* buf) {
         const auto* held = static_cast<handle*>(it->data);
-        *buf = held->owner != nullptr ? held->owner->loop_.read_buffer() : uv_buf_init(nullptr, 0);
+        *buf = held->owner != nullptr ? held->owner->loop_.stream_read_buffer()
+                                      : uv_buf_init(nullptr, 0);
       },
       &tcp_stream::on_read);
 }
--- a/src/include/nutmegspur/held_bytes.h
+++ b/src/include/nutmegspur/held_bytes.h
@@ -15,14 +15,17 @@
 
 namespace nutmegspur {
 
-/// The bounds of a budget, in bytes. Invariant: unheeded <= one <= share <= budget / 2, and
-/// 2 * one <= budget / 2.
+/// The bounds of a budget, in bytes. Invariant: unheeded <= one <= share <= calm <= turns, and
+/// turns + one <= budget. The rest of the budget is for holders that have just begun.
 struct held_bytes_limits {
-  std::size_t budget = 48UL * 1024 * 1024; ///< Of all holders together.
-  std::size_t share = 12UL * 1024 * 1024;  ///< Of the holders of one source, beyond its oldest.
-  std::size_t one = 9UL * 1024 * 1024;     ///< Of one holder: its owner ends it beyond that.
+  std::size_t budget = 56UL * 1024 * 1024; ///< Of all holders together.
+  std::size_t calm = 14UL * 1024 * 1024;   ///< Up to this sum all read.
+  std::size_t turns =
+      21UL * 1024 * 1024; ///< Up to this sum the oldest holder of each source reads.
+  std::size_t share = 12UL * 1024 * 1024; ///< Of the holders of one source, beyond its oldest.
+  std::size_t one = 9UL * 1024 * 1024;    ///< Of one holder: its owner ends it beyond that.
   /// A holder of no more is not counted and never waits: requests of ordinary size.
-  std::size_t unheeded = 32UL * 1024;
+  std::size_t unheeded = 16UL * 1024;
 };
 
 /// What a holder has to do from now on.
@@ -38,6 +41,7 @@
 struct hold_change {
   holder_id holder = 0;
   hold_order order = hold_order::read;
+  bool at_fault = false; ///< With `end`: not only for want of room.
 
   friend bool operator==(const hold_change&, const hold_change&) = default;
 };
@@ -58,6 +62,9 @@
   /// as long as it has any.
   void blame(const std::string& source);
 
+  /// Whether holders wait, or would if they held more.
+  [[nodiscard]] bool pressed() const { return total_ > limits_.calm || waiting_ != 0; }
+
   /// The holders whose order has changed since the last call. From its return on `total()` is at
   /// most the budget.
   std::vector<hold_change> take_changes();
--- a/src/libnutmegspur/held_bytes.cpp
+++ b/src/libnutmegspur/held_bytes.cpp
@@ -71,7 +71,7 @@
     if (found == 0) {
       return;
     }
-    changes.push_back({found, hold_order::end});
+    changes.push_back({found, hold_order::end, at_fault(holders_.at(found))});
     close(found);
   }
 }
@@ -82,10 +82,7 @@
   if (total_ <= limits_.share && waiting_ == 0) {
     return changes; // No source is above its share either.
   }
-  // The rest is kept for what was already on its way, and for the oldest, which can become
-  // complete.
-  const std::size_t nearly_used_up = limits_.budget - 2 * limits_.one;
-  end_largest([this](const holder_state& it) { return at_fault(it); }, nearly_used_up, changes);
+  end_largest([this](const holder_state& it) { return at_fault(it); }, limits_.turns, changes);
   end_largest([](const holder_state& it) { return !it.complete; }, limits_.budget, changes);
   end_largest([](const holder_state&) { return true; }, limits_.budget, changes);
   std::set<std::string_view> seen; // Sources whose oldest counted holder was met.
@@ -93,13 +90,13 @@
     const bool counted = it.bytes > limits_.unheeded && !it.complete;
     const bool oldest = counted && seen.empty();
     const bool first_of_source = counted && seen.insert(it.source).second;
-    const bool room = total_ <= limits_.budget / 2 && sources_[it.source].bytes <= limits_.share;
-    const bool turn = oldest || (first_of_source && total_ <= nearly_used_up);
+    const bool room = total_ <= limits_.calm && sources_[it.source].bytes <= limits_.share;
+    const bool turn = oldest || (first_of_source && total_ <= limits_.turns);
     const bool waits = counted && !room && !turn;
     if (waits != it.waits) {
       it.waits = waits;
       waiting_ = waits ? waiting_ + 1 : waiting_ - 1;
-      changes.push_back({id, waits ? hold_order::wait : hold_order::read});
+      changes.push_back({id, waits ? hold_order::wait : hold_order::read, false});
     }
   }
   return changes;
--- a/src/libnutmegspur/held_bytes_test.cpp
+++ b/src/libnutmegspur/held_bytes_test.cpp
@@ -10,11 +10,13 @@
 namespace nutmegspur {
 namespace {
 
-constexpr held_bytes_limits small{1'000, 300, 200, 10};
+constexpr held_bytes_limits small{1'000, 500, 600, 300, 200, 10};
 
 bool
 has(const std::vector<hold_change>& changes, holder_id holder, hold_order order) {
-  return std::find(changes.begin(), changes.end(), hold_change{holder, order}) != changes.end();
+  return std::any_of(changes.begin(), changes.end(), [&](const hold_change& it) {
+    return it.holder == holder && it.order == order;
+  });
 }
 
 // Guards against requests that are delayed although there is room.
@@ -36,9 +38,9 @@
   held.set(first, 160, false);
   held.set(second, 160, false);
   held.set(other, 50, false);
-  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{second, hold_order::wait}}));
+  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{second, hold_order::wait, false}}));
   held.close(first);
-  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{second, hold_order::read}}));
+  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{second, hold_order::read, false}}));
 }
 
 // Guards against holders that wait for each other for ever.
@@ -68,8 +70,8 @@
     reading.push_back(held.open("b" + std::to_string(n)));
     held.set(reading.back(), 150, false);
   }
-  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{reading[1], hold_order::wait},
-                                                           {reading[2], hold_order::wait}}));
+  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{reading[1], hold_order::wait, false},
+                                                           {reading[2], hold_order::wait, false}}));
 }
 
 // Guards against what is complete being thrown away for what is not.
@@ -80,9 +82,9 @@
   held.set_complete(complete);
   const holder_id reading = held.open("b");
   held.set(reading, 400, false);
-  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{reading, hold_order::end}}));
+  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{reading, hold_order::end, false}}));
   held.set(complete, 1'200, false);
-  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{complete, hold_order::end}}));
+  EXPECT_EQ(held.take_changes(), (std::vector<hold_change>{{complete, hold_order::end, false}}));
 }
 
 // Guards against a sound request that ends for the bytes of another.
@@ -161,6 +163,7 @@
       RC_ASSERT(it != open.end());
       it->waits = change.order == hold_order::wait;
       if (change.order == hold_order::end) {
+        RC_ASSERT(!it->at_fault || change.at_fault);
         check_end(*it);
         open.erase(it);
       }
--- a/src/proxy/forward_server.cpp
+++ b/src/proxy/forward_server.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t max_open = 512;
 /// Bytes of a response that a peer may leave unread before it is given up.
 constexpr std::size_t max_unsent_bytes = 4UL * 1024 * 1024;
+/// Bytes beyond which the response is not read, and how often it is looked whether they were taken.
+constexpr std::size_t max_behind_bytes = 64UL * 1024;
+constexpr milliseconds behind_poll{20};
 
 } // namespace
 
@@ -93,6 +96,24 @@
   if (peer->unsent() > max_unsent_bytes) {
     peer->abort();
     close(number);
+  } else if (!open_.at(number).peer_behind) {
+    wait_for_peer(number);
+  }
+}
+
+void
+forward_server::wait_for_peer(std::uint64_t number) {
+  const auto row = open_.find(number);
+  if (row == open_.end()) {
+    return;
+  }
+  forwarding& it = row->second;
+  it.peer_behind = it.peer->unsent() > max_behind_bytes;
+  if (it.call != nullptr) {
+    it.call->set_reading(!it.peer_behind);
+  }
+  if (it.peer_behind) {
+    state_.loop.once(behind_poll, [this, number](const moment&) { wait_for_peer(number); });
   }
 }
 
--- a/src/proxy/forward_server.h
+++ b/src/proxy/forward_server.h
@@ -38,12 +38,15 @@
     forward_request request;
     std::unique_ptr<http1::client_call> call;
     std::uint64_t path_attempt = 0;
+    bool peer_behind = false; ///< The peer has not taken what was sent.
   };
 
   void refuse(const http1::exchange_ptr& peer, std::string_view why);
   void send(const http1::exchange_ptr& peer, const listed_upstream& upstream,
             forward_request request);
   void write(std::uint64_t number, const forward_event& event);
+  /// Reads the response as the peer takes it.
+  void wait_for_peer(std::uint64_t number);
   void on_end(std::uint64_t number, http1::call_end how);
   void close(std::uint64_t number);
 
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -67,6 +67,7 @@
 request_flow::~request_flow() {
   state_.loop.cancel(deadline_timer_);
   state_.loop.cancel(proof_timer_);
+  state_.loop.cancel(unsent_timer_);
 }
 
 duration
@@ -562,9 +563,9 @@
                    attempt_->held_back = !reads;
                    update_reading();
                  },
-                 [this] {
+                 [this](bool at_fault) {
                    if (!done_ && attempt_ && attempt_->call != nullptr) {
-                     end_overflowing("budget");
+                     end_overflowing(at_fault ? overflow_cause::at_fault : overflow_cause::no_room);
                    }
                  }});
   http1::call_events events{[this] { on_sending(); },
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -62,8 +62,30 @@
   bool unusual_ids = false;    ///< That is so only by the habits of its service.
   http1::byte_hold held;       ///< `body`, and the part of an event in `events`.
   bool held_back = false;      ///< The budget of held bytes says to wait.
+  bool caller_behind = false;  ///< The caller has not taken what was forwarded.
 };
 
+/// Why an attempt ends for the bytes that it holds.
+enum class overflow_cause {
+  size,     ///< More than any response, or event, has.
+  length,   ///< The stated length is.
+  at_fault, ///< The budget is used up, and it is one of those at fault.
+  no_room,  ///< The budget is used up by others, too.
+};
+
+} // namespace nutmegspur::proxy
+
+template <> struct nutmegspur::enum_names<nutmegspur::proxy::overflow_cause> {
+  static constexpr std::array<enum_name<proxy::overflow_cause>, 4> table{{
+      {proxy::overflow_cause::size, "size"},
+      {proxy::overflow_cause::length, "length"},
+      {proxy::overflow_cause::at_fault, "at_fault"},
+      {proxy::overflow_cause::no_room, "no_room"},
+  }};
+};
+
+namespace nutmegspur::proxy {
+
 class request_flow {
  public:
   request_flow(proxy_state& state, http1::http_client& client, call_set& background_calls,
@@ -168,10 +190,12 @@
   [[nodiscard]] bool states_too_much(const http_response_head& head) const;
   /// Counts what the attempt holds.
   void update_held();
-  /// The upstream has sent, or announced, more than a response has: ends the attempt as malformed.
-  void end_overflowing(std::string_view why);
-  /// Reads the response as the budget allows.
+  /// Ends the attempt, as malformed unless there was only no room for it.
+  void end_overflowing(overflow_cause why);
+  /// Reads the response as the budget and the caller allow.
   void update_reading();
+  /// Reads on once the caller has taken what was forwarded.
+  void wait_for_caller();
   void forward_events();
   /// Returns false if the event shows that the attempt's stream is not what its engine made.
   bool forward_event(const std::string& event);
@@ -243,6 +267,7 @@
   time_point deadline_{};
   timer_id deadline_timer_;
   timer_id proof_timer_; ///< Ends the wait for the proof of an end.
+  timer_id unsent_timer_;
 
   placement placement_;
   std::optional<upstream_attempt> attempt_;
--- a/src/proxy/request_flow_answer.cpp
+++ b/src/proxy/request_flow_answer.cpp
@@ -26,6 +26,11 @@
 /// is no use in them.
 constexpr std::size_t max_error_bytes = 64UL * 1024;
 
+/// Bytes that the caller has not taken, beyond which the response is not read, and how often it is
+/// looked whether it has.
+constexpr std::size_t max_behind_bytes = 64UL * 1024;
+constexpr milliseconds behind_poll{20};
+
 } // namespace
 
 void
@@ -61,7 +66,7 @@
     count_usage(attempt_->sent_at);
   }
   if (states_too_much(head)) {
-    end_overflowing("length");
+    end_overflowing(overflow_cause::length);
   }
 }
 
@@ -130,7 +135,7 @@
       attempt_->call->cancel();
       end_attempt(attempt_end::malformed);
     } else if (holds_too_much()) {
-      end_overflowing("size");
+      end_overflowing(overflow_cause::size);
     } else {
       update_held();
     }
@@ -164,25 +169,45 @@
 }
 
 void
-request_flow::end_overflowing(std::string_view why) {
+request_flow::end_overflowing(overflow_cause why) {
   upstream_attempt& it = *attempt_;
-  count("nutmegspur_upstream_overflows_total", "why", why);
+  count("nutmegspur_upstream_overflows_total", "why", to_name(why));
   log(log_event::upstream_overflow,
       {{"request", request_.id},
        {"upstream", it.upstream.id.value},
-       {"why", std::string{why}},
+       {"why", std::string{to_name(why)}},
        {"status", std::to_string(it.head.status)},
        {"held", std::to_string(it.body.size() + it.events.held_bytes())},
        {"held_in_all", std::to_string(state_.held.total())}});
-  it.held.blame();
+  if (why == overflow_cause::size || why == overflow_cause::length) {
+    it.held.blame();
+  }
   it.call->cancel();
-  end_attempt(attempt_end::malformed);
+  // Without room it did nothing wrong: as if its time were up while it waited.
+  end_attempt(why == overflow_cause::no_room ? attempt_end::timed_out : attempt_end::malformed);
 }
 
 void
 request_flow::update_reading() {
   if (attempt_ && attempt_->call != nullptr) {
-    attempt_->call->set_reading(!attempt_->held_back);
+    attempt_->call->set_reading(!attempt_->held_back && !attempt_->caller_behind);
+  }
+}
+
+void
+request_flow::wait_for_caller() {
+  const bool behind = caller_->unsent() > max_behind_bytes;
+  if (behind != attempt_->caller_behind) {
+    attempt_->caller_behind = behind;
+    update_reading();
+  }
+  if (behind) {
+    state_.loop.cancel(unsent_timer_);
+    unsent_timer_ = state_.loop.once(behind_poll, [this](const moment&) {
+      if (!done_ && attempt_) {
+        wait_for_caller();
+      }
+    });
   }
 }
 
@@ -197,6 +222,8 @@
   }
   if (caller_->unsent() > max_unsent_bytes) {
     cut("the caller does not read");
+  } else {
+    wait_for_caller();
   }
 }
 
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -528,6 +528,7 @@
   done_ = true;
   state_.loop.cancel(deadline_timer_);
   state_.loop.cancel(proof_timer_);
+  state_.loop.cancel(unsent_timer_);
   permit_wait_.reset();
   origin_wait_.reset();
   const moment now = http1::event_loop::now();
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -461,6 +461,7 @@
             "endless_event": lambda: (head + b"Content-Type: text/event-stream\r\n\r\ndata: ", b"x" * 65536),
             "endless_comment": lambda: (events, b":" + b"x" * 1000 + b"\n"),
             "endless_comments": lambda: (events, b":\n\n" * 300),
+            "endless_events": lambda: (events, (b"data: " + b"x" * 1000 + b"\n\n") * 60),
             "endless_chunks": lambda: (chunked, chunk),
             "endless_chunk_size": lambda: (chunked, b"0" * 1000),
             "endless_chunk_extension": lambda: (chunked + b"5;", b"x" * 1000),
@@ -572,6 +573,8 @@
             return None
         if fault == "error":
             return make_response(500, b"broken", headers)
+        if fault.startswith("bytes "):  # A sound response of this size.
+            return make_response(200, b"x" * int(fault.split()[1]), headers)
         if fault.startswith("resumed "):  # The first run is cut; the run that resumes it gets this response.
             how = fault.partition(" ")[2]
             if "last-event-id" in request.headers:
