Callers' requests and what they do not take draw from the budget of held bytes

Cause: each connection's request was bounded by max_body_bytes and its response by its length, and their sum by nothing.

A connection now counts its request, until the response to it is complete, and the bytes of responses that its caller has not taken. A caller that takes nothing for a second is at fault: its connection is reset first when room is needed. A closed connection lives until its bytes are taken, or for 4 s without progress, so that they stay counted.

--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -3,6 +3,7 @@
 /// in pieces: in chunks, or to a caller of HTTP/1.0 up to the end of the connection.
 #pragma once
 
+#include "byte_budget.h"
 #include "message_reader.h"
 #include "tcp_stream.h"
 
@@ -86,6 +87,10 @@
   std::function<caller_limits()> limits;
   /// A request was rejected before it was complete, with this status and for this reason.
   std::function<void(int status, const std::string& why)> on_rejected;
+  /// Of the bytes that are held for callers; null: they are not counted.
+  byte_budget* budget = nullptr;
+  /// Names those who connect, as one source of held bytes.
+  std::string source;
 };
 
 /// Listens on one address.
@@ -119,7 +124,7 @@
   server_hooks hooks_;
   tcp_listener listener_;
   std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
-  bool closing_ = false; ///< No connection is kept after its current or next response.
+  bool closing_ = false;       ///< No connection is kept after its current or next response.
 };
 
 } // namespace nutmegspur::http1
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -11,6 +11,11 @@
 /// the rest stays in the kernel's buffer.
 constexpr std::size_t max_unread_bytes = 128UL * 1024;
 
+/// How often it is looked whether a caller has taken its response, and after what time without
+/// progress it is at fault.
+constexpr milliseconds unsent_poll{50};
+constexpr milliseconds max_standstill{1'000};
+
 } // namespace
 
 server_connection::server_connection(http_server& server, std::unique_ptr<tcp_stream> stream)
@@ -21,12 +26,23 @@
                [this] { complete_ = true; }}) {
   stream_->set_events(
       {{}, [this](std::string_view bytes) { on_data(bytes); }, [this](stream_end) { on_end(); }});
+  if (server_.hooks_.budget != nullptr) {
+    input_.start(*server_.hooks_.budget, server_.hooks_.source,
+                 {[this](bool reads) {
+                    held_back_ = !reads;
+                    update_reading();
+                  },
+                  [this](bool) { give_up_input(); }});
+    output_.start(*server_.hooks_.budget, server_.hooks_.source + ", unread",
+                  {[](bool) {}, [this](bool) { give_up_output(); }});
+  }
   stream_->start_reading();
   start_timer(server_.hooks_.limits().idle_timeout);
 }
 
 server_connection::~server_connection() {
   server_.loop_.cancel(timer_);
+  server_.loop_.cancel(unsent_timer_);
   if (current_exchange_ != nullptr) {
     current_exchange_->connection_ = nullptr;
   }
@@ -49,7 +65,11 @@
     break;
   case phase::head:
   case phase::body:
-    reject(408, "the request was not received in time");
+    if (held_back_) {
+      reject(503, "there was no room for the request in time");
+    } else {
+      reject(408, "the request was not received in time");
+    }
     break;
   default:
     break;
@@ -60,10 +80,95 @@
 server_connection::on_data(std::string_view bytes) {
   unread_.append(bytes);
   if (phase_ == phase::responding && unread_.size() > max_unread_bytes) {
-    stream_->stop_reading();
     receiving_ = false;
+    update_reading();
   }
   process_input();
+  update_input();
+}
+
+void
+server_connection::update_input() {
+  if (phase_ != phase::closed) {
+    const std::size_t body = phase_ == phase::responding ? dispatched_bytes_ : body_.capacity();
+    input_.update(unread_.size() + body, false);
+  }
+}
+
+void
+server_connection::update_reading() {
+  if (phase_ == phase::closed) {
+    return;
+  }
+  if (receiving_ && !held_back_) {
+    stream_->start_reading();
+  } else {
+    stream_->stop_reading();
+  }
+  if (phase_ != phase::head && phase_ != phase::body) {
+    return;
+  }
+  const milliseconds longest = server_.hooks_.limits().header_timeout;
+  if (!held_back_) {
+    start_timer(longest);
+    return;
+  }
+  // It waits no longer in all, however often it is its turn in between.
+  const time_point now = event_loop::now().boot;
+  first_held_back_ = first_held_back_ == time_point{} ? now : first_held_back_;
+  const auto left =
+      std::chrono::ceil<milliseconds>(std::max(first_held_back_ + longest - now, duration{0}));
+  start_timer(left);
+}
+
+void
+server_connection::give_up_input() {
+  constexpr int unavailable = 503;
+  if (phase_ == phase::head || phase_ == phase::body) {
+    reject(unavailable, "there is no room for the request");
+  } else if (phase_ != phase::closed) {
+    stream_->abort();
+    on_end();
+  }
+}
+
+void
+server_connection::watch_unsent() {
+  const std::size_t n = stream_->unsent();
+  const byte_budget* budget = server_.hooks_.budget;
+  if (budget == nullptr || n <= budget->unheeded()) {
+    last_unsent_ = 0;
+    output_.release();
+    if (phase_ == phase::closed) {
+      remove_later();
+    }
+    return;
+  }
+  const time_point now = event_loop::now().boot;
+  if (last_unsent_ == 0 || n < last_unsent_) {
+    last_taken_ = now;
+  }
+  last_unsent_ = n;
+  const duration standstill = now - last_taken_;
+  if (phase_ == phase::closed && standstill > tcp_stream::user_timeout + max_standstill) {
+    give_up_output(); // The connection is dead.
+    return;
+  }
+  output_.update(n, standstill >= max_standstill);
+  output_.set_complete();
+  server_.loop_.cancel(unsent_timer_);
+  unsent_timer_ = server_.loop_.once(unsent_poll, [this](const moment&) { watch_unsent(); });
+}
+
+void
+server_connection::give_up_output() {
+  stream_->abort();
+  server_.loop_.cancel(unsent_timer_);
+  if (phase_ == phase::closed) {
+    remove_later();
+  } else {
+    on_end();
+  }
 }
 
 void
@@ -158,10 +263,13 @@
 server_connection::dispatch() {
   server_.loop_.cancel(timer_);
   phase_ = phase::responding;
+  dispatched_bytes_ = body_.capacity();
   close_after_response_ = !reader_.request().keep_alive;
   auto request = std::make_shared<exchange>(*this, std::move(reader_.request()), std::move(body_),
                                             event_loop::now(), first_byte_at_);
-  body_.clear();
+  body_ = {};
+  input_.update(unread_.size() + dispatched_bytes_, false);
+  input_.set_complete();
   current_exchange_ = request;
   server_.hooks_.on_request(std::move(request));
 }
@@ -188,15 +296,16 @@
   if (std::exchange(reset_at_end_, false)) {
     stream_->set_reset_at_exit(false);
   }
+  input_.release();
   if (!keep_alive || closing()) {
     close();
     return;
   }
   phase_ = phase::idle;
-  if (!receiving_) {
-    receiving_ = true;
-    stream_->start_reading();
-  }
+  receiving_ = true;
+  held_back_ = false;
+  first_held_back_ = {};
+  update_reading();
   start_timer(server_.hooks_.limits().idle_timeout);
   if (!unread_.empty()) {
     // On a later loop iteration, so that requests that are answered at once do not recurse.
@@ -231,6 +340,15 @@
   }
   stream_->stop_reading();
   server_.loop_.cancel(timer_);
+  input_.release();
+  watch_unsent();
+}
+
+void
+server_connection::remove_later() {
+  if (std::exchange(removing_, true)) {
+    return;
+  }
   server_.loop_.once(duration{0},
                      [this, &server = server_](const moment&) { server.remove(this); });
 }
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -20,7 +20,10 @@
   [[nodiscard]] bool busy() const { return current_exchange_ != nullptr; }
 
   // Called by the exchange.
-  void send(std::string_view bytes) { stream_->write(bytes); }
+  void send(std::string_view bytes) {
+    stream_->write(bytes);
+    watch_unsent();
+  }
 
   /// The response that begins ends with the connection, which is reset unless the response is
   /// complete: a clean end would tell the caller that it is.
@@ -48,8 +51,18 @@
   void reject(int status, const std::string& why);
   void start_timer(milliseconds timeout);
   void on_timeout();
-  /// Closes the connection and destroys this object on a later loop iteration.
+  /// Counts the bytes of the request, and reads on or waits as the budget says.
+  void update_input();
+  void update_reading();
+  /// There is no room for the request.
+  void give_up_input();
+  /// Counts the bytes that the caller has not taken, until it has.
+  void watch_unsent();
+  /// There is no room for the bytes that the caller does not take.
+  void give_up_output();
+  /// Closes the connection, and destroys this object once the caller has taken the response.
   void close();
+  void remove_later();
 
   http_server& server_;
   std::unique_ptr<tcp_stream> stream_;
@@ -61,7 +74,16 @@
   bool complete_ = false; ///< The parser has reached the end of the request.
   bool close_after_response_ = false;
   bool reset_at_end_ = false; ///< A response without framing has begun and is not complete.
-  bool receiving_ = true;
+  bool receiving_ = true;        ///< There is room for later requests.
+  bool held_back_ = false;       ///< The budget says to wait.
+  time_point first_held_back_{}; ///< When that was said first of the current request.
+  byte_hold input_;  ///< `unread_`, and the body of the request until its response is complete.
+  byte_hold output_; ///< What the caller has not taken.
+  std::size_t dispatched_bytes_ = 0; ///< Body of the request in progress.
+  bool removing_ = false;
+  std::size_t last_unsent_ = 0;
+  time_point last_taken_{}; ///< When the caller took bytes last, as far as it was looked.
+  timer_id unsent_timer_;
   timer_id timer_;
   exchange_ptr current_exchange_;
 };
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -72,12 +72,13 @@
            },
            [](int status, const std::string& why) {
              log(log_event::request_refused, {{"status", std::to_string(status)}, {"why", why}});
-           }}),
+           },
+           &state_.held, "callers"}),
       ready_server_(loop, {[this](const http1::exchange_ptr& it) { on_probe(it); }, internal_limits,
                            [](int, const std::string&) {}}),
       peer_server_(loop, {[this](const http1::exchange_ptr& it) { on_peer_request(it); },
-                          [this] { return peer_limits(state_); }, [](int, const std::string&) {}}) {
-}
+                          [this] { return peer_limits(state_); }, [](int, const std::string&) {},
+                          &state_.held}) {}
 
 proxy_node::~proxy_node() = default;
 
