Single calls: short replies have a short limit, all draw from the budget of held bytes

Ten upstreams whose health answers had no end made an instance grow by 258,288 and 272,600 kB over 14,408 kB while it checked whether they had crashed. Cause: every call to an upstream, the platform or a peer could bring 16 MB, the limit of the store's longest reply, and nothing bounded the sum. Now 256 KB for all but the store's reads, its watch and peers' updates, and each call's reply draws from the budget, one source for each address.

--- a/src/proxy/call_set.h
+++ b/src/proxy/call_set.h
@@ -3,6 +3,7 @@
 /// response or the reason for its absence. Destroying the set cancels its open calls.
 #pragma once
 
+#include "byte_budget.h"
 #include "http_client.h"
 
 #include <nutmegspur/wire_binding.h>
@@ -27,20 +28,30 @@
   [[nodiscard]] bool complete() const { return end == http1::call_end::completed; }
 };
 
-/// Time limits of a single call.
+/// Longest reply of most calls: those to upstreams, to the platform's other interfaces and to peers
+/// are a few fields.
+inline constexpr std::size_t max_short_reply_bytes = 256UL * 1024;
+/// Longest reply with values of the store: at most 1 MB of them, or one value of the configured
+/// maximum, both longer by a third in their encoding.
+inline constexpr std::size_t max_store_reply_bytes = 16UL * 1024 * 1024;
+
+/// Limits of a single call.
 struct call_limits {
   milliseconds all{0};                 ///< From the start to the last byte of the response.
   std::optional<milliseconds> connect; ///< For the connection; the whole time if it is not given.
   /// Not over a kept connection, where the server may respond to an earlier call once more: for
   /// calls whose responses do not name them.
   bool new_connection = false;
+  /// A call whose reply is longer ends as malformed.
+  std::size_t reply_bytes = max_short_reply_bytes;
 };
 
 class call_set {
  public:
   using handler = std::function<void(const call_outcome&)>;
 
-  call_set(http1::event_loop& loop, http1::http_client& client) : loop_(loop), client_(client) {}
+  call_set(http1::event_loop& loop, http1::http_client& client, http1::byte_budget& budget)
+      : loop_(loop), client_(client), budget_(budget) {}
 
   /// Sends `call` once, and not after `not_after`. `on_end` runs within `limits`, in a later
   /// iteration of the loop.
@@ -50,9 +61,20 @@
   [[nodiscard]] bool empty() const { return calls_.empty(); }
 
  private:
+  struct open_entry {
+    call_outcome outcome;
+    handler on_end;
+    std::unique_ptr<http1::client_call> call;
+    http1::byte_hold held; ///< The body in `outcome`.
+  };
+
+  void on_body(open_entry& it, std::string_view bytes);
+  void end(std::uint64_t number, http1::call_end how);
+
   http1::event_loop& loop_;
   http1::http_client& client_;
-  std::map<std::uint64_t, std::unique_ptr<http1::client_call>> calls_;
+  http1::byte_budget& budget_;
+  std::map<std::uint64_t, open_entry> calls_;
   std::uint64_t last_number_ = 0;
 };
 
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -66,7 +66,7 @@
              {[this] { return peers_.rank(http1::event_loop::now()); },
               [this] { return !calls_.empty(); }}),
       sealed_record_(sealed_key), fleet_(state.options.fleet), stages_(state.options.prefill_share),
-      calls_(state.loop, client) {}
+      calls_(state.loop, client, state.held) {}
 
 duty_holder::~duty_holder() {
   state_.loop.cancel(timer_);
--- a/src/proxy/origin_client.h
+++ b/src/proxy/origin_client.h
@@ -35,7 +35,7 @@
 
   origin_client(proxy_state& state, http1::http_client& client, peer_group& peers,
                 store_link& store, std::int64_t started_ms)
-      : state_(state), calls_(state.loop, client), peers_(peers), store_(store),
+      : state_(state), calls_(state.loop, client, state.held), peers_(peers), store_(store),
         stored_(state, store, peers, started_ms) {}
 
   void start();
--- a/src/proxy/peer_group.cpp
+++ b/src/proxy/peer_group.cpp
@@ -61,7 +61,7 @@
 
 peer_group::peer_group(proxy_state& state, http1::http_client& client, store_link& store,
                        std::int64_t started_ms)
-    : state_(state), calls_(state.loop, client), store_(store), started_ms_(started_ms),
+    : state_(state), calls_(state.loop, client, state.held), store_(store), started_ms_(started_ms),
       socket_(state.loop,
               [this](std::string_view bytes, const endpoint& from) { on_datagram(bytes, from); }),
       relays_(state.settings.instance, state.settings.zone), relay_period_(min_period),
@@ -604,7 +604,8 @@
   if (!calls_.empty()) {
     return;
   }
-  calls_.send(at, {"GET", update_target(position), {}, {}}, {update_call_timeout},
+  calls_.send(at, {"GET", update_target(position), {}, {}},
+              {.all = update_call_timeout, .reply_bytes = max_store_reply_bytes},
               [this, name](const call_outcome& ended) {
                 const auto update =
                     ended.complete()
--- a/src/proxy/permit_client.h
+++ b/src/proxy/permit_client.h
@@ -27,7 +27,7 @@
   using handler = std::function<void(const permit_answer&)>;
 
   permit_client(proxy_state& state, http1::http_client& client, const peer_group& peers)
-      : state_(state), calls_(state.loop, client), peers_(peers) {}
+      : state_(state), calls_(state.loop, client, state.held), peers_(peers) {}
 
   /// Whether requests to `it` need a permit.
   [[nodiscard]] bool needed(const listed_upstream& it) const {
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -48,7 +48,8 @@
     : loop_(loop), started_ms_(unix_millis(http1::event_loop::now())),
       state_(loop, wire, std::move(settings), options),
       upstream_client_(loop, {upstream_connections}),
-      platform_client_(loop, {platform_connections}), background_calls_(loop, upstream_client_),
+      platform_client_(loop, {platform_connections}),
+      background_calls_(loop, upstream_client_, state_.held),
       store_(state_, platform_client_,
              {[this](const registered_instance& entry, bool present) {
                 peers_.on_instance(entry, present);
@@ -78,7 +79,7 @@
                            [](int, const std::string&) {}}),
       peer_server_(loop, {[this](const http1::exchange_ptr& it) { on_peer_request(it); },
                           [this] { return peer_limits(state_); }, [](int, const std::string&) {},
-                          &state_.held}) {}
+                          &state_.held, "peers"}) {}
 
 proxy_node::~proxy_node() = default;
 
--- a/src/proxy/store_link.cpp
+++ b/src/proxy/store_link.cpp
@@ -51,7 +51,7 @@
 
 store_link::store_link(proxy_state& state, http1::http_client& client, hooks callbacks,
                        std::int64_t started_ms)
-    : state_(state), calls_(state.loop, client), callbacks_(std::move(callbacks)),
+    : state_(state), calls_(state.loop, client, state.held), callbacks_(std::move(callbacks)),
       upstream_derivation_(state.wire.upstream_prefix(),
                            [this](const std::string& key, const std::string& value) {
                              return state_.wire.parse_upstream(key, value);
@@ -94,7 +94,8 @@
                  reply_handler on_reply) {
   platform_request sent = request;
   remove_era(sent);
-  calls_.send(state_.settings.store, state_.wire.store_call(sent), {limit},
+  calls_.send(state_.settings.store, state_.wire.store_call(sent),
+              {.all = limit, .reply_bytes = max_store_reply_bytes},
               [this, id, request, sent_in = era_.known(),
                notify = std::move(on_reply)](const call_outcome& ended) {
                 platform_reply reply{id, kv_range_reply{}, ended.sent_at.boot};
@@ -317,7 +318,8 @@
   // One call watches everything: the keys of operators, upstreams and instances.
   const revision from = replica_.position();
   const revision after{number_of(from)};
-  calls_.send(state_.settings.store, state_.wire.watch_call("", after, watch_wait), {watch_timeout},
+  calls_.send(state_.settings.store, state_.wire.watch_call("", after, watch_wait),
+              {.all = watch_timeout, .reply_bytes = max_store_reply_bytes},
               [this, from, sent_in = era_.known()](const call_outcome& ended) {
                 if (ended.complete() && !check_era(sent_in, ended.fields)) {
                   read_all();
--- a/src/proxy/upstream_crashes.cpp
+++ b/src/proxy/upstream_crashes.cpp
@@ -18,7 +18,7 @@
 
 upstream_crashes::upstream_crashes(proxy_state& state, http1::http_client& client,
                                    upstream_paths& paths)
-    : state_(state), paths_(paths), checks_(state.loop, client) {}
+    : state_(state), paths_(paths), checks_(state.loop, client, state.held) {}
 
 void
 upstream_crashes::record_crash(const listed_upstream& upstream, const crash_suspects& suspects) {
--- a/src/proxy/upstream_paths.cpp
+++ b/src/proxy/upstream_paths.cpp
@@ -30,7 +30,7 @@
                                const peer_group& peers,
                                std::function<void(const listed_upstream&)> on_cut)
     : state_(state), peers_(peers), on_cut_(std::move(on_cut)), client_(state.loop, single_use()),
-      probes_(state.loop, client_), questions_(state.loop, peer_client) {}
+      probes_(state.loop, client_, state.held), questions_(state.loop, peer_client, state.held) {}
 
 void
 upstream_paths::start() {
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -371,6 +371,7 @@
         self.server = None
         self.closed_by_caller = []  # Endless faults that the caller ended.
         self.endless_pause_s = 0  # Between two pieces of an endless fault.
+        self.endless_health = False  # Its health answer has no end.
         self.says_leaving = False  # In the head of each response, whatever its registration says.
         self.limit = None  # Requests a second, stated in the head of each response.
         self.arrivals = []  # Times of all requests.
@@ -522,6 +523,9 @@
         if request.path.startswith("/kv-handle/"):
             self.kv_handles.discard(request.path.split("/")[-1])
             return make_response(200)
+        if request.path == "/health" and self.endless_health:
+            await self.send_endlessly("endless_body", writer, {"X-Instance-Id": self.name})
+            return None
         if request.path == "/health":
             expected = request.headers.get("x-expect-instance", self.name)
             return make_response(200 if expected == self.name else 421, headers={"X-Instance-Id": self.name})
