--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cerrno>
+#include <atomic>
 #include <thread>
 
 namespace nutmegspur::http1 {
@@ -643,6 +644,71 @@
   const auto it = receive_response("1.1", [](exchange& response) { response.abort(); });
   EXPECT_EQ(it.bytes, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
   EXPECT_FALSE(it.was_reset);
+/// Serves one request with a body of `bytes` on a server with a budget. `read` gets the connection
+/// of its caller; returns the bytes that are counted, and the connections, once the server has none
+/// left.
+std::pair<std::size_t, std::size_t>
+serve_long_body(std::size_t bytes, const std::string& request,
+                const std::function<void(int fd)>& read) {
+  endpoint at;
+  {
+    const raw_listener free_port;
+    at = free_port.at();
+  }
+  event_loop loop;
+  byte_budget budget{loop};
+  std::size_t left = 1;
+  {
+    http_server server{
+        loop,
+        {[&](const exchange_ptr& it) { it->reply(200, "", {}, std::string(bytes, 'x')); },
+         [] { return caller_limits{}; }, [](int, const std::string&) {}, &budget, "callers"}};
+    EXPECT_TRUE(server.listen(at));
+    std::atomic<bool> done{false};
+    std::thread caller{[&] {
+      const int fd = connect_to(at);
+      send_text(fd, request);
+      read(fd);
+      close(fd);
+      done = true;
+    }};
+    loop.every(milliseconds{10}, [&](const moment&) {
+      left = server.connections();
+      if (done && left == 0) {
+        loop.stop();
+      }
+    });
+    loop.once(test_timeout, [&](const moment&) { loop.stop(); });
+    loop.run();
+    caller.join();
+  }
+  return {budget.total(), left};
+}
+
+// Guards against a response that is cut because its connection ends with it while its caller is
+// still reading, and against one whose bytes stay counted.
+TEST(http_server, a_slow_caller_gets_the_whole_of_the_last_response) {
+  constexpr std::size_t bytes = 32UL * 1024 * 1024;
+  std::size_t received = 0;
+  const auto [counted, left] = serve_long_body(
+      bytes, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", [&](int fd) {
+        received = read_until(fd, "\r\n\r\n").size();
+        received += read_until(fd, "\x01 until closed").size();
+      });
+  EXPECT_GT(received, bytes);
+  EXPECT_EQ(counted, 0U);
+  EXPECT_EQ(left, 0U);
+}
+
+// Guards against a connection that is kept for ever because its caller has left without reading.
+TEST(http_server, a_caller_that_leaves_without_reading_is_forgotten) {
+  for (const char* more : {"", "Connection: close\r\n"}) {
+    const auto [counted, left] = serve_long_body(
+        32UL * 1024 * 1024, "GET /a HTTP/1.1\r\nHost: h\r\n" + std::string{more} + "\r\n",
+        [](int fd) { read_until(fd, "\r\n\r\n"); });
+    EXPECT_EQ(counted, 0U) << more;
+    EXPECT_EQ(left, 0U) << more;
+  }
 }
 
 struct rejected_case {
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -55,6 +55,18 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+async def write_endlessly(writer, first, repeated, pause_s):
+    """Writes until the caller closes the connection."""
+    writer.write(first)
+    while not writer.transport.is_closing():
+        writer.write(repeated)
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+
+
+ENDLESS_ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"10000\r\n" + b"x" * 65536 + b"\r\n", 0.001
+
+
 async def serve(port, handle, writers=None):
     """Listens; `handle(request, writer)` returns the bytes of a response, or None to reset the connection.
     `writers` holds the open connections."""
@@ -100,6 +112,8 @@
         self.late_writes = []  # Keys of writes that were received, and have now been executed or rejected late.
         self.overwritten = []  # Keys that a late write replaced, though they had been written since it was sent.
         self.calls = 0
+        self.endless = False  # No answer has an end.
+        self.endless_answers = 0  # Those that the caller ended.
         self.era = 1  # Number of the store's history; a restore begins another one.
 
     def copy(self):
@@ -167,8 +181,14 @@
     async def remove_lease_keys(self, lease):
         await self.write(removals=[key for key, it in self.items.items() if it[3] == lease])
 
-    async def handle(self, request, _writer):
+    async def handle(self, request, writer):
         self.calls += 1
+        if self.endless:
+            try:
+                await write_endlessly(writer, *ENDLESS_ANSWER)
+            finally:
+                self.endless_answers += 1
+            return None
         if self.down:
             return self.with_era(make_response(503))
         parts = request.path.strip("/").split("/")
@@ -469,11 +489,7 @@
             "endless_trailer": lambda: (chunked + b"0\r\n", b"X-Noise: " + b"x" * 500 + b"\r\n"),
         }[fault]()
         try:
-            writer.write(first)
-            while not writer.transport.is_closing():
-                writer.write(repeated)
-                await writer.drain()
-                await asyncio.sleep(self.endless_pause_s)
+            await write_endlessly(writer, first, repeated, self.endless_pause_s)
         finally:
             self.closed_by_caller.append(fault)
 
@@ -643,8 +659,16 @@
     def __init__(self):
         self.usage = []
         self.scale = []
+        self.endless = False  # No answer has an end.
+        self.endless_answers = 0  # Those that the caller ended.
 
-    async def handle(self, request, _writer):
+    async def handle(self, request, writer):
+        if self.endless:
+            try:
+                await write_endlessly(writer, *ENDLESS_ANSWER)
+            finally:
+                self.endless_answers += 1
+            return None
         call = {**json.loads(request.body), "holder": request.headers["x-duty-holder"],
                 "fence": int(request.headers["x-fencing-token"])}
         (self.usage if request.path == "/usage" else self.scale).append(call)
