--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -124,7 +124,7 @@
   server_hooks hooks_;
   tcp_listener listener_;
   std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
-  bool closing_ = false;       ///< No connection is kept after its current or next response.
+  bool closing_ = false; ///< No connection is kept after its current or next response.
 };
 
 } // namespace nutmegspur::http1
