Test library: a relay process ends with the process that started it

A case whose system did not start (no program at the path) ended by OSError and left its relays behind.

--- a/testsuite/lib/spoiled_streams.py
+++ b/testsuite/lib/spoiled_streams.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import signal
 import subprocess
 import sys
@@ -121,6 +122,9 @@
     "comment and reset": lambda it: [chunk(COMMENT), RESET],
     "unframed whole": lambda it: [*(event(n, it.version) for n in range(it.first, LAST_EVENT + 1)), CLOSE],
 }
+# Told from a whole stream by their bytes alone, at an instance that has seen no other stream.
+TOLD = ("event twice", "zero size", "wrong chunk end", "more chunks at once", "last chunk missing",
+        "whole and a response", "cut")
 
 
 async def send(how, writer, first, version):
@@ -161,12 +165,13 @@
 
     def start(self):
         self.process = subprocess.Popen([sys.executable, __file__, str(self.port), str(self.target)],
-                                        stdout=subprocess.PIPE)
+                                        stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         self.process.stdout.readline()
 
     def kill(self):
         self.process.send_signal(signal.SIGKILL)
         self.process.wait()
+        self.process.stdin.close()
         self.process.stdout.close()
 
 
@@ -190,6 +195,8 @@
         await asyncio.gather(pump(reader, other_writer), pump(other_reader, writer))
 
     server = await asyncio.start_server(connection, processes.LOOPBACK, port)
+    # Its input ends with the process that started it.
+    asyncio.get_running_loop().add_reader(sys.stdin, lambda: os._exit(0))
     print("listening", flush=True)
     async with server:
         await server.serve_forever()
