--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -403,6 +403,8 @@
         self.crashes = []  # Times of these ends.
         self.writers = set()  # Open connections.
         self.pace_s = 0.01  # Between events.
+        self.spoiler = None  # Draws which responses are spoiled, and how.
+        self.spoiled_share = 0.0
         self.slots = 8
 
     def registration(self):
@@ -432,7 +434,10 @@
         elif earlier:
             asyncio.get_running_loop().call_later(0.02, writer.write, earlier)
             self.faults.setdefault(request.headers.get("x-request-id", ""), "pause")
-        reply = await self.respond(request, writer)
+        if self.spoiler is not None and request.path != "/health" and self.spoiler.random() < self.spoiled_share:
+            reply = await spoiled_streams.spoil(self.spoiler, self.respond, request, writer)
+        else:
+            reply = await self.respond(request, writer)
         if when and reply and b"X-Not-Executed" in reply:
             lines = [it for it in reply.split(b"\r\n") if not (nameless and it.lower().startswith(b"x-request-id"))]
             copy = b"\r\n".join(lines)
--- a/testsuite/lib/spoiled_streams.py
+++ b/testsuite/lib/spoiled_streams.py
@@ -153,6 +153,46 @@
     return b""
 
 
+class TruncatingWriter:
+    """Passes on the first `left` bytes of a response, then ends its connection, by a reset or cleanly."""
+
+    def __init__(self, writer, left, reset):
+        self.writer, self.transport, self.left, self.reset = writer, writer.transport, left, reset
+
+    def write(self, data):
+        if not self.transport.is_closing():
+            self.writer.write(data[:self.left])
+            self.left -= min(self.left, len(data))
+            if self.left == 0 and self.reset:
+                faulty_link.reset_connection(self.writer)
+            elif self.left == 0:
+                self.writer.close()
+
+    async def drain(self):
+        await self.writer.drain()
+
+    def close(self):
+        self.writer.close()
+
+
+async def spoil(rng, respond, request, writer):
+    """Spoils any response at a place that `rng` draws: truncates it, sends bytes that are no response in its place, or
+    more bytes behind it. `respond(request, writer)` sends the response."""
+    way = rng.choice(("truncate", "truncate", "no response", "more bytes"))
+    if way == "no response":
+        writer.write(GARBAGE + b"\r\n\r\n")
+        writer.close()
+        return b""
+    if way == "more bytes":
+        reply = await respond(request, writer)
+        return reply and reply + rng.choice((GARBAGE, OTHER_RESPONSE, chunk(b"data: no\n\n"), LAST_CHUNK))
+    short = TruncatingWriter(writer, rng.randrange(1, 700), rng.random() < 0.5)
+    reply = await respond(request, short)
+    if reply:
+        short.write(reply)
+    return None if reply is None else b""
+
+
 class RelayProcess:
     """A process in front of a worker, which registers the relay's port. Killed, it ends its connections as the kernel
     ends those of any process: cleanly where all bytes have been read."""
