Tests of framing: the linter's findings

A status line in a test had one byte more than meant (the NUL at the end of its literal); it was rejected for the same reason as without.

--- a/src/http1/framing_test.cpp
+++ b/src/http1/framing_test.cpp
@@ -250,7 +250,7 @@
       {"no space", "HTTP/1.1 200OK\r\n" + sized + "\r\nhi", ""},
       {"other version", "HTTP/3.7 200 OK\r\n" + sized + "\r\nhi", ""},
       {"long version", "HTTP/1.11 200 OK\r\n" + sized + "\r\nhi", ""},
-      {"NUL", std::string("HTTP/1.1 200 O\0\r\n", 18) + sized + "\r\nhi", ""},
+      {"NUL", std::string("HTTP/1.1 200 O\0\r\n", 17) + sized + "\r\nhi", ""},
   });
 }
 
--- a/src/http1/testing/response_generator.cpp
+++ b/src/http1/testing/response_generator.cpp
@@ -167,10 +167,10 @@
   const std::string line_end = shape.crlf ? "\r\n" : "\n";
   for (unsigned n = 0; n < shape.events; ++n) {
     const std::string number = std::to_string(shape.first_id + n);
-    std::string text = shape.event_stream ? "id: " + number + line_end + "data: token " : "line ";
-    text += number + line_end;
+    std::string text = shape.event_stream ? "id: " : "line ";
+    text.append(number).append(line_end);
     if (shape.event_stream) {
-      text += line_end;
+      text.append("data: token ").append(number).append(line_end).append(line_end);
       it.events.push_back(text);
     }
     it.body += text;
