--- a/src/http1/http1_test.cpp
+++ b/src/http1/http1_test.cpp
@@ -9,8 +9,8 @@
 #include <unistd.h>
 
 #include <array>
-#include <cerrno>
 #include <atomic>
+#include <cerrno>
 #include <thread>
 
 namespace nutmegspur::http1 {
@@ -644,6 +644,8 @@
   const auto it = receive_response("1.1", [](exchange& response) { response.abort(); });
   EXPECT_EQ(it.bytes, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
   EXPECT_FALSE(it.was_reset);
+}
+
 /// Serves one request with a body of `bytes` on a server with a budget. `read` gets the connection
 /// of its caller; returns the bytes that are counted, and the connections, once the server has none
 /// left.
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -73,7 +73,7 @@
   phase phase_ = phase::idle;
   bool complete_ = false; ///< The parser has reached the end of the request.
   bool close_after_response_ = false;
-  bool reset_at_end_ = false; ///< A response without framing has begun and is not complete.
+  bool reset_at_end_ = false;    ///< A response without framing has begun and is not complete.
   bool receiving_ = true;        ///< There is room for later requests.
   bool held_back_ = false;       ///< The budget says to wait.
   time_point first_held_back_{}; ///< When that was said first of the current request.
