--- a/src/include/nutmegspur/attempt_rules.h
+++ b/src/include/nutmegspur/attempt_rules.h
@@ -78,7 +78,7 @@
   bool time_left = true;         ///< Enough time is left for another attempt.
   bool budget_left = true;       ///< The shared retry budget allows a retry.
   bool upstream_left = true;     ///< Another upstream can take the request.
-  /// An attempt has ended the started response without proof, and no event has come since.
+  /// An attempt has ended the stream without proof, and no event has come since.
   bool end_unproven = false;
   /// The stream has broken off, in this response or in the one that its caller resumes: only a
   /// proved end completes it.
@@ -114,9 +114,11 @@
 /// ends between two events; one that ends with its connection also needs an event. It may have none
 /// if it is framed: nothing was left to resume. After `response_started` only an event stream is an
 /// answer; whatever else the upstream sent is a failed attempt. More of a body behind its last
-/// chunk shows that the end is wrong, that of a plain response too. An end is unproven if it is
-/// only that of the connection though the service frames its streams, if anything else follows it,
-/// or if the upstream is doubtful.
+/// chunk shows that the end is wrong, that of a plain response too.
+///
+/// An end is unproven if it is only that of the connection though the service frames its streams,
+/// if anything else follows it, or if the upstream is doubtful. A framed run without events that
+/// was asked for proof proves it.
 attempt_end end_of_response(const ended_response& response);
 
 /// Whether the work of an attempt with this end may have run.
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -52,6 +52,10 @@
   }
   const bool followed =
       response.tail != response_tail::nothing && response.tail != response_tail::closed;
+  // Two upstreams that end it in the same way prove the end, also if both are doubtful.
+  if (response.asked_for_proof && !response.has_events && !response.close_delimited && !followed) {
+    return attempt_end::answered;
+  }
   const bool unframed =
       response.close_delimited && (response.service_frames || !response.has_events);
   return unframed || followed || response.doubtful_upstream ? attempt_end::unproven
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -296,6 +296,23 @@
   });
 }
 
+// A caller that had every event was cut, since each upstream had spoiled an answer to somebody.
+TEST(attempt_rules, two_framed_ends_without_an_event_between_them_prove_the_end) {
+  ended_response it = complete_stream();
+  it.has_events = false;
+  it.doubtful_upstream = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::unproven);
+  it.asked_for_proof = true;
+  EXPECT_EQ(end_of_response(it), attempt_end::answered);
+  it.tail = response_tail::other;
+  EXPECT_EQ(end_of_response(it), attempt_end::unproven);
+  it.tail = response_tail::nothing;
+  it.close_delimited = true; // No proof, and no fault.
+  EXPECT_EQ(end_of_response(it), attempt_end::unproven);
+  it.asked_for_proof = false;
+  EXPECT_EQ(end_of_response(it), attempt_end::broken);
+}
+
 // A stream whose upstream had ended it was cut because the one that was asked for a proof failed.
 TEST(attempt_rules, a_stream_is_not_cut_for_want_of_a_proof) {
   attempt_history history{route_kind::stream, true, 2, 2};
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -345,7 +345,7 @@
     if (how != attempt_end::unproven) {
       history_.broken_off =
           history_.broken_off || (history_.response_started && !history_.end_unproven);
-    } else if (history_.response_started) {
+    } else {
       history_.end_unproven = true;
       ended_by_ = it.upstream.id;
       // The caller has its events, and waits for nothing but the end.
