Mechanism of the evidence for a stream's end and for its events, which a build can leave out

Change: stream_evidence: without it an event stream is complete when its framing says so (end_of_response), and an event whose id is not higher than the last one is dropped as one that the caller has (event_sequence). A normal build is unchanged.

--- a/src/include/nutmegspur/mechanisms.h
+++ b/src/include/nutmegspur/mechanisms.h
@@ -27,10 +27,11 @@
   revision_only_grows,     ///< An older configuration is refused (P14).
   stop_window_check,       ///< A stopping instance starts only what it can answer (P13).
   replica_revision_check,  ///< The replica takes no older change, nor one after a gap (P14).
+  stream_evidence,         ///< A stream is complete, and an event dropped, on evidence only (P09).
 };
 
 template <> struct enum_names<mechanism> {
-  static constexpr std::array<enum_name<mechanism>, 15> table{{
+  static constexpr std::array<enum_name<mechanism>, 16> table{{
       {mechanism::one_open_intent, "one_open_intent"},
       {mechanism::drain_before_change, "drain_before_change"},
       {mechanism::lease_deadline_check, "lease_deadline_check"},
@@ -46,6 +47,7 @@
       {mechanism::revision_only_grows, "revision_only_grows"},
       {mechanism::stop_window_check, "stop_window_check"},
       {mechanism::replica_revision_check, "replica_revision_check"},
+      {mechanism::stream_evidence, "stream_evidence"},
   }};
 };
 
--- a/src/libnutmegspur/attempt_rules.cpp
+++ b/src/libnutmegspur/attempt_rules.cpp
@@ -1,5 +1,6 @@
 // The next step after an attempt has ended: pass its response on, retry, or report an error.
 #include <nutmegspur/attempt_rules.h>
+#include <nutmegspur/mechanisms.h>
 
 #include <algorithm>
 #include <cctype>
@@ -44,7 +45,7 @@
     return attempt_end::broken;
   }
   const bool empty = response.close_delimited && !response.has_events && !response.asked_for_proof;
-  if (!response.event_stream) {
+  if (!response.event_stream || !enabled(mechanism::stream_evidence)) {
     return attempt_end::answered;
   }
   if (response.inside_event || empty || response.behind) {
--- a/src/libnutmegspur/attempt_rules_test.cpp
+++ b/src/libnutmegspur/attempt_rules_test.cpp
@@ -1,6 +1,6 @@
 // Guards the retry rules for all attempt ends and histories: no request that may have run is
 // reported as not run, or sent again where it must not be.
-// labels: P10 P11
+// labels: P09 P10 P11
 #include <nutmegspur/attempt_rules.h>
 
 #include <gtest/gtest.h>
--- a/src/libnutmegspur/stream_evidence.cpp
+++ b/src/libnutmegspur/stream_evidence.cpp
@@ -1,4 +1,5 @@
 // The order of a stream's events, and the bytes behind its end.
+#include <nutmegspur/mechanisms.h>
 #include <nutmegspur/stream_evidence.h>
 
 #include <algorithm>
@@ -75,7 +76,7 @@
 event_sequence::place_again(std::int64_t n, std::size_t digest) {
   const bool begins_anew = after_ && last_ == after_;
   const bool same_event = n == highest_ && digest != 0 && digest == last_digest_;
-  if (begins_anew || same_event) {
+  if (begins_anew || same_event || !enabled(mechanism::stream_evidence)) {
     counts_.repeated++;
     return event_place::repeated;
   }
