A length in a message that exceeds its bytes is refused before its space is reserved

Cause, found by the address sanitizer: msgpack reserves the space of an array or a map as soon as it has read its length. The five bytes dd ff ff ff ff, as a datagram at a peer's port, made an instance ask for 128 GB. Here the request fails and becomes an error; shorter lengths, a nested one every five bytes, are granted, and where addresses are not limited all are. Under the sanitizer the process ends: unpack_notice, from peer_group::on_datagram.

Change: unpack_bounded, for all messages of peers and values of the store that had no limits: notices, store updates, origins, permits, questions. Limits are the number of bytes, since an element takes one at least, and a depth of 64; as the frames of `nutmegspur entry` have had.

--- a/src/libnutmegspur/msgpack_array.h
+++ b/src/libnutmegspur/msgpack_array.h
@@ -2,6 +2,7 @@
 /// Decoding of small messages between instances: msgpack arrays with a fixed number of elements.
 #pragma once
 
+#include <nutmegspur/bounded_unpack.h>
 #include <nutmegspur/error.h>
 
 #include <msgpack.hpp>
@@ -19,7 +20,7 @@
 unpack_array(std::string_view bytes, std::size_t count, Reader read) {
   // msgpack reports malformed bytes by exceptions; convert them to an error.
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = unpack_bounded(bytes);
     const auto row = handle.get().as<std::vector<msgpack::object>>();
     if (row.size() != count) {
       return fail({error_code::invalid_argument, step::peer_call, "", "wrong element count"});
--- a/src/libnutmegspur/origin_record.cpp
+++ b/src/libnutmegspur/origin_record.cpp
@@ -1,6 +1,7 @@
 // The stored origins of streams, and their encoding.
 #include "msgpack_array.h"
 
+#include <nutmegspur/bounded_unpack.h>
 #include <nutmegspur/origin_record.h>
 
 #include <algorithm>
@@ -20,7 +21,7 @@
 unpack_rows(std::string_view bytes, std::size_t count, Reader read) {
   // msgpack reports malformed bytes by exceptions; convert them to an error.
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = unpack_bounded(bytes);
     std::vector<T> rows;
     for (const auto& row : handle.get().as<std::vector<std::vector<msgpack::object>>>()) {
       if (row.size() != count) {
--- a/src/libnutmegspur/origin_record_test.cpp
+++ b/src/libnutmegspur/origin_record_test.cpp
@@ -94,6 +94,7 @@
   EXPECT_FALSE(unpack_origin_batch(nested));
   const std::string nested_maps = std::string(1'000'000, '\x81');
   EXPECT_FALSE(origin_record::unpack(nested_maps));
+  EXPECT_FALSE(origin_record::unpack({"\xdd\xff\xff\xff\xff", 5}));
 }
 
 TEST(origin_record, a_time_that_is_no_time_is_read) {
--- a/src/libnutmegspur/peer_notice.cpp
+++ b/src/libnutmegspur/peer_notice.cpp
@@ -1,4 +1,5 @@
 // Encodes and decodes peer notices as msgpack arrays.
+#include <nutmegspur/bounded_unpack.h>
 #include <nutmegspur/peer_notice.h>
 
 #include <msgpack.hpp>
@@ -370,7 +371,7 @@
   }
   // The msgpack library throws on malformed input; convert that to an error.
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = unpack_bounded(bytes);
     const msgpack::object& top = handle.get();
     const bool valid_size = top.type == msgpack::type::ARRAY &&
                             top.via.array.size >= element_count &&
--- a/src/proxy/store_copy.cpp
+++ b/src/proxy/store_copy.cpp
@@ -1,6 +1,8 @@
 // Updates of the replica for peers, as msgpack arrays.
 #include "store_copy.h"
 
+#include <nutmegspur/bounded_unpack.h>
+
 #include <QtCore/QUrlQuery>
 
 #include <msgpack.hpp>
@@ -99,7 +101,7 @@
 unpack_store_update(std::string_view bytes) {
   // msgpack reports malformed bytes by exceptions; convert them to an error.
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = unpack_bounded(bytes);
     const auto top = handle.get().as<object_list>();
     if (top.size() != element_count || top[0].as<int>() != layout_version) {
       return fail({error_code::invalid_argument, step::peer_call, "",
--- a/src/proxy/store_copy_test.cpp
+++ b/src/proxy/store_copy_test.cpp
@@ -56,6 +56,7 @@
   for (std::size_t n = 0; n < bytes.size(); ++n) {
     EXPECT_FALSE(unpack_store_update(bytes.substr(0, n))) << n;
   }
+  EXPECT_FALSE(unpack_store_update(std::string_view{"\xdd\xff\xff\xff\xff", 5}));
 }
 
 // Instances of the release before must not lose sight of the store while a release is rolled out.
