Sanitizers: a finding ends its test, and conversions of numbers too large are findings

Undefined behaviour was printed and the test passed. Now UBSAN_OPTIONS of all tests has halt_on_error and a trace. float-cast-overflow, which "undefined" leaves out, is on: what such a conversion gives differs between x86-64 and arm64. A build without sanitizers does not change; the variable means nothing to it.

--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -21,8 +21,10 @@
   "Name of one safety mechanism to leave out (see nutmegspur/mechanisms.h), to show its test fail")
 
 if(NUTMEGSPUR_SANITIZE)
-  add_compile_options(-fsanitize=address,undefined -fno-omit-frame-pointer)
-  add_link_options(-fsanitize=address,undefined)
+  # What a conversion of a number too large gives depends on the processor; "undefined" leaves it out.
+  set(sanitizers -fsanitize=address,undefined,float-cast-overflow)
+  add_compile_options(${sanitizers} -fno-omit-frame-pointer)
+  add_link_options(${sanitizers})
 endif()
 
 find_program(CCACHE_PROGRAM ccache)
--- a/src/cmake/testing.cmake
+++ b/src/cmake/testing.cmake
@@ -1,5 +1,7 @@
 # Declares tests.
 enable_testing()
+# Otherwise a finding about undefined behaviour is printed and its test passes.
+set(sanitizer_environment "UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1")
 
 # nutmegspur_test(<name> SOURCES <file>... [LABELS <label>...] [LIBRARIES <lib>...])
 # Adds a GoogleTest program and its ctest entry. Labels P01..P14 name the promises that it tests.
@@ -18,7 +20,7 @@
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES
     LABELS "${arg_LABELS}"
-    ENVIRONMENT "RC_PARAMS=seed=20261204;QT_QPA_PLATFORM=offscreen"
+    ENVIRONMENT "RC_PARAMS=seed=20261204;QT_QPA_PLATFORM=offscreen;${sanitizer_environment}"
     TIMEOUT 120)
 endfunction()
 
@@ -28,5 +30,8 @@
   cmake_parse_arguments(arg "" "" "LABELS" ${ARGN})
   add_test(NAME system_${name}
     COMMAND "${CMAKE_SOURCE_DIR}/testsuite/${name}/run" "${CMAKE_BINARY_DIR}")
-  set_tests_properties(system_${name} PROPERTIES LABELS "system;${arg_LABELS}" TIMEOUT 180)
+  set_tests_properties(system_${name} PROPERTIES
+    LABELS "system;${arg_LABELS}"
+    ENVIRONMENT "${sanitizer_environment}"
+    TIMEOUT 180)
 endfunction()
