A usage window that was skipped is not sealed again without counts

Cause: the position of a holder stood for what it knows. Change: known_counts holds the last window that was sealed or read here, and continue_after gets that. The new test of usage_windows_test walks through the two reads; before, the second one sealed the window again.

--- a/src/include/nutmegspur/usage_windows.h
+++ b/src/include/nutmegspur/usage_windows.h
@@ -84,9 +84,13 @@
 
 /// Where a holder continues that has read `stored` (number 0: none) as the last sealed window. A
 /// store that was restored from an older copy may have lost later ones: `known` is the latest that
-/// any instance knows to be sealed, and `own` the last one that this instance sealed or read. A
-/// lost window whose counts are not known here is skipped, since it may have been reported.
-sealed_position continue_after(const usage_window& stored, const usage_window& own,
+/// any instance knows to be sealed, and `own` the last one whose counts this instance has sealed or
+/// read, if any. A lost window whose counts are not known here is skipped, since it may have been
+/// reported.
+sealed_position continue_after(const usage_window& stored, const std::optional<usage_window>& own,
                                std::int64_t known);
 
+/// The sealed window whose counts a holder knows at `position`; empty if it skips one.
+std::optional<usage_window> known_counts(const sealed_position& position);
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/usage_windows.cpp
+++ b/src/libnutmegspur/usage_windows.cpp
@@ -72,14 +72,23 @@
 }
 
 sealed_position
-continue_after(const usage_window& stored, const usage_window& own, std::int64_t known) {
+continue_after(const usage_window& stored, const std::optional<usage_window>& own,
+               std::int64_t known) {
   if (stored.number >= known) {
     return {stored, stored.number == 0 ? sealed_step::skip : sealed_step::report};
   }
-  if (own.number == known) {
-    return {own, sealed_step::seal_again};
+  if (own && own->number == known) {
+    return {*own, sealed_step::seal_again};
   }
   return {usage_window{known, {}}, sealed_step::skip};
 }
 
+std::optional<usage_window>
+known_counts(const sealed_position& position) {
+  if (position.step == sealed_step::skip) {
+    return std::nullopt;
+  }
+  return position.window;
+}
+
 } // namespace nutmegspur
--- a/src/libnutmegspur/usage_windows_test.cpp
+++ b/src/libnutmegspur/usage_windows_test.cpp
@@ -89,5 +89,19 @@
   EXPECT_EQ(by_another.window.number, 9);
 }
 
+// Regression: a new holder that had skipped a lost window and then read the record once more, after
+// a write without a reply, sealed and reported that window without counts.
+TEST(usage_windows, a_window_that_was_skipped_is_skipped_again) {
+  const auto first = continue_after({}, {}, 9);
+  EXPECT_EQ(first.step, sealed_step::skip);
+  EXPECT_FALSE(known_counts(first));
+  const auto second = continue_after({}, known_counts(first), 9);
+  EXPECT_EQ(second.step, sealed_step::skip);
+  EXPECT_EQ(second.window.number, 9);
+  const auto read = continue_after(window(9, 6), known_counts(second), 9);
+  EXPECT_EQ(known_counts(read), window(9, 6));
+  EXPECT_EQ(continue_after({}, known_counts(read), 9).step, sealed_step::seal_again);
+}
+
 } // namespace
 } // namespace nutmegspur
--- a/src/proxy/duty_holder.cpp
+++ b/src/proxy/duty_holder.cpp
@@ -204,7 +204,7 @@
 
 void
 duty_holder::continue_from(const usage_window& stored, const authority& granted) {
-  const auto position = continue_after(stored, sealed_, peers_.sealed_window());
+  const auto position = continue_after(stored, known_counts_, peers_.sealed_window());
   log(log_event::usage_record_read,
       {{"window", std::to_string(stored.number)},
        {"requests", std::to_string(request_count(stored))},
@@ -213,6 +213,7 @@
   switch (position.step) {
   case sealed_step::report:
     sealed_ = position.window;
+    known_counts_ = known_counts(position);
     peers_.on_sealed(sealed_.number);
     phase_ = seal_phase::sealed;
     break;
@@ -242,6 +243,7 @@
       return;
     }
     sealed_ = window;
+    known_counts_ = window;
     peers_.on_sealed(window.number);
     phase_ = seal_phase::sealed;
     log(log_event::usage_sealed,
--- a/src/proxy/duty_holder.h
+++ b/src/proxy/duty_holder.h
@@ -87,7 +87,8 @@
   time_point held_since_{};
   seal_phase phase_ = seal_phase::unread;
   cas_record sealed_record_;
-  usage_window sealed_; ///< The content of `sealed_record_`.
+  usage_window sealed_; ///< The content of `sealed_record_`; without counts if it is skipped.
+  std::optional<usage_window> known_counts_; ///< The last window that was sealed or read here.
   time_point next_report_{};
   fleet_orders fleet_;
   stage_plan stages_;
