The time for a proof holds only while the caller waits for nothing but the end

Found by the read-through: a caller that resumes by itself, and whose first run was empty and unproven, has got nothing yet; its second run had to begin within the route's target latency, and a 502 followed. The time now holds for started responses only. What follows an attempt that is sent again is a function of its own (retry). system_proxied_truncated_streams passes; no test showed the fault.

--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -212,6 +212,8 @@
   void log_stream(std::string_view how, std::string_view next);
   void end_attempt(attempt_end how);
   void forward_response();
+  /// Sends the request again, after an attempt that ended like this.
+  void retry(attempt_end how);
   /// No upstream has begun to answer the question for the rest of the stream.
   void on_proof_timeout();
   /// Ends the started response, whose end no further attempt has proved.
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -339,23 +339,7 @@
     forward_response();
     break;
   case next_step::retry:
-    log(log_event::request_retried, {{"request", request_.id},
-                                     {"after", std::string{to_name(how)}},
-                                     {"sent", std::to_string(history_.sent)}});
-    if (how != attempt_end::unproven) {
-      history_.broken_off =
-          history_.broken_off || (history_.response_started && !history_.end_unproven);
-    } else {
-      history_.end_unproven = true;
-      ended_by_ = it.upstream.id;
-      // The caller has its events, and waits for nothing but the end.
-      state_.loop.cancel(proof_timer_);
-      proof_timer_ =
-          state_.loop.once(route_->target_latency, [this](const moment&) { on_proof_timeout(); });
-    }
-    http1::discard(state_.loop, std::move(it.call));
-    attempt_.reset();
-    place();
+    retry(how);
     break;
   case next_step::refuse:
     refuse(to_name(how), retry_after_rejection, 0);
@@ -372,6 +356,28 @@
   }
 }
 
+void
+request_flow::retry(attempt_end how) {
+  log(log_event::request_retried, {{"request", request_.id},
+                                   {"after", std::string{to_name(how)}},
+                                   {"sent", std::to_string(history_.sent)}});
+  if (how == attempt_end::unproven) {
+    history_.end_unproven = true;
+    ended_by_ = attempt_->upstream.id;
+  } else if (history_.response_started && !history_.end_unproven) {
+    history_.broken_off = true;
+  }
+  if (how == attempt_end::unproven && history_.response_started) {
+    // The caller has its events, and waits for nothing but the end.
+    state_.loop.cancel(proof_timer_);
+    proof_timer_ =
+        state_.loop.once(route_->target_latency, [this](const moment&) { on_proof_timeout(); });
+  }
+  http1::discard(state_.loop, std::move(attempt_->call));
+  attempt_.reset();
+  place();
+}
+
 void
 request_flow::on_proof_timeout() {
   if (done_ || !history_.end_unproven) {
