--- a/review/shared-3/small_deployment.py
+++ b/review/shared-3/small_deployment.py
@@ -197,10 +197,11 @@
                     f"{len(text)} bytes, {'complete' if complete else 'not complete'}")
         return Answer(status, got, text.decode(), complete, not complete)
 
-    def stream_fields(self, request_id, tokens):
-        """Each request has a shared part and one of its own."""
+    def stream_fields(self, request_id, tokens, shared_parts=1):
+        """Each request has one of `shared_parts` shared parts and one of its own."""
+        shared = 0x5c1e07a2 + int(request_id, 16) % shared_parts
         return {"X-Model-Name": "m", "X-Token-Usage": f"1460,{tokens}",
-                "X-Prompt-Prefix": f"5c1e07a2:800,{request_id[:8]}:660"}
+                "X-Prompt-Prefix": f"{shared:x}:800,{request_id[:8]}:660"}
 
     # What the workers did.
 
--- a/review/shared-3/worker.py
+++ b/review/shared-3/worker.py
@@ -158,6 +158,8 @@
         self.note("run begins", request_id, first=first)
         self.streams += 1
         try:
+            if first > 1:
+                await asyncio.sleep(self.args.reread_ms / 1000)
             lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", f"X-Response-Stamp: {self.args.id}.{request_id}",
                      "Connection: close" if self.args.no_length else "Transfer-Encoding: chunked"]
             lines += [f"{name}: {value}" for name, value in own.items()]
@@ -193,6 +195,7 @@
     parser.add_argument("--queue", type=int, default=24)
     parser.add_argument("--pace-ms", type=float, default=20)
     parser.add_argument("--no-length", action="store_true", help="streams have neither a length nor chunks")
+    parser.add_argument("--reread-ms", type=float, default=0, help="time to read the prompt of a stream that goes on here")
     parser.add_argument("--busy", type=int, default=0, help="streams above which an event has two tokens; 0: never")
     worker = Worker(parser.parse_args())
     server = await asyncio.start_server(worker.connection, "127.0.0.1", worker.args.port)
