--- a/review/shared-3/small_deployment.py
+++ b/review/shared-3/small_deployment.py
@@ -56,10 +56,21 @@
         self.stopping = threading.Event()
         self.numbers = random.SystemRandom()
         self.platform = platform_standin.Platform(processes.free_port(), processes.free_port())
-        self.ports = {}
+        self.ports, self.zone_of = {}, {}
         for n in range(instances):
-            zone = list(ZONES)[n % len(ZONES)]
-            self.ports[f"front-{zone}-1"] = {it: processes.free_port() for it in ("front", "ready", "control")}
+            self.add_machine(list(ZONES)[n % len(ZONES)], n // len(ZONES) + 1)
+
+    def add_machine(self, zone, number):
+        name = f"front-{zone}-{number}"
+        self.ports[name] = {it: processes.free_port() for it in ("front", "ready", "control")}
+        self.zone_of[name] = zone
+
+    def put_in_one_zone(self, zone):
+        """Before the start: as many machines, all in this zone."""
+        count = len(self.ports)
+        self.ports, self.zone_of = {}, {}
+        for n in range(count):
+            self.add_machine(zone, n + 1)
 
     def record(self, text):
         with self.lock:
@@ -69,7 +80,7 @@
 
     def settings(self, name):
         listen = {it: f"{LOOPBACK}:{port}" for it, port in self.ports[name].items()}
-        zone = name.removeprefix("front-").removesuffix("-1")
+        zone = self.zone_of[name]
         return {
             "node_name": name, "role": "entry", "machine_class": "front", "serves": ["front", "control"],
             "ip": LOOPBACK, "zone": zone, "region": ZONES[zone], "internal_port_range": [7780, 7795],
@@ -144,6 +155,7 @@
             "version": 7, "routes": routes, "services": services,
             "limits": {"max_header_bytes": 32768, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
             "tenants": [{"name": TENANT, "api_keys": [KEY]}]}
+        self.config = config
         self.platform.put_config(config)
         threading.Thread(target=self.send_heartbeats, daemon=True).start()
         for name in self.ports:
@@ -153,6 +165,12 @@
         time.sleep(4.5)  # `contact_ms`: from now on the machines are in touch.
         self.record("the machines are in touch")
 
+    def change(self, step):
+        """The operator writes another version: a time-out changes."""
+        routes = [{**it, "timeout_ms": it["timeout_ms"] + step} for it in self.config["routes"]]
+        self.record(f"the operator writes version {self.config['version'] + step}")
+        self.platform.put_config({**self.config, "version": self.config["version"] + step, "routes": routes})
+
     def wait(self, what, condition, limit_s=20):
         until = time.monotonic() + limit_s
         while not condition():
