--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,8 @@
-"""Many users come at once. A sound model worker then puts several tokens into an event; the ids still increase."""
+"""A machine is stopped (SIGTERM) while requests that it has passed on wait in the queue of their worker."""
 
+import json
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -10,64 +12,64 @@
 
 import small_deployment as small  # noqa: E402
 
-TOKENS = 25
-FIRST_TOKENS = 2
-PACE_MS = 30
-USUAL_CLIENTS = 10
-BURST_CLIENTS = 9  # Together 1.9 times as many.
-USUAL_S, BURST_S = 7.0, 5.0
-MOST = 3  # "more than three times"
+SLOTS, QUEUE = 6, 24  # Of the worker.
+ROUNDS = 3  # Of long requests that the worker runs before the others.
+LONG_MS = 2520
+SHORT_MS = 50
+SHORT = 6
+DEADLINE_MS = 8000  # Of clients, and the route's timeout.
+LAST_SIXTH_S = small.GRACE_S * 5 / 6
 
 
 def case(deployment):
-    deployment.start_worker("i-model-1", "znueni-llm", "bern-a", "--pace-ms", str(PACE_MS), "--busy", str(USUAL_CLIENTS),
-                            stage="decode", slots=64)
-    deployment.start([small.route("allergy-check", "streaming", "znueni-llm", target_latency_ms=400, gap_aim_ms=150)],
-                     [small.model_service("znueni-llm")])
-    entries = list(deployment.ports)
-    until = time.monotonic() + USUAL_S + BURST_S
-    lost, served, refused = [], [], []
+    deployment.start_worker("i-app-1", "register-app", "bern-a", "--queue", str(QUEUE), slots=SLOTS)
+    deployment.start([small.route("subsidy-post", "unsafe", "register-app", timeout_ms=DEADLINE_MS)],
+                     [{"name": "register-app", "health_path": "/health", "max_connections": 100}])
+    entry = list(deployment.ports)[0]
+    answers, sent, ended, threads = {}, {}, {}, []
 
-    def client(entry):
-        connection, answered = deployment.connect(entry), 0
-        while time.monotonic() < until:
-            request_id = deployment.new_id()
-            # The first request of a connection is a short one: what it is about comes after it.
-            tokens = TOKENS if answered else FIRST_TOKENS
-            it = deployment.send(connection, "/allergy-check/2f", request_id, b"note", deployment.stream_fields(request_id, tokens))
-            if it.status == 200 and it.complete:
-                served.append(request_id)
-                answered += 1
-            elif it.closed:
-                lost.append((request_id, answered))
-                connection, answered = deployment.connect(entry), 0
-            else:
-                refused.append(request_id)
-                time.sleep(0.1)
+    def client(connection, work_ms):
+        request_id = deployment.new_id()
+        sent[request_id] = time.time()
+        answers[request_id] = deployment.send(connection, "/subsidy-post/2f", request_id, json.dumps({"work_ms": work_ms}).encode(),
+                                              deadline_ms=DEADLINE_MS)
+        ended[request_id] = time.time()
 
-    def start(count):
-        threads = [threading.Thread(target=client, args=(entries[n % len(entries)],), daemon=True) for n in range(count)]
-        for it in threads:
-            it.start()
-        return threads
-
-    threads = start(USUAL_CLIENTS)
-    time.sleep(USUAL_S)
-    if len(served) < 50:
-        raise small.CannotRun("the usual streams were not served")
+    connections = [deployment.connect(entry) for _ in range(SLOTS * ROUNDS + SHORT)]
+    for it in connections:
+        it.connect()
+    for n, it in enumerate(connections):
+        threads.append(threading.Thread(target=client, args=(it, LONG_MS if n < SLOTS * ROUNDS else SHORT_MS), daemon=True))
+        threads[-1].start()
+        time.sleep(0.005)
+    time.sleep(0.05)
+    stopped = time.time()
     if small.TROUBLE:
-        deployment.record(f"{BURST_CLIENTS} more clients")
-        threads += start(BURST_CLIENTS)
+        deployment.signal(entry, signal.SIGTERM)
+        try:
+            deployment.processes[entry].wait(small.GRACE_S)
+            deployment.record(f"the process has ended by itself, {time.time() - stopped:.2f} s after SIGTERM")
+        except Exception:  # noqa: BLE001
+            deployment.signal(entry, signal.SIGKILL)
     for it in threads:
         it.join()
     deployment.record_notes()
-    deployment.record(f"{len(served)} streams were served, {len(refused)} refused, {len(lost)} cut")
-    cut_at_work = {it["request"] for it in deployment.worker_notes() if it["what"] == "connection closed by the system"}
-    kept = [(request_id, answered) for request_id, answered in lost if answered > 0 and request_id in cut_at_work]
-    if len(kept) <= MOST:
-        return []
-    return [f"request {request_id}, number {answered + 1} of its connection: passed on to a sound worker, which was at work; the "
-            "machine closed the connection before the answer's end" for request_id, answered in kept]
+    notes = {}
+    for it in deployment.worker_notes():
+        notes.setdefault(it["request"], {})[it["what"]] = it["at"]
+    broken = []
+    for request_id, it in answers.items():
+        seen = notes.get(request_id, {})
+        lost = it.status == 0 or not it.complete
+        in_time = ended[request_id] - sent[request_id] < DEADLINE_MS / 1000
+        # At work in the last sixth of the grace, on a request that was sent up to 3 s after the signal: excused.
+        at_work = "run begins" in seen and seen.get("run ends", time.time()) >= stopped + LAST_SIXTH_S
+        if lost and "queued" in seen and in_time and not (at_work and sent[request_id] <= stopped + 3):
+            broken.append(f"request {request_id}: passed on to the worker {stopped - seen['queued']:.2f} s before the signal, its "
+                          f"connection ended without an answer {ended[request_id] - stopped:.2f} s after it, "
+                          f"{DEADLINE_MS / 1000 - (ended[request_id] - sent[request_id]):.2f} s before its deadline; the worker "
+                          "had not begun to run it")
+    return broken
 
 
 small.run_case(FOLDER, case)
