--- a/review/shared-3/small_deployment.py
+++ b/review/shared-3/small_deployment.py
@@ -50,6 +50,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-3-"))
         self.record_file = open(pathlib.Path(case_folder) / "record.txt", "w", encoding="utf-8", buffering=1)
         self.lock = threading.Lock()
+        self.start_lock = threading.Lock()  # Nothing starts once `stop` has begun.
         self.begun = time.time()
         self.processes = {}
         self.workers = {}
@@ -111,7 +112,9 @@
             raise CannotRun("the program of deploy/system.toml is not built, or its template has changed")
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.settings(name)))
-        with open(self.folder / f"{name}.log", "ab") as log:
+        with self.start_lock, open(self.folder / f"{name}.log", "ab") as log:
+            if self.stopping.is_set():
+                return
             self.processes[name] = subprocess.Popen(
                 command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT,
                 env={"PATH": os.environ.get("PATH", ""), "HOME": str(self.folder), "NUTMEGSPUR_BOOT": str(path)})
@@ -242,7 +245,8 @@
                                        f"{it['what']}{' (' + more + ')' if more else ''}\n")
 
     def stop(self):
-        self.stopping.set()
+        with self.start_lock:
+            self.stopping.set()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
