Proxy: the log tells what work is left when a process ends

Change: E103 shows the requests by their progress (unsent, sent, responding), those that are half read and those of peers. on_deadline() decides by the same progress as before.

--- a/src/http1/http_server.cpp
+++ b/src/http1/http_server.cpp
@@ -142,6 +142,13 @@
                                                 [](const auto& it) { return it.second->busy(); }));
 }
 
+std::size_t
+http_server::receiving() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& it) { return it.second->receiving(); }));
+}
+
 void
 http_server::remove(server_connection* connection) {
   connections_.erase(connection);
--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -115,6 +115,9 @@
   /// Number of requests whose response is not complete.
   [[nodiscard]] std::size_t busy() const;
 
+  /// Number of requests of which some bytes, but not all, were read.
+  [[nodiscard]] std::size_t receiving() const;
+
  private:
   friend class server_connection;
 
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -19,6 +19,9 @@
 
   [[nodiscard]] bool busy() const { return current_exchange_ != nullptr; }
 
+  /// Whether part of a request was read.
+  [[nodiscard]] bool receiving() const { return phase_ == phase::head || phase_ == phase::body; }
+
   // Called by the exchange.
   void send(std::string_view bytes) {
     stream_->write(bytes);
--- a/src/proxy/forward_server.h
+++ b/src/proxy/forward_server.h
@@ -29,7 +29,8 @@
 
   void handle(const http1::exchange_ptr& peer);
 
-  [[nodiscard]] bool empty() const { return open_.empty(); }
+  /// Number of requests in progress.
+  [[nodiscard]] std::size_t open() const { return open_.size(); }
 
  private:
   struct forwarding {
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -4,6 +4,8 @@
 #include "metrics_page.h"
 
 #include <algorithm>
+#include <map>
+#include <vector>
 
 namespace nutmegspur::proxy {
 
@@ -226,15 +228,30 @@
 proxy_node::finish_stop() {
   const moment now = http1::event_loop::now();
   const stop_window& stop = *state_.stopping;
-  const bool idle = flows_.empty() && caller_server_.busy() == 0 && forwarded_.empty();
+  const bool idle = flows_.empty() && caller_server_.busy() == 0 && forwarded_.open() == 0;
   const bool noticed = now.boot - stop.begun >= balancer_notice + last_arrivals;
   if ((idle && noticed) || now.boot >= stop.end) {
     peers_.send_final_notices(now);
-    log(log_event::process_stopped, {{"requests", std::to_string(flows_.size())}});
+    log_stopped();
     loop_.stop();
   }
 }
 
+void
+proxy_node::log_stopped() const {
+  std::map<request_progress, std::size_t> left;
+  for (const auto& [key, flow] : flows_) {
+    left[flow->progress()]++;
+  }
+  std::vector<log_field> fields{{"requests", std::to_string(flows_.size())}};
+  for (const auto& [value, name] : enum_names<request_progress>::table) {
+    fields.push_back({name, std::to_string(left[value])});
+  }
+  fields.push_back({"receiving", std::to_string(caller_server_.receiving())});
+  fields.push_back({"for_peers", std::to_string(forwarded_.open())});
+  log(log_event::process_stopped, fields);
+}
+
 void
 proxy_node::reload(const proxy_settings& settings) {
   state_.settings.retries = settings.retries;
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -48,6 +48,8 @@
   void on_path_cut(const listed_upstream& upstream);
   void set_path_gauges();
   void finish_stop();
+  /// Logs the end of the process, and the work that is left then.
+  void log_stopped() const;
   [[nodiscard]] bool ready() const;
 
   http1::event_loop& loop_;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -65,6 +65,13 @@
   bool caller_behind = false;  ///< The caller has not taken what was forwarded.
 };
 
+/// How far a request has come.
+enum class request_progress {
+  unsent,     ///< No upstream can have run it.
+  sent,       ///< An upstream may have run it, or runs it; its caller has got nothing yet.
+  responding, ///< Part of the response was sent to its caller.
+};
+
 /// Why an attempt ends for the bytes that it holds.
 enum class overflow_cause {
   size,     ///< More than any response, or event, has.
@@ -75,6 +82,14 @@
 
 } // namespace nutmegspur::proxy
 
+template <> struct nutmegspur::enum_names<nutmegspur::proxy::request_progress> {
+  static constexpr std::array<enum_name<proxy::request_progress>, 3> table{{
+      {proxy::request_progress::unsent, "unsent"},
+      {proxy::request_progress::sent, "sent"},
+      {proxy::request_progress::responding, "responding"},
+  }};
+};
+
 template <> struct nutmegspur::enum_names<nutmegspur::proxy::overflow_cause> {
   static constexpr std::array<enum_name<proxy::overflow_cause>, 4> table{{
       {proxy::overflow_cause::size, "size"},
@@ -101,6 +116,7 @@
   /// The path to `upstream` was found cut: gives up an attempt that waits there in vain, if the
   /// request may be sent again.
   void on_path_cut(const upstream_id& upstream);
+  [[nodiscard]] request_progress progress() const;
 
  private:
   // Before an attempt.
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -511,18 +511,32 @@
   finish(client_closed_request);
 }
 
+request_progress
+request_flow::progress() const {
+  if (history_.response_started) {
+    return request_progress::responding;
+  }
+  // Prefill does not count as running the request.
+  const bool attempt_sent = attempt_ && attempt_->task != attempt_task::prefill &&
+                            attempt_->call != nullptr && attempt_->call->sent();
+  return history_.may_have_run || attempt_sent ? request_progress::sent : request_progress::unsent;
+}
+
 void
 request_flow::on_deadline() {
   if (done_) {
     return;
   }
-  if (history_.response_started) {
+  switch (progress()) {
+  case request_progress::responding:
     end_request(after_last_attempt(history_), "deadline", std::nullopt, 0);
-  } else if (history_.may_have_run || (attempt_ && attempt_->task != attempt_task::prefill &&
-                                       attempt_->call && attempt_->call->sent())) {
+    break;
+  case request_progress::sent:
     fail(504, "deadline");
-  } else {
+    break;
+  case request_progress::unsent:
     refuse("deadline", retry_after_rejection, 0);
+    break;
   }
 }
 
