A stopping instance answers what is unfinished when its window ends

Cause: proxy_node::finish_stop() stopped the event loop at stop_window::end whatever was in flows_, and the destructors closed the connections. on_deadline() knows which final response is true at any moment; nothing called for it when the process ended before the deadline.

Change: before the loop stops, each request gets the final response for its progress, as at its deadline: 503 with Retry-After if no upstream can have run it, 504 if one may have, and a started stream is cut or, where an upstream has ended it, completed. The requests of peers end with a message: 'unreachable' where nothing was sent, so that the peer asks another instance, else 'broken' without evidence against the upstream. (Before, the closed connection said 'broken' in both cases.)

--- a/src/proxy/forward_server.cpp
+++ b/src/proxy/forward_server.cpp
@@ -142,6 +142,18 @@
   close(number);
 }
 
+void
+forward_server::end_all() {
+  while (!open_.empty()) {
+    const auto& [number, it] = *open_.begin();
+    // Nothing is recorded against the upstream, nor is the peer to do so: it is not at fault.
+    const auto how = it.call->sent() ? http1::call_end::broken : http1::call_end::unreachable;
+    it.peer->write(pack_forward_event({forward_step::end, {}, std::string{to_name(how)}, false}));
+    it.peer->finish();
+    close(number);
+  }
+}
+
 void
 forward_server::close(std::uint64_t number) {
   const auto it = open_.find(number);
--- a/src/proxy/forward_server.h
+++ b/src/proxy/forward_server.h
@@ -29,6 +29,9 @@
 
   void handle(const http1::exchange_ptr& peer);
 
+  /// This instance ends now: tells the peers whose requests are in progress what became of them.
+  void end_all();
+
   /// Number of requests in progress.
   [[nodiscard]] std::size_t open() const { return open_.size(); }
 
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <map>
-#include <vector>
 
 namespace nutmegspur::proxy {
 
@@ -196,15 +195,19 @@
 proxy_node::on_path_cut(const listed_upstream& upstream) {
   // Kept connections may be dead without a sign of it.
   upstream_client_.forget({upstream.address, upstream.port});
+  for (auto* it : open_flows()) {
+    it->on_path_cut(upstream.id);
+  }
+}
+
+std::vector<request_flow*>
+proxy_node::open_flows() const {
   std::vector<request_flow*> open;
   open.reserve(flows_.size());
   for (const auto& [key, flow] : flows_) {
     open.push_back(key);
   }
-  // A flow that ends is erased in a later iteration of the loop.
-  for (auto* it : open) {
-    it->on_path_cut(upstream.id);
-  }
+  return open;
 }
 
 void
@@ -231,12 +234,21 @@
   const bool idle = flows_.empty() && caller_server_.busy() == 0 && forwarded_.open() == 0;
   const bool noticed = now.boot - stop.begun >= balancer_notice + last_arrivals;
   if ((idle && noticed) || now.boot >= stop.end) {
+    end_work();
     peers_.send_final_notices(now);
-    log_stopped();
     loop_.stop();
   }
 }
 
+void
+proxy_node::end_work() {
+  log_stopped();
+  for (auto* it : open_flows()) {
+    it->on_instance_end();
+  }
+  forwarded_.end_all();
+}
+
 void
 proxy_node::log_stopped() const {
   std::map<request_progress, std::size_t> left;
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace nutmegspur::proxy {
 
@@ -44,10 +45,14 @@
   void on_request(http1::exchange_ptr caller);
   void on_probe(const http1::exchange_ptr& caller);
   void on_peer_request(const http1::exchange_ptr& caller);
+  /// The requests in progress. One that ends is erased in a later iteration of the loop.
+  [[nodiscard]] std::vector<request_flow*> open_flows() const;
   /// Tells the requests in progress that the path to `upstream` is cut.
   void on_path_cut(const listed_upstream& upstream);
   void set_path_gauges();
   void finish_stop();
+  /// The process ends: whoever waits for it gets a final response.
+  void end_work();
   /// Logs the end of the process, and the work that is left then.
   void log_stopped() const;
   [[nodiscard]] bool ready() const;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -24,8 +24,6 @@
 constexpr milliseconds retry_after_unknown_origin{150};
 /// Questions for permits that a request waits for before it uses upstreams without a limit only.
 constexpr unsigned max_permit_questions = 3;
-/// Retry-After of requests that reach an instance about to stop: another instance serves them.
-constexpr milliseconds retry_after_stopping{100};
 
 /// What an upstream that works on a request may crash on. The last part of a prompt belongs to the
 /// request or its session.
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -65,6 +65,9 @@
   bool caller_behind = false;  ///< The caller has not taken what was forwarded.
 };
 
+/// Retry-After of requests that an instance about to stop does not serve: another one does.
+inline constexpr milliseconds retry_after_stopping{100};
+
 /// How far a request has come.
 enum class request_progress {
   unsent,     ///< No upstream can have run it.
@@ -116,6 +119,8 @@
   /// The path to `upstream` was found cut: gives up an attempt that waits there in vain, if the
   /// request may be sent again.
   void on_path_cut(const upstream_id& upstream);
+  /// This instance ends now: the request gets the final response that is true at this moment.
+  void on_instance_end();
   [[nodiscard]] request_progress progress() const;
 
  private:
@@ -251,6 +256,8 @@
   void reject(int status, std::string_view why);
   void on_caller_disconnected();
   void on_deadline();
+  /// No time is left for the request: ends it according to its progress.
+  void end_unfinished(std::string_view why, milliseconds retry_after);
   void finish(int status);
 
   [[nodiscard]] duration remaining_time() const;
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -524,18 +524,29 @@
 
 void
 request_flow::on_deadline() {
+  end_unfinished("deadline", retry_after_rejection);
+}
+
+void
+request_flow::on_instance_end() {
+  end_unfinished("stopping", retry_after_stopping);
+}
+
+void
+request_flow::end_unfinished(std::string_view why, milliseconds retry_after) {
   if (done_) {
     return;
   }
+  constexpr int gateway_timeout = 504;
   switch (progress()) {
   case request_progress::responding:
-    end_request(after_last_attempt(history_), "deadline", std::nullopt, 0);
+    end_request(after_last_attempt(history_), why, std::nullopt, 0);
     break;
   case request_progress::sent:
-    fail(504, "deadline");
+    fail(gateway_timeout, why);
     break;
   case request_progress::unsent:
-    refuse("deadline", retry_after_rejection, 0);
+    refuse(why, retry_after, 0);
     break;
   }
 }
