Nothing is taken any more once a stopping instance ends its work

Cause: event_loop::stop() ends the loop only after the iteration in progress, which polls for input once more. Connections were read there and their requests placed and sent, after E103; then everything was destroyed. The listening sockets were open to the end as well.

Change: the end has two steps. end_work() closes the listening sockets of callers, peers and probes, ends the stop window, so that what arrives on open connections is refused and not run, and gives what is left its final response. end_process(), 50 ms later, stops reading on all connections and stops the loop.

--- a/src/http1/http_server.cpp
+++ b/src/http1/http_server.cpp
@@ -136,6 +136,14 @@
   }
 }
 
+void
+http_server::stop_receiving() {
+  closing_ = true;
+  for (auto& [key, connection] : connections_) {
+    connection->stop_receiving();
+  }
+}
+
 std::size_t
 http_server::busy() const {
   return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -109,6 +109,12 @@
   /// Closes idle connections now and each other connection after its current response.
   void drain();
 
+  /// Accepts no further connections.
+  void stop_listening() { listener_.close(); }
+
+  /// From now on nothing is read: connections without a request in progress are closed.
+  void stop_receiving();
+
   /// Number of open connections.
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -329,6 +329,15 @@
   }
 }
 
+void
+server_connection::stop_receiving() {
+  receiving_ = false;
+  update_reading();
+  if (!busy()) {
+    close();
+  }
+}
+
 void
 server_connection::close() {
   if (phase_ == phase::closed) {
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -17,6 +17,9 @@
   /// Closes at once if idle, otherwise after the current response.
   void drain();
 
+  /// Reads nothing from now on; closes unless a request is in progress.
+  void stop_receiving();
+
   [[nodiscard]] bool busy() const { return current_exchange_ != nullptr; }
 
   /// Whether part of a request was read.
--- a/src/http1/tcp_stream.cpp
+++ b/src/http1/tcp_stream.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace nutmegspur::http1 {
 
@@ -278,7 +279,14 @@
 }
 
 tcp_listener::~tcp_listener() {
-  uv_close(as_handle(handle_), [](uv_handle_t* it) { delete reinterpret_cast<uv_tcp_t*>(it); });
+  close();
+}
+
+void
+tcp_listener::close() {
+  if (uv_tcp_t* handle = std::exchange(handle_, nullptr)) {
+    uv_close(as_handle(handle), [](uv_handle_t* it) { delete reinterpret_cast<uv_tcp_t*>(it); });
+  }
 }
 
 result<void>
--- a/src/http1/tcp_stream.h
+++ b/src/http1/tcp_stream.h
@@ -77,7 +77,7 @@
   bool ended_ = false;
 };
 
-/// A listening socket; closed by the destructor.
+/// A listening socket; closed by the destructor if not before.
 class tcp_listener {
  public:
   using accept_callback = std::function<void(std::unique_ptr<tcp_stream>)>;
@@ -88,13 +88,15 @@
   ~tcp_listener();
 
   result<void> listen(const endpoint& at);
+  /// Closes the socket. Connections that wait to be accepted are reset.
+  void close();
 
  private:
   /// Connections that the kernel queues until they are accepted.
   static constexpr int backlog = 512;
 
   event_loop& loop_;
-  uv_tcp_t* handle_;
+  uv_tcp_t* handle_; ///< Null after `close`.
   accept_callback on_accept_;
 };
 
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -16,6 +16,8 @@
 /// Part of the stop limit that is reserved for the exit itself.
 constexpr milliseconds stop_margin{900};
 constexpr milliseconds stop_poll{50};
+/// Time for requests that have arrived when the work ends, to be refused.
+constexpr milliseconds last_look{50};
 /// Time after the balancer has noticed in which requests that it sent before still arrive.
 constexpr milliseconds last_arrivals{400};
 
@@ -87,7 +89,7 @@
 result<void>
 proxy_node::start() {
   const auto& settings = state_.settings;
-  for (auto* it : {&caller_server_, &ready_server_, &peer_server_}) {
+  for (auto* it : servers()) {
     const endpoint& at = it == &caller_server_  ? settings.caller_listen
                          : it == &ready_server_ ? settings.ready_listen
                                                 : settings.peer_listen;
@@ -224,7 +226,7 @@
   // its caller that the connection ends.
   caller_server_.close_after_responses();
   loop_.once(balancer_notice, [this](const moment&) { caller_server_.drain(); });
-  loop_.every(stop_poll, [this](const moment&) { finish_stop(); });
+  stop_timer_ = loop_.every(stop_poll, [this](const moment&) { finish_stop(); });
 }
 
 void
@@ -234,19 +236,32 @@
   const bool idle = flows_.empty() && caller_server_.busy() == 0 && forwarded_.open() == 0;
   const bool noticed = now.boot - stop.begun >= balancer_notice + last_arrivals;
   if ((idle && noticed) || now.boot >= stop.end) {
-    end_work();
-    peers_.send_final_notices(now);
-    loop_.stop();
+    end_work(now);
   }
 }
 
 void
-proxy_node::end_work() {
+proxy_node::end_work(const moment& now) {
+  loop_.cancel(stop_timer_);
+  state_.stopping->end = now.boot; // Nothing starts after it.
   log_stopped();
+  for (auto* it : servers()) {
+    it->stop_listening();
+  }
   for (auto* it : open_flows()) {
     it->on_instance_end();
   }
   forwarded_.end_all();
+  loop_.once(last_look, [this](const moment& at) { end_process(at); });
+}
+
+void
+proxy_node::end_process(const moment& now) {
+  for (auto* it : servers()) {
+    it->stop_receiving();
+  }
+  peers_.send_final_notices(now);
+  loop_.stop();
 }
 
 void
--- a/src/proxy/proxy_node.h
+++ b/src/proxy/proxy_node.h
@@ -18,6 +18,7 @@
 #include "upstream_crashes.h"
 #include "upstream_paths.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -50,9 +51,17 @@
   /// Tells the requests in progress that the path to `upstream` is cut.
   void on_path_cut(const listed_upstream& upstream);
   void set_path_gauges();
+
+  [[nodiscard]] std::array<http1::http_server*, 3> servers() {
+    return {&caller_server_, &ready_server_, &peer_server_};
+  }
+
   void finish_stop();
-  /// The process ends: whoever waits for it gets a final response.
-  void end_work();
+  /// Begins the end of the process: whoever waits for it gets a final response, nobody can connect
+  /// any more, and requests that still arrive are refused.
+  void end_work(const moment& now);
+  /// Ends the loop, which may look for input once more: nothing is read by then.
+  void end_process(const moment& now);
   /// Logs the end of the process, and the work that is left then.
   void log_stopped() const;
   [[nodiscard]] bool ready() const;
@@ -77,6 +86,7 @@
   http1::http_server peer_server_;
   std::unordered_map<request_flow*, std::unique_ptr<request_flow>> flows_;
   bool was_ready_ = false;
+  timer_id stop_timer_; ///< Of finish_stop().
 };
 
 } // namespace nutmegspur::proxy
