A stopping instance waits for half-read requests and refuses those left at its end

Callers saw: an idle instance ended 3.0 s after its SIGTERM while their request was still arriving, and at the end of the window a request of which a part was read ended without a response. Neither had run, but the caller of a payment cannot tell.

Change: a half-read request keeps an instance from ending, for as long as the header timeout or the stop window lasts; whether it is taken is decided when it is whole, as before. At the end of the process it gets 503 with Retry-After. The same goes for callers, peers and probes, since it is done by the HTTP server.

--- a/src/http1/http_server.cpp
+++ b/src/http1/http_server.cpp
@@ -9,8 +9,6 @@
 
 namespace nutmegspur::http1 {
 
-namespace {
-
 std::string
 format_head(int status, std::string_view reason, const http_fields& fields) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
@@ -23,8 +21,6 @@
   return text;
 }
 
-} // namespace
-
 bool
 exchange::end_if_closed() {
   return connection_ != nullptr && connection_->end_if_closed();
@@ -137,10 +133,10 @@
 }
 
 void
-http_server::stop_receiving() {
+http_server::stop_receiving(const http_fields& refusal_fields) {
   closing_ = true;
   for (auto& [key, connection] : connections_) {
-    connection->stop_receiving();
+    connection->stop_receiving(refusal_fields);
   }
 }
 
--- a/src/http1/http_server.h
+++ b/src/http1/http_server.h
@@ -112,8 +112,9 @@
   /// Accepts no further connections.
   void stop_listening() { listener_.close(); }
 
-  /// From now on nothing is read: connections without a request in progress are closed.
-  void stop_receiving();
+  /// From now on nothing is read: idle connections are closed, and requests of which only a part
+  /// was read are refused with status 503 and `refusal_fields`.
+  void stop_receiving(const http_fields& refusal_fields);
 
   /// Number of open connections.
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
--- a/src/http1/server_connection.cpp
+++ b/src/http1/server_connection.cpp
@@ -275,11 +275,10 @@
 }
 
 void
-server_connection::reject(int status, const std::string& why) {
+server_connection::reject(int status, const std::string& why, const http_fields& fields) {
   server_.hooks_.on_rejected(status, why);
-  const std::string_view reason = reason_phrase(status);
-  stream_->write("HTTP/1.1 " + std::to_string(status) + " " + std::string{reason} +
-                 "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  stream_->write(format_head(status, {}, fields) +
+                 "Content-Length: 0\r\nConnection: close\r\n\r\n");
   close();
 }
 
@@ -330,10 +329,13 @@
 }
 
 void
-server_connection::stop_receiving() {
+server_connection::stop_receiving(const http_fields& refusal_fields) {
+  constexpr int unavailable = 503;
   receiving_ = false;
   update_reading();
-  if (!busy()) {
+  if (receiving()) {
+    reject(unavailable, "stopping", refusal_fields);
+  } else if (!busy()) {
     close();
   }
 }
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -7,6 +7,10 @@
 
 namespace nutmegspur::http1 {
 
+/// Status line and fields of a response, without the empty line behind them. An empty `reason` is
+/// replaced by that of the status; fields that concern only one connection are left out.
+std::string format_head(int status, std::string_view reason, const http_fields& fields);
+
 class server_connection {
  public:
   server_connection(http_server& server, std::unique_ptr<tcp_stream> stream);
@@ -17,8 +21,9 @@
   /// Closes at once if idle, otherwise after the current response.
   void drain();
 
-  /// Reads nothing from now on; closes unless a request is in progress.
-  void stop_receiving();
+  /// Reads nothing from now on; refuses a request that is half read, and closes unless a response
+  /// is in progress.
+  void stop_receiving(const http_fields& refusal_fields);
 
   [[nodiscard]] bool busy() const { return current_exchange_ != nullptr; }
 
@@ -54,7 +59,7 @@
   void read_head();
   void read_body();
   void dispatch();
-  void reject(int status, const std::string& why);
+  void reject(int status, const std::string& why, const http_fields& fields = {});
   void start_timer(milliseconds timeout);
   void on_timeout();
   /// Counts the bytes of the request, and reads on or waits as the budget says.
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -233,7 +233,8 @@
 proxy_node::finish_stop() {
   const moment now = http1::event_loop::now();
   const stop_window& stop = *state_.stopping;
-  const bool idle = flows_.empty() && caller_server_.busy() == 0 && forwarded_.open() == 0;
+  const bool idle = flows_.empty() && caller_server_.busy() == 0 &&
+                    caller_server_.receiving() == 0 && forwarded_.open() == 0;
   const bool noticed = now.boot - stop.begun >= balancer_notice + last_arrivals;
   if ((idle && noticed) || now.boot >= stop.end) {
     end_work(now);
@@ -257,8 +258,9 @@
 
 void
 proxy_node::end_process(const moment& now) {
+  const http_fields refusal = state_.wire.own_response_fields({}, retry_after_stopping);
   for (auto* it : servers()) {
-    it->stop_receiving();
+    it->stop_receiving(refusal);
   }
   peers_.send_final_notices(now);
   loop_.stop();
