A stream whose end is contradicted is not completed when time is up

Its first run ended without proof, the run that was asked for the rest had sent half of a further event, and time was up: the response was ended as complete (ORDER).

Cause: end_attempt() looks at what the attempt has shown against the end, on_deadline() did not, and so neither did the end of an instance, which makes another way there.

Change: both look (note_contradicted_end()); the response is cut.

--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -233,6 +233,9 @@
   void log_stream(std::string_view how, std::string_view next);
   void end_attempt(attempt_end how);
   void forward_response();
+  /// An end that was in question is wrong if the attempt that was to prove it has begun to send
+  /// more: only a proved end completes the stream then.
+  void note_contradicted_end();
   /// Sends the request again, after an attempt that ended like this.
   void retry(attempt_end how);
   /// No upstream has begun to answer the question for the rest of the stream.
--- a/src/proxy/request_flow_end.cpp
+++ b/src/proxy/request_flow_end.cpp
@@ -300,6 +300,14 @@
 
 } // namespace
 
+void
+request_flow::note_contradicted_end() {
+  if (history_.end_unproven && attempt_ && shows_more_events(*attempt_)) {
+    history_.end_unproven = false;
+    history_.broken_off = true;
+  }
+}
+
 void
 request_flow::end_attempt(attempt_end how) {
   if (attempt_->task == attempt_task::prefill) {
@@ -314,10 +322,8 @@
   history_.time_left = remaining_time() > min_attempt_time;
   history_.upstream_left = !eligible_upstreams().empty();
   history_.budget_left = true;
-  if (history_.end_unproven && how != attempt_end::answered && how != attempt_end::unproven &&
-      shows_more_events(it)) {
-    history_.end_unproven = false;
-    history_.broken_off = true;
+  if (how != attempt_end::answered && how != attempt_end::unproven) {
+    note_contradicted_end();
   }
   next_step step = after_attempt(how, history_);
   if (step == next_step::retry && history_.sent > 0) {
@@ -538,6 +544,7 @@
     return;
   }
   constexpr int gateway_timeout = 504;
+  note_contradicted_end();
   switch (progress()) {
   case request_progress::responding:
     end_request(after_last_attempt(history_), why, std::nullopt, 0);
--- a/testsuite/lib/platform_standin.py
+++ b/testsuite/lib/platform_standin.py
@@ -373,6 +373,14 @@
     }[how]()
 
 
+class FaultsByAttempt(dict):
+    """Faults of a request's attempts in order, whichever worker gets them."""
+
+    def pop(self, key, default=""):
+        rest = self.get(key)
+        return rest.pop(0) if rest else default
+
+
 class Worker:
     """One worker. `faults` maps a request id to the fault that is injected into this request once."""
 
--- a/testsuite/lib/spoiled_streams.py
+++ b/testsuite/lib/spoiled_streams.py
@@ -68,6 +68,9 @@
     def half_event(self):
         return [chunk(event(self.first, self.version)[:-4]), RESET]
 
+    def half_event_and_hold(self):
+        return [chunk(event(self.first, self.version)[:-4]), HOLD]
+
     def from_one(self):
         """A run that does not go on after the last event, but begins anew, and ends early."""
         return [chunk(event(n, self.version)) for n in (1, 2)] + [LAST_CHUNK]
@@ -116,6 +119,7 @@
     "earlier id": lambda it: it.with_id(it.at - 1),
     "blank line missing": Parts.joined,
     "half event": Parts.half_event,
+    "half event and hold": Parts.half_event_and_hold,
     "from one": Parts.from_one,
     "slow": Parts.slow,
     "unframed comment": lambda it: [COMMENT, CLOSE],
