Entry instances answer what is unfinished when their wait for live work ends

Change: when the wait ends before the work, each request whose caller waits gets an error with what is known of it (not_run or unknown) and a Retry-After, as at its deadline. A call that may not run twice is still recorded if it ends before the process does.

--- a/src/include/nutmegspur/request_table.h
+++ b/src/include/nutmegspur/request_table.h
@@ -61,6 +61,10 @@
   /// From now on new requests are refused as `not_run`; live requests continue.
   void close() { closed_ = true; }
 
+  /// This instance ends now: each request without a final response gets an error that says what is
+  /// known of it. A call that may be running and must not run again is still recorded if it ends.
+  void fail_unfinished(const moment& now, action_list& out);
+
   /// Requests without a final response, and calls that continue after their caller disconnected.
   [[nodiscard]] std::size_t live() const { return live_.size(); }
 
@@ -116,6 +120,9 @@
   void on_tick(const moment& now, action_list& out);
   void fail_withdrawn_keys(const moment& now, action_list& out);
   void fail_expired(const moment& now, action_list& out);
+  /// Fails the requests whose deadline is at most `due_by` and whose caller waits.
+  void fail_requests(const moment& now, time_point due_by, error_code code, const std::string& why,
+                     action_list& out);
   void dispatch(const moment& now, action_list& out);
   /// Places or refuses one waiting request; false if none can be placed now.
   bool dispatch_one(const moment& now, action_list& out);
--- a/src/include/nutmegspur/shutdown.h
+++ b/src/include/nutmegspur/shutdown.h
@@ -46,6 +46,9 @@
   std::function<std::size_t()> live_work;
   /// Starts to refuse new work.
   std::function<void()> close;
+  /// Gives each request that is left the final response that is true now. Called at most once, when
+  /// the wait for live work ends before the work does.
+  std::function<void(const moment&, action_list&)> fail_live;
   /// Starts to release leases and hand over usage. Called once.
   std::function<void(const moment&, action_list&)> release;
   /// Number of duties that have not been released.
--- a/src/libnutmegspur/node.cpp
+++ b/src/libnutmegspur/node.cpp
@@ -151,6 +151,8 @@
 node::parts::make_shutdown_dependencies() {
   return {.live_work = [this] { return requests.live() + claims.unfinished(); },
           .close = [this] { requests.close(); },
+          .fail_live = [this](const moment& now,
+                              action_list& out) { requests.fail_unfinished(now, out); },
           .release = [this](const moment& now, action_list& out) { usage.flush(now, out); },
           .unreleased_duties = [this] { return unreleased_duties(); }};
 }
--- a/src/libnutmegspur/request_table.cpp
+++ b/src/libnutmegspur/request_table.cpp
@@ -264,20 +264,29 @@
 
 void
 request_table::fail_expired(const moment& now, action_list& out) {
-  std::vector<request_id> expired;
+  fail_requests(now, now.boot, error_code::deadline_exceeded, "the deadline has passed", out);
+}
+
+void
+request_table::fail_unfinished(const moment& now, action_list& out) {
+  fail_requests(now, time_point::max(), error_code::unavailable, "this instance is stopping", out);
+}
+
+void
+request_table::fail_requests(const moment& now, time_point due_by, error_code code,
+                             const std::string& why, action_list& out) {
+  std::vector<request_id> due;
   for (const auto& [request, it] : live_) {
-    if (it.arrival.deadline <= now.boot && !it.caller_disconnected) {
-      expired.push_back(request);
+    if (it.arrival.deadline <= due_by && !it.caller_disconnected) {
+      due.push_back(request);
     }
   }
-  std::sort(expired.begin(), expired.end());
-  for (const request_id request : expired) {
+  std::sort(due.begin(), due.end());
+  for (const request_id request : due) {
     live_request& it = live_.at(request);
     finish_with_error(now, it,
-                      {error_code::deadline_exceeded,
-                       it.current_phase == phase::queued ? step::admit : step::attempt_stream,
-                       it.upstream.value, "the deadline has passed", known_outcome(it),
-                       default_retry_after},
+                      {code, it.current_phase == phase::queued ? step::admit : step::attempt_stream,
+                       it.upstream.value, why, known_outcome(it), default_retry_after},
                       out);
   }
 }
--- a/src/libnutmegspur/shutdown.cpp
+++ b/src/libnutmegspur/shutdown.cpp
@@ -39,6 +39,9 @@
   }
   if (phase_ == shutdown_phase::draining && (!waits || dependencies_.live_work() == 0 ||
                                              now.boot >= phase_began_ + options_.drain_limit)) {
+    if (dependencies_.live_work() != 0) {
+      dependencies_.fail_live(now, out);
+    }
     enter(now, shutdown_phase::releasing, out);
     dependencies_.release(now, out);
   }
--- a/src/libnutmegspur/shutdown_test.cpp
+++ b/src/libnutmegspur/shutdown_test.cpp
@@ -14,11 +14,14 @@
 /// An instance with requests and a graceful shutdown.
 class shutdown_harness {
  public:
+  explicit shutdown_harness(shutdown_options options = {}) : options_(options) {}
+
   request_harness requests{1};
   bool released = false;
   std::size_t unreleased_duties = 1;
   bool ready = true;
   bool stopped = false;
+  action_list sent; ///< By the shutdown.
 
   void step(const event& ev) {
     action_list out;
@@ -29,6 +32,7 @@
       }
       stopped = stopped || std::holds_alternative<exit_process>(it);
     }
+    sent.insert(sent.end(), out.begin(), out.end());
   }
 
   void pass(duration span) {
@@ -39,11 +43,14 @@
   [[nodiscard]] shutdown_phase phase() const { return stop_.phase(); }
 
  private:
-  shutdown stop_{{},
-                 {[this] { return requests.table(0).live() + requests.claims(0).unfinished(); },
-                  [this] { requests.table(0).close(); },
-                  [this](const moment&, action_list&) { released = true; },
-                  [this] { return unreleased_duties; }}};
+  shutdown_options options_;
+  shutdown stop_{
+      options_,
+      {[this] { return requests.table(0).live() + requests.claims(0).unfinished(); },
+       [this] { requests.table(0).close(); },
+       [this](const moment& now, action_list& out) { requests.table(0).fail_unfinished(now, out); },
+       [this](const moment&, action_list&) { released = true; },
+       [this] { return unreleased_duties; }}};
 };
 
 TEST(shutdown, goes_through_its_phases_in_order) {
@@ -98,6 +105,32 @@
   EXPECT_TRUE(it.stopped);
 }
 
+/// The failures that a shutdown sends when its wait for live work ends.
+std::vector<error>
+failures_at_the_limit(shutdown_harness& it) {
+  it.step(stop_requested{});
+  for (int i = 0; i < 60 && !it.stopped; ++i) {
+    it.pass(seconds{1});
+  }
+  std::vector<error> failures;
+  for (const auto& what : it.sent) {
+    if (const auto* failure = std::get_if<fail_request>(&what)) {
+      failures.push_back(failure->why);
+    }
+  }
+  return failures;
+}
+
+// Guards against callers whose connections close without a response when the wait for them ends.
+TEST(shutdown, answers_a_call_that_never_ends) {
+  shutdown_harness it{{.drain_limit = seconds{2}}};
+  it.requests.call_service(0, "pay", "", "b1");
+  const auto failures = failures_at_the_limit(it);
+  ASSERT_EQ(failures.size(), 1U);
+  EXPECT_EQ(failures.front().code, error_code::unavailable);
+  EXPECT_EQ(failures.front().ran, outcome::unknown);
+}
+
 // Whenever the shutdown is requested, every live request that can end within the limit ends
 // normally.
 RC_GTEST_PROP(shutdown, aborts_no_live_request, ()) {
