--- a/src/include/nutmegspur/stop_window.h
+++ b/src/include/nutmegspur/stop_window.h
@@ -7,10 +7,11 @@
 
 namespace nutmegspur {
 
-/// The times of a stop, fixed when it begins: later settings do not move them.
+/// The times of a stop, fixed when it begins: later settings do not move them. Only `end` is moved,
+/// forward to the moment at which all work has ended.
 struct stop_window {
   time_point begun{}; ///< When the instance was told to stop.
-  /// The process ends here at the latest, and with it all work that is left.
+  /// No work is done later; what is left gets its final response here, and the process ends.
   time_point end{};
   milliseconds limit{0}; ///< From the signal to the moment at which the platform kills the process.
 };
--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -244,7 +244,8 @@
 void
 proxy_node::end_work(const moment& now) {
   loop_.cancel(stop_timer_);
-  state_.stopping->end = now.boot; // Nothing starts after it.
+  // What is read from now on is refused, whatever its deadline.
+  state_.stopping->end = now.boot;
   log_stopped();
   for (auto* it : servers()) {
     it->stop_listening();
